--- a/Source/Telemetry/JsonLogger.h
+++ b/Source/Telemetry/JsonLogger.h
@@ -15,7 +15,7 @@
   JsonLogger(const Clock &Time, std::string Program, std::string Node,
              LogLevel Least);
 
-  void log(LogLevel Level, std::string_view Text, Fields Values) override;
+  void log(LogLevel Level, std::string_view Text, Fields Values = {}) override;
 
 private:
   const Clock &Time;
