--- /dev/null
+++ b/Source/Platform/PlatformCall.cpp
@@ -0,0 +1,56 @@
+#include "Platform/PlatformCall.h"
+
+#include <utility>
+
+namespace turmericpass {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A store that is silent for longer counts as down; its usual answers take
+/// milliseconds.
+constexpr Duration PlatformIdleLimit = 5s;
+
+ErrorCode toErrorCode(int Status, ErrorCode TooMany) {
+  switch (Status) {
+  case 404:
+    return ErrorCode::NotFound;
+  case 409:
+    return ErrorCode::Conflict;
+  case 429:
+    return TooMany;
+  case 503:
+    return ErrorCode::Unavailable;
+  default:
+    return Status < 500 ? ErrorCode::InvalidArgument : ErrorCode::Timeout;
+  }
+}
+
+} // namespace
+
+void callPlatform(HttpClient &Client, const std::string &Address,
+                  HttpRequest Request,
+                  std::function<void(Result<std::string>)> Done,
+                  ErrorCode TooMany) {
+  const std::string What =
+      Request.Method + " " + Request.Path + " at " + Address;
+  HttpCallHandlers Handlers;
+  Handlers.Done = [What, Done, TooMany](HttpReply Reply) {
+    if (Reply.Status >= 200 && Reply.Status < 300)
+      Done(std::move(Reply.Body));
+    else
+      Done(failure(toErrorCode(Reply.Status, TooMany),
+                   What + " was answered with status " +
+                       std::to_string(Reply.Status) + "."));
+  };
+  Handlers.Failed = [What, Done](const Error &Reason, HttpProgress Progress) {
+    Done(failure(Progress == HttpProgress::NotSent ? ErrorCode::Unavailable
+                                                   : ErrorCode::Timeout,
+                 What + " failed: " + Reason.Message));
+  };
+  Client.call(Address, std::move(Request), PlatformIdleLimit,
+              std::move(Handlers));
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Platform/WeightStore.h
@@ -0,0 +1,24 @@
+#ifndef TURMERICPASS_PLATFORM_WEIGHTSTORE_H
+#define TURMERICPASS_PLATFORM_WEIGHTSTORE_H
+
+#include "Core/Error.h"
+
+#include <functional>
+#include <string>
+
+namespace turmericpass {
+
+/// The platform's store of model weights. Errors as for Table, and RateLimited
+/// when the store's rate is exceeded.
+class WeightStore {
+public:
+  using GetDone = std::function<void(Result<std::string>)>;
+
+  virtual ~WeightStore() = default;
+
+  virtual void get(std::string Name, GetDone Done) = 0;
+};
+
+} // namespace turmericpass
+
+#endif
