--- a/Source/Platform/HttpTable.cpp
+++ b/Source/Platform/HttpTable.cpp
@@ -84,8 +84,12 @@
   Request.Method = "POST";
   Request.Path = "/table/transact";
   Request.Headers = {{"Content-Type", "application/json"}};
-  Request.Body =
-      toJson(Transaction).dump(-1, ' ', false, Json::error_handler_t::replace);
+  Result<std::string> Body = toBody(Transaction);
+  if (!Body) {
+    Done(tl::make_unexpected(Body.error()));
+    return;
+  }
+  Request.Body = std::move(*Body);
   callPlatform(this->Client, this->Address, std::move(Request),
                [Done = std::move(Done)](const Result<std::string> &Body) {
                  if (Body)
