--- /dev/null
+++ b/Source/Settings/SettingsReader.h
@@ -0,0 +1,15 @@
+#ifndef TURMERICPASS_SETTINGS_SETTINGSREADER_H
+#define TURMERICPASS_SETTINGS_SETTINGSREADER_H
+
+#include "Settings/FleetSettings.h"
+#include "Settings/SettingsTree.h"
+
+namespace turmericpass {
+
+/// Reads the values of \p Tree and checks each by itself. Problems go to
+/// \p Tree.
+FleetSettings readSettings(SettingsTree &Tree);
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Settings/SettingsRules.h
@@ -0,0 +1,46 @@
+#ifndef TURMERICPASS_SETTINGS_SETTINGSRULES_H
+#define TURMERICPASS_SETTINGS_SETTINGSRULES_H
+
+#include "Settings/FleetSettings.h"
+#include "Settings/SettingsTree.h"
+
+#include <set>
+
+namespace turmericpass {
+
+/// Checks what holds between the parts of a settings folder: references,
+/// cycles, clashes. Also derives the ranks of the classes.
+class SettingsRules {
+public:
+  SettingsRules(SettingsTree &Tree, FleetSettings &Settings)
+      : Tree(Tree), Settings(Settings) {}
+
+  void check();
+
+private:
+  void reject(const std::string &Section, const std::string &Name,
+              const std::string &Key, std::string Found, std::string Allowed);
+  void requireSections();
+  void checkReference(const std::string &Section, const std::string &Name,
+                      const std::string &Key, const std::string &Target,
+                      const std::string &TargetSection);
+  void checkReferences();
+  void checkClasses();
+  void checkKeysAndModels();
+  void checkPorts();
+  void claimPort(const std::string &Section, const std::string &Name,
+                 const std::string &Key, const std::string &Endpoint);
+  /// Returns the rank of a class; lists a cycle once.
+  std::uint32_t rankOf(const std::string &Name);
+
+  SettingsTree &Tree;
+  FleetSettings &Settings;
+  /// Who listens at an "ip:port".
+  std::map<std::string, std::string> Listeners;
+  std::map<std::string, std::uint32_t> Ranks;
+  std::vector<std::string> Trail;
+};
+
+} // namespace turmericpass
+
+#endif
