Jobs: Add intent rows and the customers' side of batch jobs

Work that must run at most once needs a row that one sender wins, and an accepted job must survive the VM that accepted it.

TableIntentLedger inserts a row for each customer and key. A refused call whose insert may still take effect writes a released row, because deleting the row would let the late insert succeed and block the key.

TableJobService cuts an upload into pieces, which later are the inputs of chunks, and writes a job and its index row in one transaction. The id of a job follows from the client's key, so that resends meet in one row; a separate row for the key would be one more write and one more step at which a crash can fall. Chunk rows appear when they are claimed.

The fakes of the table and the object store share their content between connections and inject a fault into each call.

--- /dev/null
+++ b/Source/Jobs/ObjectReader.cpp
@@ -0,0 +1,64 @@
+#include "Jobs/ObjectReader.h"
+
+#include "Platform/ObjectStore.h"
+
+#include <memory>
+
+namespace turmericpass {
+
+namespace {
+
+/// Bounds the share of the store's read rate that one caller takes.
+constexpr std::size_t MaxAtOnce = 8;
+
+struct Reading {
+  ObjectStore &Objects;
+  std::vector<std::string> Names;
+  std::vector<std::string> Bytes;
+  ObjectsDone Done;
+  std::size_t Next = 0;
+  std::size_t Answered = 0;
+};
+
+void readNext(const std::shared_ptr<Reading> &State);
+
+void onObject(const std::shared_ptr<Reading> &State, std::size_t Index,
+              Result<std::string> Reply) {
+  if (!State->Done)
+    return;
+  if (!Reply) {
+    const ObjectsDone Done = std::exchange(State->Done, nullptr);
+    return Done(tl::make_unexpected(Reply.error()));
+  }
+  State->Bytes[Index] = std::move(*Reply);
+  if (++State->Answered < State->Names.size())
+    return readNext(State);
+  const ObjectsDone Done = std::exchange(State->Done, nullptr);
+  Done(std::move(State->Bytes));
+}
+
+void readNext(const std::shared_ptr<Reading> &State) {
+  if (State->Next == State->Names.size() || !State->Done)
+    return;
+  const std::size_t Index = State->Next++;
+  State->Objects.get(State->Names[Index],
+                     [State, Index](Result<std::string> Reply) {
+                       onObject(State, Index, std::move(Reply));
+                     });
+}
+
+} // namespace
+
+void readObjects(ObjectStore &Objects, std::vector<std::string> Names,
+                 ObjectsDone Done) {
+  if (Names.empty())
+    return Done(std::vector<std::string>());
+  const std::size_t Count = Names.size();
+  auto State = std::make_shared<Reading>(
+      Reading{Objects, std::move(Names), std::vector<std::string>(Count),
+              std::move(Done)});
+  for (std::size_t I = 0; I < MaxAtOnce; ++I)
+    readNext(State);
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/ResultAssembly.cpp
@@ -0,0 +1,137 @@
+#include "Jobs/ResultAssembly.h"
+
+#include "Jobs/BatchItem.h"
+#include "Jobs/ChunkScan.h"
+#include "Jobs/InputLines.h"
+#include "Jobs/ObjectReader.h"
+#include "Jobs/ResultLines.h"
+
+#include <algorithm>
+#include <memory>
+#include <set>
+
+namespace turmericpass {
+
+namespace {
+
+struct Position {
+  std::uint32_t Piece = 0;
+  std::uint32_t Index = 0;
+
+  auto operator<=>(const Position &) const = default;
+};
+
+struct Assembly {
+  Table &Rows;
+  ObjectStore &Objects;
+  JobRow Job;
+  std::function<void(Result<std::string>)> Done;
+  std::vector<ChunkEntry> Chunks;
+  /// Lines that are committed twice stay visible as two lines.
+  std::vector<std::pair<Position, std::string>> Lines;
+};
+
+void finish(Assembly &State) {
+  std::stable_sort(
+      State.Lines.begin(), State.Lines.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::string Text;
+  for (const auto &[Where, Line] : State.Lines) {
+    Text += Line;
+    Text += '\n';
+  }
+  State.Done(std::move(Text));
+}
+
+ItemResult unfinished(JobState State) {
+  ItemResult Item;
+  if (State == JobState::Expired) {
+    Item.ErrorCode = "batch_expired";
+    Item.ErrorMessage = "The batch expired before this item was done.";
+  } else {
+    Item.ErrorCode = "batch_cancelled";
+    Item.ErrorMessage = "The batch was cancelled before this item was done.";
+  }
+  return Item;
+}
+
+void addUnfinished(Assembly &State, const std::vector<std::string> &Pieces) {
+  std::set<Position> Known;
+  for (const auto &[Where, Line] : State.Lines)
+    Known.insert(Where);
+  ItemResult Item = unfinished(State.Job.Record.State);
+  for (std::uint32_t Piece = 0; Piece < Pieces.size(); ++Piece) {
+    const std::vector<std::string_view> Inputs = itemLines(Pieces[Piece]);
+    for (std::uint32_t Index = 0; Index < Inputs.size(); ++Index) {
+      if (Known.contains({Piece, Index}))
+        continue;
+      Item.CustomId = customIdOf(Inputs[Index]);
+      State.Lines.push_back({{Piece, Index}, resultLine(Item)});
+    }
+  }
+}
+
+void fail(const Assembly &State, const Error &Cause) {
+  State.Done(failure(ErrorCode::Unavailable,
+                     "The results cannot be read now: " + Cause.Message));
+}
+
+void onResults(const std::shared_ptr<Assembly> &State,
+               const Result<std::vector<std::string>> &Objects) {
+  if (!Objects)
+    return fail(*State, Objects.error());
+  for (std::size_t I = 0; I < Objects->size(); ++I) {
+    std::vector<std::pair<std::uint32_t, std::string>> Lines;
+    if (!unpackLines((*Objects)[I], Lines))
+      return State->Done(failure(ErrorCode::Internal,
+                                 "The results of chunk " +
+                                     State->Chunks[I].Name + " are damaged."));
+    for (auto &[Index, Line] : Lines)
+      State->Lines.push_back(
+          {{State->Chunks[I].Row.Piece, Index}, std::move(Line)});
+  }
+  const JobRecord &Job = State->Job.Record;
+  if (!State->Job.final() || State->Lines.size() >= Job.TotalItems)
+    return finish(*State);
+  std::vector<std::string> Names;
+  for (std::uint32_t I = 0; I < State->Job.Pieces; ++I)
+    Names.push_back(pieceName(Job.Customer, Job.InputFile, I));
+  readObjects(State->Objects, std::move(Names),
+              [State](const Result<std::vector<std::string>> &Pieces) {
+                if (!Pieces)
+                  return fail(*State, Pieces.error());
+                addUnfinished(*State, *Pieces);
+                finish(*State);
+              });
+}
+
+void onChunks(const std::shared_ptr<Assembly> &State,
+              Result<std::vector<ChunkEntry>> Chunks) {
+  if (!Chunks)
+    return fail(*State, Chunks.error());
+  std::vector<std::string> Names;
+  for (ChunkEntry &Chunk : *Chunks) {
+    if (Chunk.Row.Completed + Chunk.Row.Failed == 0)
+      continue;
+    Names.push_back(
+        resultName(State->Job.Record.Id, Chunk.Name, Chunk.Row.Epoch));
+    State->Chunks.push_back(std::move(Chunk));
+  }
+  readObjects(State->Objects, std::move(Names),
+              [State](const Result<std::vector<std::string>> &Objects) {
+                onResults(State, Objects);
+              });
+}
+
+} // namespace
+
+void assembleResults(Table &Rows, ObjectStore &Objects, const JobRow &Job,
+                     std::function<void(Result<std::string>)> Done) {
+  auto State = std::make_shared<Assembly>(
+      Assembly{Rows, Objects, Job, std::move(Done), {}, {}});
+  scanChunks(Rows, Job.Record.Id, [State](Result<std::vector<ChunkEntry>> All) {
+    onChunks(State, std::move(All));
+  });
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/ResultAssembly.h
@@ -0,0 +1,23 @@
+#ifndef TURMERICPASS_JOBS_RESULTASSEMBLY_H
+#define TURMERICPASS_JOBS_RESULTASSEMBLY_H
+
+#include "Core/Error.h"
+
+#include <functional>
+#include <string>
+
+namespace turmericpass {
+
+class ObjectStore;
+class Table;
+struct JobRow;
+
+/// Reads the committed results of \p Job as JSON lines in input order. Once
+/// the job is cancelled or expired, each item without a result gets a line
+/// with the error "batch_cancelled" or "batch_expired". Errors: Unavailable.
+void assembleResults(Table &Rows, ObjectStore &Objects, const JobRow &Job,
+                     std::function<void(Result<std::string>)> Done);
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Jobs/TableIntentLedger.h
@@ -0,0 +1,73 @@
+#ifndef TURMERICPASS_JOBS_TABLEINTENTLEDGER_H
+#define TURMERICPASS_JOBS_TABLEINTENTLEDGER_H
+
+#include "Core/Clock.h"
+#include "Core/IdSource.h"
+#include "Jobs/IntentLedger.h"
+#include "Jobs/TableWriter.h"
+
+#include <map>
+#include <memory>
+
+namespace turmericpass {
+
+struct IntentRow;
+
+/// Intent rows in the platform's table, one for each customer and idempotency
+/// key. A row is never deleted by this class: a released row stays, because a
+/// delayed insert of the same attempt could otherwise still take effect.
+class TableIntentLedger : public IntentLedger {
+public:
+  /// The most bytes of outcomes that wait for the table.
+  static constexpr std::size_t DefaultKeptBytes = std::size_t{64} << 20U;
+
+  TableIntentLedger(Table &Rows, const Clock &Time, IdSource &Ids,
+                    Protections Rules = {},
+                    std::size_t KeptBytes = DefaultKeptBytes);
+  ~TableIntentLedger() override;
+
+  void begin(const IntentKey &Key, const std::string &AttemptId,
+             const std::string &RequestHash, BeginDone Done) override;
+
+  /// Errors: Unavailable if the bound of kept outcomes is reached, Conflict
+  /// if the attempt does not hold the row.
+  void finish(const IntentKey &Key, const std::string &AttemptId,
+              IntentOutcome Outcome, FinishDone Done) override;
+
+  /// Sends again what the table did not take; call it every 100 ms.
+  void tick();
+
+  /// Returns how many outcomes wait for the table.
+  std::size_t kept() const { return this->Kept.size(); }
+
+private:
+  struct Begin;
+  struct Finish;
+
+  void onInserted(const std::shared_ptr<Begin> &Call, Result<void> Reply);
+  void insertOver(const std::shared_ptr<Begin> &Call, std::uint64_t Version);
+  void readRow(const std::shared_ptr<Begin> &Call);
+  void decide(const std::shared_ptr<Begin> &Call, const TableRow &Row);
+  void giveUp(const std::shared_ptr<Begin> &Call);
+  void keep(const std::shared_ptr<Finish> &Call);
+  void store(const std::shared_ptr<Finish> &Call);
+  void write(const std::shared_ptr<Finish> &Call, const TableRow &Row);
+  void writeOver(const std::shared_ptr<Finish> &Call, IntentRow Row,
+                 std::uint64_t Version);
+  void end(const std::shared_ptr<Finish> &Call, Result<void> Reply);
+  void retry(const std::shared_ptr<Finish> &Call);
+
+  Table &Rows;
+  const Clock &Time;
+  IdSource &Ids;
+  TableWriter Writer;
+  Protections Rules;
+  std::size_t KeptLimit;
+  std::size_t KeptBytes = 0;
+  std::uint64_t NextCall = 1;
+  std::map<std::uint64_t, std::shared_ptr<Finish>> Kept;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Jobs/TableJobService.cpp
@@ -0,0 +1,347 @@
+#include "Jobs/TableJobService.h"
+
+#include "Core/Hash.h"
+#include "Jobs/ChunkScan.h"
+#include "Jobs/InputLines.h"
+#include "Jobs/JobRows.h"
+#include "Jobs/ObjectReader.h"
+#include "Jobs/ResultAssembly.h"
+#include "Platform/ObjectStore.h"
+
+namespace turmericpass {
+
+struct TableJobService::Upload {
+  std::string Customer;
+  std::string Bytes;
+  FileRow Row;
+  std::vector<std::string_view> Pieces;
+  std::uint32_t Stored = 0;
+  std::uint32_t Next = 0;
+  FileDone Done;
+};
+
+struct TableJobService::Submission {
+  JobRequest Request;
+  JobRow Row;
+  JobDone Done;
+};
+
+namespace {
+
+constexpr std::string_view OutputSuffix = "-output";
+/// Bounds the share of the object store's write rate that one upload takes.
+constexpr std::uint32_t MaxPutsAtOnce = 8;
+constexpr int MaxTries = 3;
+
+Error asUnavailable(const Error &Cause, const std::string &What) {
+  return {ErrorCode::Unavailable,
+          What + " is not known to be accepted: " + Cause.Message +
+              " Resend it with the same Idempotency-Key."};
+}
+
+/// Keeps the kinds of error that the interface names.
+Error asReadError(const Error &Cause) {
+  return {Cause.Code == ErrorCode::NotFound ? ErrorCode::NotFound
+                                            : ErrorCode::Unavailable,
+          Cause.Message};
+}
+
+std::string requestHash(const JobRequest &Request) {
+  return sha256Hex(Request.Class + '\n' + Request.InputFile + '\n' +
+                   Request.Endpoint + '\n' + std::to_string(Request.WindowMs));
+}
+
+} // namespace
+
+TableJobService::TableJobService(Table &Rows, ObjectStore &Objects,
+                                 const Clock &Time, IdSource &Ids,
+                                 Protections Rules)
+    : Rows(Rows), Objects(Objects), Time(Time), Ids(Ids), Writer(Rows, Rules) {}
+
+void TableJobService::putFile(const std::string &Customer,
+                              const std::string &Name, std::string Bytes,
+                              FileDone Done) {
+  auto Call = std::make_shared<Upload>();
+  Call->Customer = Customer;
+  Call->Bytes = std::move(Bytes);
+  Call->Done = std::move(Done);
+  Call->Row.Record = {"file_" + this->Ids.longId(), Name, Call->Bytes.size(),
+                      this->Time.wallMillis()};
+  const std::size_t Items = itemLines(Call->Bytes).size();
+  if (Items > MaxItemsPerJob)
+    return Call->Done(failure(ErrorCode::TooLarge,
+                              "The file has " + std::to_string(Items) +
+                                  " items; split it into files of at most " +
+                                  std::to_string(MaxItemsPerJob) + "."));
+  Call->Pieces = cutPieces(Call->Bytes, itemsPerChunk(Items));
+  Call->Row.Items = static_cast<std::uint32_t>(Items);
+  Call->Row.Pieces = static_cast<std::uint32_t>(Call->Pieces.size());
+  // The row comes first, so that the pieces of an upload that dies are known
+  // and can be collected.
+  const std::string Key = fileKey(Customer, Call->Row.Record.Id);
+  this->Writer.commit(
+      {this->Ids.longId(), {{Key, 0}}, {{Key, encode(Call->Row)}}, {}}, Key,
+      [this, Call](const Result<void> &Reply) {
+        if (Reply)
+          return this->storePieces(Call);
+        Call->Done(
+            tl::make_unexpected(asUnavailable(Reply.error(), "The file")));
+      });
+}
+
+void TableJobService::storePieces(const std::shared_ptr<Upload> &Call) {
+  while (Call->Next < Call->Row.Pieces &&
+         Call->Next - Call->Stored < MaxPutsAtOnce) {
+    const std::uint32_t Piece = Call->Next++;
+    this->storePiece(Call, Piece, 1);
+    if (!Call->Done)
+      return;
+  }
+}
+
+void TableJobService::storePiece(const std::shared_ptr<Upload> &Call,
+                                 std::uint32_t Piece, int Tries) {
+  this->Objects.put(pieceName(Call->Customer, Call->Row.Record.Id, Piece),
+                    std::string(Call->Pieces[Piece]),
+                    [this, Call, Piece, Tries](const Result<void> &Reply) {
+                      this->onPiece(Call, Piece, Tries, Reply);
+                    });
+}
+
+void TableJobService::onPiece(const std::shared_ptr<Upload> &Call,
+                              std::uint32_t Piece, int Tries,
+                              const Result<void> &Reply) {
+  if (!Call->Done)
+    return;
+  if (!Reply && Tries < MaxTries)
+    return this->storePiece(Call, Piece, Tries + 1);
+  if (!Reply) {
+    const FileDone Done = std::exchange(Call->Done, nullptr);
+    return Done(tl::make_unexpected(asUnavailable(Reply.error(), "The file")));
+  }
+  if (++Call->Stored == Call->Row.Pieces)
+    return this->markReady(Call);
+  this->storePieces(Call);
+}
+
+void TableJobService::markReady(const std::shared_ptr<Upload> &Call) {
+  Call->Row.Ready = true;
+  const std::string Key = fileKey(Call->Customer, Call->Row.Record.Id);
+  // Only this call knows the file's id, so that no check is needed.
+  this->Writer.commit({this->Ids.longId(), {}, {{Key, encode(Call->Row)}}, {}},
+                      Key, [Call](const Result<void> &Reply) {
+                        if (Reply)
+                          return Call->Done(Call->Row.Record);
+                        Call->Done(tl::make_unexpected(
+                            asUnavailable(Reply.error(), "The file")));
+                      });
+}
+
+void TableJobService::readFile(const std::string &Customer,
+                               const std::string &FileId, TextDone Done) {
+  if (FileId.ends_with(OutputSuffix))
+    return this->readResults(
+        Customer, FileId.substr(0, FileId.size() - OutputSuffix.size()),
+        std::move(Done));
+  this->readInput(Customer, FileId, std::move(Done));
+}
+
+void TableJobService::readInput(const std::string &Customer,
+                                const std::string &FileId, TextDone Done) {
+  this->Rows.get(
+      fileKey(Customer, FileId), [=, this](const Result<TableRow> &Row) {
+        if (!Row)
+          return Done(tl::make_unexpected(asReadError(Row.error())));
+        const Result<FileRow> File = decodeFileRow(Row->Value);
+        if (!File || !File->Ready)
+          return Done(failure(ErrorCode::NotFound,
+                              "The upload of " + FileId + " never finished."));
+        std::vector<std::string> Names;
+        for (std::uint32_t I = 0; I < File->Pieces; ++I)
+          Names.push_back(pieceName(Customer, FileId, I));
+        readObjects(this->Objects, std::move(Names),
+                    [Done](const Result<std::vector<std::string>> &Pieces) {
+                      if (!Pieces)
+                        return Done(
+                            tl::make_unexpected(asReadError(Pieces.error())));
+                      std::string Text;
+                      for (const std::string &Piece : *Pieces)
+                        Text += Piece;
+                      Done(std::move(Text));
+                    });
+      });
+}
+
+void TableJobService::readResults(const std::string &Customer,
+                                  const std::string &JobId, TextDone Done) {
+  this->readJob(Customer, JobId,
+                [this, Done](const Result<JobRow> &Row, std::uint64_t) {
+                  if (!Row)
+                    return Done(tl::make_unexpected(Row.error()));
+                  assembleResults(this->Rows, this->Objects, *Row, Done);
+                });
+}
+
+void TableJobService::readJob(
+    const std::string &Customer, const std::string &JobId,
+    std::function<void(Result<JobRow>, std::uint64_t Version)> Done) {
+  this->Rows.get(jobKey(JobId), [=](const Result<TableRow> &Row) {
+    if (!Row)
+      return Done(tl::make_unexpected(asReadError(Row.error())), 0);
+    Result<JobRow> Job = decodeJobRow(Row->Value);
+    // Another customer's job is not told apart from no job.
+    if (Job && Job->Record.Customer != Customer)
+      Job = failure(ErrorCode::NotFound, "There is no batch " + JobId + ".");
+    Done(std::move(Job), Row->Version);
+  });
+}
+
+void TableJobService::submit(const JobRequest &Request, JobDone Done) {
+  auto Call = std::make_shared<Submission>();
+  Call->Request = Request;
+  Call->Done = std::move(Done);
+  JobRecord &Job = Call->Row.Record;
+  Job.Customer = Request.Customer;
+  Job.Class = Request.Class;
+  Job.InputFile = Request.InputFile;
+  Job.Endpoint = Request.Endpoint;
+  Job.CreatedMs = this->Time.wallMillis();
+  Job.DueMs = Job.CreatedMs + static_cast<std::int64_t>(Request.WindowMs);
+  Call->Row.RequestHash = requestHash(Request);
+  if (Request.IdempotencyKey.empty()) {
+    Job.Id = "batch_" + this->Ids.longId();
+    return this->readInputOf(Call);
+  }
+  // The id follows from the key, so that resends meet in the same row.
+  Job.Id =
+      "batch_" +
+      sha256Hex(Request.Customer + '\n' + Request.IdempotencyKey).substr(0, 32);
+  this->answerExisting(Call, true);
+}
+
+void TableJobService::answerExisting(const std::shared_ptr<Submission> &Call,
+                                     bool Insert) {
+  this->readJob(Call->Request.Customer, Call->Row.Record.Id,
+                [this, Call, Insert](Result<JobRow> Row, std::uint64_t) {
+                  if (!Row && Row.error().Code == ErrorCode::NotFound && Insert)
+                    return this->readInputOf(Call);
+                  if (!Row)
+                    return Call->Done(tl::make_unexpected(
+                        asUnavailable(Row.error(), "The batch")));
+                  if (Row->RequestHash != Call->Row.RequestHash)
+                    return Call->Done(failure(
+                        ErrorCode::Conflict,
+                        "The Idempotency-Key was used for another batch; use "
+                        "a new key."));
+                  this->addProgress(std::move(*Row), Call->Done);
+                });
+}
+
+void TableJobService::readInputOf(const std::shared_ptr<Submission> &Call) {
+  const JobRequest &Request = Call->Request;
+  this->Rows.get(
+      fileKey(Request.Customer, Request.InputFile),
+      [this, Call](const Result<TableRow> &Row) {
+        if (!Row)
+          return Call->Done(tl::make_unexpected(asReadError(Row.error())));
+        const Result<FileRow> File = decodeFileRow(Row->Value);
+        if (!File || !File->Ready)
+          return Call->Done(failure(ErrorCode::NotFound,
+                                    "The upload of the input file never "
+                                    "finished; upload it again."));
+        if (File->Items == 0)
+          return Call->Done(failure(ErrorCode::Malformed,
+                                    "The input file has no line; give one "
+                                    "JSON object on each line."));
+        Call->Row.Record.TotalItems = File->Items;
+        Call->Row.Pieces = File->Pieces;
+        this->insert(Call);
+      });
+}
+
+void TableJobService::insert(const std::shared_ptr<Submission> &Call) {
+  const std::string Key = jobKey(Call->Row.Record.Id);
+  this->Writer.commit(
+      {this->Ids.longId(),
+       {{Key, 0}},
+       {{Key, encode(Call->Row)}, {indexKey(Call->Row.Record), "{}"}},
+       {}},
+      Key, [this, Call](const Result<void> &Reply) {
+        if (Reply)
+          return Call->Done(Call->Row.Record);
+        if (Reply.error().Code == ErrorCode::Conflict)
+          return this->answerExisting(Call, false);
+        Call->Done(
+            tl::make_unexpected(asUnavailable(Reply.error(), "The batch")));
+      });
+}
+
+void TableJobService::find(const std::string &Customer,
+                           const std::string &JobId, JobDone Done) {
+  this->readJob(Customer, JobId,
+                [this, Done](Result<JobRow> Row, std::uint64_t) {
+                  if (!Row)
+                    return Done(tl::make_unexpected(Row.error()));
+                  this->addProgress(std::move(*Row), Done);
+                });
+}
+
+void TableJobService::addProgress(JobRow Row, JobDone Done) {
+  if (Row.final())
+    return Done(Row.Record);
+  const std::string Id = Row.Record.Id;
+  scanChunks(this->Rows, Id,
+             [Row = std::move(Row),
+              Done](const Result<std::vector<ChunkEntry>> &Chunks) mutable {
+               if (!Chunks)
+                 return Done(tl::make_unexpected(asReadError(Chunks.error())));
+               JobRecord &Job = Row.Record;
+               for (const ChunkEntry &Chunk : *Chunks) {
+                 Job.CompletedItems += Chunk.Row.Completed;
+                 Job.FailedItems += Chunk.Row.Failed;
+               }
+               if (!Row.stopping() &&
+                   Job.CompletedItems + Job.FailedItems == Job.TotalItems)
+                 Job.State = JobState::Completed;
+               Done(Job);
+             });
+}
+
+void TableJobService::cancel(const std::string &Customer,
+                             const std::string &JobId, JobDone Done) {
+  this->tryCancel(Customer, JobId, 1, std::move(Done));
+}
+
+void TableJobService::tryCancel(const std::string &Customer,
+                                const std::string &JobId, int Tries,
+                                JobDone Done) {
+  this->readJob(
+      Customer, JobId, [=, this](Result<JobRow> Row, std::uint64_t Version) {
+        if (!Row)
+          return Done(tl::make_unexpected(Row.error()));
+        const JobState State = Row->Record.State;
+        if (State == JobState::Cancelling || State == JobState::Cancelled)
+          return this->addProgress(std::move(*Row), Done);
+        if (Row->final())
+          return Done(failure(ErrorCode::Conflict,
+                              "The batch is already " +
+                                  std::string(toName(State)) + "."));
+        Row->Record.State = JobState::Cancelling;
+        const std::string Key = jobKey(JobId);
+        this->Writer.commit(
+            {this->Ids.longId(),
+             {{Key, Version}},
+             {{Key, encode(*Row)}, {stopKey(JobId), "{}"}},
+             {}},
+            Key, [=, this](const Result<void> &Reply) {
+              if (Reply)
+                return this->addProgress(*Row, Done);
+              if (Reply.error().Code == ErrorCode::Conflict && Tries < MaxTries)
+                return this->tryCancel(Customer, JobId, Tries + 1, Done);
+              Done(tl::make_unexpected(
+                  asUnavailable(Reply.error(), "The cancellation")));
+            });
+      });
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/TableJobService.h
@@ -0,0 +1,68 @@
+#ifndef TURMERICPASS_JOBS_TABLEJOBSERVICE_H
+#define TURMERICPASS_JOBS_TABLEJOBSERVICE_H
+
+#include "Core/Clock.h"
+#include "Core/IdSource.h"
+#include "Jobs/JobService.h"
+#include "Jobs/TableWriter.h"
+
+#include <memory>
+
+namespace turmericpass {
+
+class ObjectStore;
+struct JobRow;
+
+/// Batch jobs in the platform's table and object store.
+///
+/// An upload is cut into pieces that later are the inputs of chunks. A job is
+/// one row and one index row, written together; a chunk's row appears when a
+/// batcher claims it.
+class TableJobService : public JobService {
+public:
+  TableJobService(Table &Rows, ObjectStore &Objects, const Clock &Time,
+                  IdSource &Ids, Protections Rules = {});
+
+  void putFile(const std::string &Customer, const std::string &Name,
+               std::string Bytes, FileDone Done) override;
+  void readFile(const std::string &Customer, const std::string &FileId,
+                TextDone Done) override;
+  void submit(const JobRequest &Request, JobDone Done) override;
+  void find(const std::string &Customer, const std::string &JobId,
+            JobDone Done) override;
+  void cancel(const std::string &Customer, const std::string &JobId,
+              JobDone Done) override;
+
+private:
+  struct Upload;
+  struct Submission;
+
+  void storePieces(const std::shared_ptr<Upload> &Call);
+  void onPiece(const std::shared_ptr<Upload> &Call, std::uint32_t Piece,
+               int Tries, const Result<void> &Reply);
+  void storePiece(const std::shared_ptr<Upload> &Call, std::uint32_t Piece,
+                  int Tries);
+  void markReady(const std::shared_ptr<Upload> &Call);
+  void readInput(const std::string &Customer, const std::string &FileId,
+                 TextDone Done);
+  void readResults(const std::string &Customer, const std::string &JobId,
+                   TextDone Done);
+  void readJob(const std::string &Customer, const std::string &JobId,
+               std::function<void(Result<JobRow>, std::uint64_t Version)> Done);
+  void readInputOf(const std::shared_ptr<Submission> &Call);
+  void insert(const std::shared_ptr<Submission> &Call);
+  void answerExisting(const std::shared_ptr<Submission> &Call, bool Insert);
+  void addProgress(JobRow Row, JobDone Done);
+  void tryCancel(const std::string &Customer, const std::string &JobId,
+                 int Tries, JobDone Done);
+
+  Table &Rows;
+  ObjectStore &Objects;
+  const Clock &Time;
+  IdSource &Ids;
+  TableWriter Writer;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Tests/Jobs/IntentLedgerTest.cpp
@@ -0,0 +1,104 @@
+#include "Jobs/TableIntentLedger.h"
+#include "Support/MemoryTable.h"
+
+#include <criterion/criterion.h>
+#include <optional>
+
+using namespace turmericpass;
+
+namespace {
+
+struct Desk {
+  explicit Desk(MemoryTable Connection)
+      : Rows(std::move(Connection)), Ledger(Rows, Time, Ids) {}
+
+  Result<IntentDecision> begin(const std::string &Attempt,
+                               const std::string &Hash = "h") {
+    Result<IntentDecision> Got = failure(ErrorCode::Internal, "no answer");
+    this->Ledger.begin({"c", "k"}, Attempt, Hash,
+                       [&Got](Result<IntentDecision> R) { Got = R; });
+    return Got;
+  }
+
+  IntentVerdict verdict(const std::string &Attempt) {
+    const Result<IntentDecision> Got = this->begin(Attempt);
+    cr_assert(Got, "%s", Got ? "" : Got.error().Message.c_str());
+    return Got->Verdict;
+  }
+
+  void finish(const std::string &Attempt, IntentOutcome Outcome) {
+    this->Ledger.finish({"c", "k"}, Attempt, std::move(Outcome),
+                        [this](const Result<void> &R) { this->Finished = R; });
+  }
+
+  void pass(Duration By) {
+    this->Time.advance(By);
+    this->Ledger.tick();
+  }
+
+  MemoryTable Rows;
+  ManualClock Time;
+  IdSource Ids{7};
+  TableIntentLedger Ledger;
+  std::optional<Result<void>> Finished;
+};
+
+} // namespace
+
+// Guards against two senders of work that must not be repeated, and against a
+// resend that does not get the first call's outcome byte for byte.
+Test(IntentLedger, OneAttemptWinsAndOthersGetItsOutcome) {
+  Desk First{MemoryTable()};
+  Desk Second{MemoryTable(First.Rows.rows())};
+  cr_assert(First.verdict("a1") == IntentVerdict::Proceed);
+  cr_assert(Second.verdict("a2") == IntentVerdict::InProgress);
+  const std::string Body("\x00\xff{\"x\":1}\x80", 10);
+  First.finish("a1", {Execution::Ran, 200, "application/json", Body});
+  const Result<IntentDecision> Replay = Second.begin("a3");
+  cr_assert(Replay->Verdict == IntentVerdict::Replay);
+  cr_assert(Replay->Outcome.Body == Body && Replay->Outcome.Status == 200);
+  cr_assert(Second.begin("a4", "other")->Verdict == IntentVerdict::Mismatch);
+}
+
+// Guards against an insert whose reply was lost being taken for another's.
+Test(IntentLedger, LostReplyIsResolvedByReadingBack) {
+  Desk First{MemoryTable()};
+  First.Rows.Faults.Next = {StoreFault::ReplyLost};
+  cr_assert(First.verdict("a1") == IntentVerdict::Proceed);
+}
+
+// Guards against `not_run` that is untrue, and against a key that stays
+// blocked: the insert takes effect after the caller was refused.
+Test(IntentLedger, LateInsertOfARefusedCallDoesNotBlockTheKey) {
+  Desk First{MemoryTable()};
+  First.Rows.Faults.Always = StoreFault::LateEffect;
+  cr_assert(First.begin("a1").error().Code == ErrorCode::Unavailable);
+  First.Rows.Faults.Always = StoreFault::None;
+  First.pass(std::chrono::seconds(1));
+  cr_assert(First.Ledger.kept() == 0);
+  First.Rows.Faults.release();
+  cr_assert(First.verdict("a2") == IntentVerdict::Proceed);
+}
+
+// Guards against an outcome that an outage of the table swallows.
+Test(IntentLedger, OutcomeIsStoredAfterAnOutage) {
+  Desk First{MemoryTable()};
+  cr_assert(First.verdict("a1") == IntentVerdict::Proceed);
+  First.Rows.Faults.Always = StoreFault::Unavailable;
+  First.finish("a1", {Execution::Ran, 200, "text/plain", "done"});
+  First.pass(std::chrono::seconds(5));
+  cr_assert(!First.Finished);
+  First.Rows.Faults.Always = StoreFault::None;
+  First.pass(std::chrono::seconds(5));
+  cr_assert(First.Finished && *First.Finished);
+  cr_assert(First.verdict("a2") == IntentVerdict::Replay);
+}
+
+// Guards against a released key that cannot be used again.
+Test(IntentLedger, WorkThatDidNotRunMayBeSentAgain) {
+  Desk First{MemoryTable()};
+  cr_assert(First.verdict("a1") == IntentVerdict::Proceed);
+  First.finish("a1", {Execution::NotRun, 0, "", ""});
+  cr_assert(First.verdict("a2") == IntentVerdict::Proceed);
+  cr_assert(First.verdict("a3") == IntentVerdict::InProgress);
+}
--- /dev/null
+++ b/Tests/Jobs/JobServiceTest.cpp
@@ -0,0 +1,113 @@
+#include "Jobs/TableJobService.h"
+#include "Support/MemoryObjectStore.h"
+#include "Support/MemoryTable.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+template <typename T> struct Answer {
+  Result<T> Value = failure(ErrorCode::Internal, "no answer");
+
+  auto take() {
+    return [this](Result<T> Got) { this->Value = std::move(Got); };
+  }
+};
+
+struct Office {
+  Office() : Service(Rows, Objects, Time, Ids) {}
+  explicit Office(const Office &Other)
+      : Rows(Other.Rows.rows()), Objects(Other.Objects.objects()), Ids(9),
+        Service(Rows, Objects, Time, Ids) {}
+
+  Result<FileRecord> upload(const std::string &Text) {
+    Answer<FileRecord> Got;
+    this->Service.putFile("c", "in.jsonl", Text, Got.take());
+    return Got.Value;
+  }
+
+  Result<JobRecord> submit(const std::string &File, const std::string &Key) {
+    Answer<JobRecord> Got;
+    this->Service.submit(
+        {"c", "night", File, "/v1/chat/completions", Key, 1000}, Got.take());
+    return Got.Value;
+  }
+
+  std::size_t jobs() const {
+    std::size_t Count = 0;
+    for (const auto &[Key, Row] : *this->Rows.rows())
+      Count += Key.starts_with("job/") ? 1 : 0;
+    return Count;
+  }
+
+  MemoryTable Rows;
+  MemoryObjectStore Objects;
+  ManualClock Time;
+  IdSource Ids{3};
+  TableJobService Service;
+};
+
+std::string lines(int Count) {
+  std::string Text;
+  for (int I = 0; I < Count; ++I)
+    Text += "{\"custom_id\":\"i" + std::to_string(I) + "\"}\n";
+  return Text;
+}
+
+} // namespace
+
+// Guards against an upload that is not given back byte for byte, blank lines
+// included, and against readers of another customer.
+Test(JobService, FileIsReadBackAsItWas) {
+  Office Desk;
+  const std::string Text = "\n" + lines(130) + "\r\n\n{broken";
+  const Result<FileRecord> File = Desk.upload(Text);
+  cr_assert(File);
+  Answer<std::string> Own;
+  Desk.Service.readFile("c", File->Id, Own.take());
+  cr_assert(Own.Value && *Own.Value == Text);
+  Answer<std::string> Foreign;
+  Desk.Service.readFile("d", File->Id, Foreign.take());
+  cr_assert(Foreign.Value.error().Code == ErrorCode::NotFound);
+  cr_assert(Desk.submit(File->Id, "k")->TotalItems == 131);
+}
+
+// Guards against a second job for a resend, whichever store call of the first
+// submission fails and however it fails.
+Test(JobService, ResendFindsTheSameJob) {
+  for (const StoreFault Fault :
+       {StoreFault::Unavailable, StoreFault::ReplyLost, StoreFault::LateEffect,
+        StoreFault::CrashBefore, StoreFault::CrashAfter})
+    for (std::size_t Call = 0; Call < 4; ++Call) {
+      Office First;
+      const Result<FileRecord> File = First.upload(lines(3));
+      First.Rows.Faults.Next.assign(Call, StoreFault::None);
+      First.Rows.Faults.Next.push_back(Fault);
+      const Result<JobRecord> Sent = First.submit(File->Id, "k");
+      Office Second(First);
+      const Result<JobRecord> Again = Second.submit(File->Id, "k");
+      First.Rows.Faults.release();
+      cr_assert(Again && (!Sent || Sent->Id == Again->Id));
+      cr_assert(First.jobs() == 1);
+    }
+}
+
+// Guards against a key that silently names two different jobs.
+Test(JobService, KeyOfAnotherJobIsAConflict) {
+  Office Desk;
+  const std::string A = Desk.upload(lines(1))->Id;
+  const std::string B = Desk.upload(lines(2))->Id;
+  cr_assert(Desk.submit(A, "k"));
+  cr_assert(Desk.submit(B, "k").error().Code == ErrorCode::Conflict);
+  const std::string Empty = Desk.upload(" \n")->Id;
+  cr_assert(Desk.submit(Empty, "e").error().Code == ErrorCode::Malformed);
+}
+
+// Guards against an upload that counts as accepted without its pieces.
+Test(JobService, UploadWithoutObjectsIsRefused) {
+  Office Desk;
+  Desk.Objects.Faults.Always = StoreFault::Unavailable;
+  cr_assert(Desk.upload(lines(3)).error().Code == ErrorCode::Unavailable);
+}
