--- a/Source/Daemon/DaemonContext.cpp
+++ b/Source/Daemon/DaemonContext.cpp
@@ -129,13 +129,15 @@
   this->Log.log(LogLevel::Info, "draining");
   if (this->DrainAction)
     this->DrainAction();
-  this->Loop.every(DrainCheckPeriod, [this] { this->checkDrained(); });
+  this->checkDrained();
 }
 
 void DaemonContext::checkDrained() {
   const bool Idle = !this->IdleTest || this->IdleTest();
-  if (!Idle && this->Time.now() < this->DrainEnd)
+  if (!Idle && this->Time.now() < this->DrainEnd) {
+    this->Loop.after(DrainCheckPeriod, [this] { this->checkDrained(); });
     return;
+  }
   this->Log.log(Idle ? LogLevel::Info : LogLevel::Warning,
                 Idle ? "drained" : "drain_seconds passed with work left");
   // One more turn lets the last answers leave.
