Gateway: Serve completions and plain services through dispatchers

Cause: callers need one HTTP entry to the fleet.

Change: Source/Admission decides without I/O: API keys, dispatcher choice by load hints, customer quotas, and the life cycle of a request with resubmission, resumption and truthful endings. Source/Gateway wires it to HttpServer and PeerPort and writes answers in the common format. The gateway always asks dispatchers for tokens, also for callers of whole answers, because it continues an answer elsewhere from them; asking for whole bodies was ruled out for that reason.

HttpServer gains breakStream() and pendingBytes(), counts answers that have not left yet as open, and frees requests that evhttp detaches when a caller departs.

--- /dev/null
+++ b/Source/Admission/CustomerQuotas.cpp
@@ -0,0 +1,86 @@
+#include "Admission/CustomerQuotas.h"
+
+#include "Settings/FleetSettings.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+/// The seconds of quota that an idle customer may use at once: a page or a
+/// client library sends several requests together.
+constexpr double BurstSeconds = 2;
+
+} // namespace
+
+void CustomerQuotas::configure(const FleetSettings &NewSettings,
+                               std::size_t Gateways) {
+  this->Settings = &NewSettings;
+  const auto Count = static_cast<double>(std::max<std::size_t>(Gateways, 1));
+  this->Share = std::min(1.0, ShareSlack / Count);
+  const Instant Now = this->Time.now();
+  for (auto Entry = this->ByCustomer.begin();
+       Entry != this->ByCustomer.end();) {
+    if (!NewSettings.Customers.count(Entry->first)) {
+      Entry = this->ByCustomer.erase(Entry);
+      continue;
+    }
+    const CustomerSettings &Quota = NewSettings.Customers.at(Entry->first);
+    const double Requests = Quota.RequestsPerSecond * this->Share;
+    const double Tokens = Quota.TokensPerSecond * this->Share;
+    Entry->second.Requests.configure(
+        Requests, std::max(1.0, Requests * BurstSeconds), Now);
+    Entry->second.Tokens.configure(Tokens, std::max(1.0, Tokens * BurstSeconds),
+                                   Now);
+    ++Entry;
+  }
+}
+
+CustomerQuotas::Buckets *CustomerQuotas::find(const std::string &Customer) {
+  if (const auto Known = this->ByCustomer.find(Customer);
+      Known != this->ByCustomer.end())
+    return &Known->second;
+  if (!this->Settings)
+    return nullptr;
+  const auto Quota = this->Settings->Customers.find(Customer);
+  if (Quota == this->Settings->Customers.end())
+    return nullptr;
+  Buckets &Fresh = this->ByCustomer[Customer];
+  const Instant Now = this->Time.now();
+  const double Requests = Quota->second.RequestsPerSecond * this->Share;
+  const double Tokens = Quota->second.TokensPerSecond * this->Share;
+  Fresh.Requests.configure(Requests, std::max(1.0, Requests * BurstSeconds),
+                           Now);
+  Fresh.Tokens.configure(Tokens, std::max(1.0, Tokens * BurstSeconds), Now);
+  return &Fresh;
+}
+
+Duration CustomerQuotas::take(const std::string &Customer, double Tokens) {
+  Buckets *Known = this->find(Customer);
+  if (!Known)
+    return Duration{0};
+  const Instant Now = this->Time.now();
+  const Duration Wait =
+      std::max(Known->Requests.wait(Now), Known->Tokens.wait(Now));
+  if (Wait > Duration{0})
+    return Wait;
+  Known->Requests.take(1, Now);
+  Known->Tokens.take(Tokens, Now);
+  return Duration{0};
+}
+
+void CustomerQuotas::settle(const std::string &Customer, double Reserved,
+                            double Used) {
+  if (Buckets *Known = this->find(Customer))
+    Known->Tokens.adjust(Reserved - Used, this->Time.now());
+}
+
+void CustomerQuotas::giveBack(const std::string &Customer, double Tokens) {
+  if (Buckets *Known = this->find(Customer)) {
+    Known->Requests.adjust(1, this->Time.now());
+    Known->Tokens.adjust(Tokens, this->Time.now());
+  }
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Admission/DispatcherChooser.cpp
@@ -0,0 +1,183 @@
+#include "Admission/DispatcherChooser.h"
+
+#include "Core/Hash.h"
+#include "Settings/FleetSettings.h"
+#include "Settings/Ownership.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Hints older than this say nothing about a queue that drains in seconds.
+constexpr Duration HintLife = 2s;
+/// A restarted dispatcher listens again within about this time, and by then
+/// the membership has noticed one that does not.
+constexpr Duration SuspectTime = 3s;
+/// The delay after which other zones adopt a zone without live nodes.
+constexpr Duration AdoptionDelay = 5s;
+/// Another zone is a few milliseconds away, and its own callers come first.
+constexpr double OtherZoneCostMs = 25;
+/// What a full set of outstanding requests adds to the expected wait.
+constexpr double FullCostMs = 100;
+/// Costs that differ by less are treated as equal.
+constexpr double CostStepMs = 10;
+
+std::string dispatcherAddress(const NodeSettings &Node) {
+  return Node.Address + ":" + std::to_string(Node.DispatcherPort);
+}
+
+} // namespace
+
+DispatcherChooser::DispatcherChooser(const Clock &Time, std::string OwnZone)
+    : Time(Time), OwnZone(std::move(OwnZone)) {}
+
+void DispatcherChooser::configure(const FleetSettings &NewSettings,
+                                  const std::set<std::string> &NewLiveNodes) {
+  const Instant Now = this->Time.now();
+  bool Changed = this->Settings != &NewSettings ||
+                 this->Version != NewSettings.Version ||
+                 this->LiveNodes != NewLiveNodes;
+  Changed |= std::erase_if(this->SuspectUntil, [&](const auto &Entry) {
+               return Entry.second <= Now;
+             }) > 0;
+  this->Settings = &NewSettings;
+  this->Version = NewSettings.Version;
+  this->LiveNodes = NewLiveNodes;
+
+  std::set<std::string> Empty;
+  for (const auto &[Name, Zone] : NewSettings.Zones)
+    Empty.insert(Name);
+  for (const auto &[Name, Node] : NewSettings.Nodes)
+    if (NewLiveNodes.count(Name))
+      Empty.erase(Node.Zone);
+  std::erase_if(this->EmptySince,
+                [&](const auto &Entry) { return !Empty.count(Entry.first); });
+  std::set<std::string> Adopted;
+  for (const std::string &Zone : Empty)
+    if (this->EmptySince.emplace(Zone, Now).first->second + AdoptionDelay <=
+        Now)
+      Adopted.insert(Zone);
+  Changed |= Adopted != this->AdoptedZones;
+  this->AdoptedZones = std::move(Adopted);
+  if (Changed)
+    this->assign();
+}
+
+void DispatcherChooser::assign() {
+  std::set<std::string> Usable;
+  for (const std::string &Name : this->LiveNodes) {
+    const auto Node = this->Settings->Nodes.find(Name);
+    if (Node != this->Settings->Nodes.end() &&
+        !this->SuspectUntil.count(dispatcherAddress(Node->second)))
+      Usable.insert(Name);
+  }
+  this->Owners.clear();
+  for (const ServerGroup &Group :
+       assignGroups(*this->Settings, Usable, this->AdoptedZones)) {
+    if (Group.Owner.empty())
+      continue;
+    const NodeSettings &Node = this->Settings->Nodes.at(Group.Owner);
+    const std::string Peer = dispatcherAddress(Node);
+    std::vector<Owner> &List = this->Owners[Group.Service];
+    const auto Known =
+        std::find_if(List.begin(), List.end(),
+                     [&](const Owner &Entry) { return Entry.Peer == Peer; });
+    if (Known != List.end())
+      Known->Slots += Group.Slots;
+    else
+      List.push_back({Peer, Node.Zone == this->OwnZone, Group.Slots});
+  }
+}
+
+const DispatcherChooser::Heard *
+DispatcherChooser::freshHint(const std::string &Peer,
+                             const std::string &Service) const {
+  const auto Found = this->Hints.find({Peer, Service});
+  if (Found == this->Hints.end() ||
+      Found->second.At + HintLife < this->Time.now())
+    return nullptr;
+  return &Found->second;
+}
+
+double DispatcherChooser::costOf(const Owner &Candidate,
+                                 const std::string &Service) const {
+  double Cost = Candidate.OwnZone ? 0 : OtherZoneCostMs;
+  if (const Heard *Known = this->freshHint(Candidate.Peer, Service))
+    Cost += Known->Hint.ExpectedWaitMs;
+  const auto Mine = this->Outstanding.find({Candidate.Peer, Service});
+  if (Mine != this->Outstanding.end())
+    Cost += FullCostMs * Mine->second / std::max(Candidate.Slots, 1U);
+  return Cost;
+}
+
+std::optional<std::string>
+DispatcherChooser::choose(const std::string &Service, std::string_view Key,
+                          const std::set<std::string> &Excluded) {
+  const auto Found = this->Owners.find(Service);
+  if (Found == this->Owners.end())
+    return std::nullopt;
+  std::vector<std::pair<double, std::string>> Usable;
+  double Least = 0;
+  for (const Owner &Candidate : Found->second) {
+    if (Excluded.count(Candidate.Peer))
+      continue;
+    const double Cost = this->costOf(Candidate, Service);
+    Least = Usable.empty() ? Cost : std::min(Least, Cost);
+    Usable.emplace_back(Cost, Candidate.Peer);
+  }
+  std::vector<std::string> Cheapest;
+  for (const auto &[Cost, Peer] : Usable)
+    if (Cost < Least + CostStepMs)
+      Cheapest.push_back(Peer);
+  const int Picked = rendezvousPick(Key, Cheapest);
+  if (Picked < 0)
+    return std::nullopt;
+  return Cheapest[Picked];
+}
+
+void DispatcherChooser::hintReceived(const std::string &Peer,
+                                     const LoadHint &Hint) {
+  if (!Hint.Service.empty())
+    this->Hints[{Peer, Hint.Service}] = {Hint, this->Time.now()};
+}
+
+void DispatcherChooser::submitted(const std::string &Peer,
+                                  const std::string &Service) {
+  ++this->Outstanding[{Peer, Service}];
+}
+
+void DispatcherChooser::ended(const std::string &Peer,
+                              const std::string &Service) {
+  const auto Found = this->Outstanding.find({Peer, Service});
+  if (Found != this->Outstanding.end() && --Found->second == 0)
+    this->Outstanding.erase(Found);
+}
+
+void DispatcherChooser::peerLost(const std::string &Peer) {
+  this->SuspectUntil[Peer] = this->Time.now() + SuspectTime;
+  std::erase_if(this->Hints,
+                [&](const auto &Entry) { return Entry.first.first == Peer; });
+  if (this->Settings)
+    this->assign();
+}
+
+std::optional<std::uint32_t>
+DispatcherChooser::leastExpectedWait(const std::string &Service) const {
+  const auto Found = this->Owners.find(Service);
+  if (Found == this->Owners.end())
+    return std::nullopt;
+  std::optional<std::uint32_t> Least;
+  for (const Owner &Candidate : Found->second) {
+    const Heard *Known = this->freshHint(Candidate.Peer, Service);
+    if (!Known)
+      return std::nullopt;
+    Least = std::min(Least.value_or(UINT32_MAX), Known->Hint.ExpectedWaitMs);
+  }
+  return Least;
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Admission/PromptShape.cpp
@@ -0,0 +1,54 @@
+#include "Admission/PromptShape.h"
+
+#include "Core/Hash.h"
+
+namespace turmericpass {
+
+namespace {
+
+/// About 64 tokens, a multiple of the usual block of an engine's cache.
+constexpr std::size_t BlockBytes = 256;
+/// 16 KiB of prompt; longer prefixes are rarely shared whole.
+constexpr std::size_t MaxBlocks = 64;
+
+} // namespace
+
+std::uint32_t estimateTokens(std::string_view Text) {
+  std::uint64_t Ascii = 0;
+  std::uint64_t Other = 0;
+  for (const char Byte : Text) {
+    const auto Value = static_cast<unsigned char>(Byte);
+    if (Value < 0x80)
+      ++Ascii;
+    else if (Value >= 0xC0)
+      ++Other;
+  }
+  return static_cast<std::uint32_t>((Ascii + 3) / 4 + Other);
+}
+
+std::vector<std::uint64_t> hashPrefixBlocks(std::string_view Model,
+                                            std::string_view Prompt) {
+  std::vector<std::uint64_t> Hashes;
+  std::uint64_t Chain = hash64(Model);
+  while (Prompt.size() >= BlockBytes && Hashes.size() < MaxBlocks) {
+    Chain = hash64(Prompt.substr(0, BlockBytes), Chain);
+    Hashes.push_back(Chain);
+    Prompt.remove_prefix(BlockBytes);
+  }
+  return Hashes;
+}
+
+std::string fingerprintOf(std::string_view Customer, std::string_view Service,
+                          std::string_view Path, std::string_view Body) {
+  std::string Text;
+  Text.reserve(Customer.size() + Service.size() + Path.size() + Body.size() +
+               3);
+  for (const std::string_view Part : {Customer, Service, Path}) {
+    Text += Part;
+    Text += '\0';
+  }
+  Text += Body;
+  return sha256Hex(Text);
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Gateway/CompletionCall.cpp
@@ -0,0 +1,138 @@
+#include "Gateway/CompletionCall.h"
+
+#include "Gateway/CallerJson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericpass {
+
+namespace {
+
+using nlohmann::json;
+
+/// No engine answers with more, and the value stays within its type.
+constexpr std::uint64_t MaxTokensBound = 10'000'000;
+
+tl::unexpected<Error> wrong(const std::string &Field,
+                            const std::string &Allowed) {
+  return failure(ErrorCode::InvalidArgument,
+                 "Field \"" + Field + "\" must be " + Allowed + ".");
+}
+
+Result<bool> readFlag(const json &Object, const std::string &Field) {
+  const auto Found = Object.find(Field);
+  if (Found == Object.end() || Found->is_null())
+    return false;
+  if (!Found->is_boolean())
+    return wrong(Field, "true or false");
+  return Found->get<bool>();
+}
+
+Result<std::uint32_t> readCount(const json &Object, const std::string &Field) {
+  const auto Found = Object.find(Field);
+  if (Found == Object.end() || Found->is_null())
+    return 0;
+  if (!Found->is_number_unsigned() || Found->get<std::uint64_t>() < 1 ||
+      Found->get<std::uint64_t>() > MaxTokensBound)
+    return wrong(Field,
+                 "a whole number from 1 to " + std::to_string(MaxTokensBound));
+  return Found->get<std::uint32_t>();
+}
+
+/// Appends the content of a message: a text, or a list of parts.
+bool appendContent(const json &Content, std::string &Prompt) {
+  if (Content.is_null())
+    return true;
+  if (Content.is_string()) {
+    Prompt += Content.get_ref<const std::string &>();
+    return true;
+  }
+  if (!Content.is_array())
+    return false;
+  for (const json &Part : Content) {
+    if (!Part.is_object())
+      return false;
+    const auto Text = Part.find("text");
+    if (Text != Part.end() && Text->is_string())
+      Prompt += Text->get_ref<const std::string &>();
+    else
+      Prompt += Part.dump();
+  }
+  return true;
+}
+
+Result<std::string> readMessages(const json &Object) {
+  const auto Found = Object.find("messages");
+  if (Found == Object.end() || !Found->is_array() || Found->empty())
+    return wrong("messages", "a list of at least one message");
+  std::string Prompt;
+  for (const json &Message : *Found) {
+    if (!Message.is_object() || !Message.contains("role") ||
+        !Message["role"].is_string())
+      return wrong("messages", "a list of objects with a \"role\"");
+    Prompt += Message["role"].get_ref<const std::string &>();
+    Prompt += '\n';
+    const auto Content = Message.find("content");
+    if (Content != Message.end() && !appendContent(*Content, Prompt))
+      return wrong("messages[].content", "a text or a list of parts");
+    Prompt += '\n';
+  }
+  return Prompt;
+}
+
+Result<std::string> readPrompt(const json &Object) {
+  const auto Found = Object.find("prompt");
+  if (Found == Object.end() || !Found->is_string())
+    return wrong("prompt", "a text; send one request for each prompt");
+  return Found->get<std::string>();
+}
+
+Result<bool> readIncludeUsage(const json &Object) {
+  const auto Found = Object.find("stream_options");
+  if (Found == Object.end() || Found->is_null())
+    return false;
+  if (!Found->is_object())
+    return wrong("stream_options", "an object");
+  return readFlag(*Found, "include_usage");
+}
+
+Result<void> checkCount(const json &Object) {
+  const auto Found = Object.find("n");
+  if (Found == Object.end() || Found->is_null() || *Found == 1)
+    return {};
+  return wrong("n", "1; send one request for each answer");
+}
+
+} // namespace
+
+Result<CompletionCall> parseCompletion(bool Chat, const std::string &Body) {
+  const Result<json> Object = parseCallerObject(Body);
+  if (!Object)
+    return tl::make_unexpected(Object.error());
+  const auto Model = Object->find("model");
+  if (Model == Object->end() || !Model->is_string())
+    return wrong("model", "the name of a model");
+  Result<std::string> Prompt =
+      Chat ? readMessages(*Object) : readPrompt(*Object);
+  if (!Prompt)
+    return tl::make_unexpected(Prompt.error());
+  const Result<bool> Stream = readFlag(*Object, "stream");
+  if (!Stream)
+    return tl::make_unexpected(Stream.error());
+  const Result<bool> IncludeUsage = readIncludeUsage(*Object);
+  if (!IncludeUsage)
+    return tl::make_unexpected(IncludeUsage.error());
+  const Result<std::uint32_t> Old = readCount(*Object, "max_tokens");
+  if (!Old)
+    return tl::make_unexpected(Old.error());
+  const Result<std::uint32_t> New = readCount(*Object, "max_completion_tokens");
+  if (!New)
+    return tl::make_unexpected(New.error());
+  if (const Result<void> One = checkCount(*Object); !One)
+    return tl::make_unexpected(One.error());
+  return CompletionCall{
+      Chat,          Model->get<std::string>(), *Stream,
+      *IncludeUsage, *New ? *New : *Old,        std::move(*Prompt)};
+}
+
+} // namespace turmericpass
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -17,7 +17,11 @@
   HttpServer *Owner = nullptr;
   ExchangeId Id = 0;
   evhttp_request *Request = nullptr;
+  /// Kept here because evhttp takes it from the request when it breaks.
+  evhttp_connection *Connection = nullptr;
   bool Streaming = false;
+  /// Set while the connection is to be broken once its output is empty.
+  evbuffer_cb_entry *WriteWatch = nullptr;
 };
 
 namespace {
@@ -31,6 +35,17 @@
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
 }
 
+evbuffer *outputOf(evhttp_connection *Connection) {
+  return bufferevent_get_output(evhttp_connection_get_bufferevent(Connection));
+}
+
+/// evhttp frees the connection when it sees the end of the input; freeing it
+/// here would be unsafe from its own callback.
+void breakConnection(evhttp_connection *Connection) {
+  shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
+           SHUT_RDWR);
+}
+
 HttpRequest readRequest(evhttp_request *Request) {
   HttpRequest Read;
   Read.Method = methodName(Request);
@@ -63,9 +78,9 @@
 HttpServer::~HttpServer() {
   // Freeing the server closes its connections, and the close callbacks must
   // not reach exchanges that are gone.
-  for (auto &[Id, Open] : this->Exchanges)
-    evhttp_connection_set_closecb(evhttp_request_get_connection(Open->Request),
-                                  nullptr, nullptr);
+  for (auto *Open : {&this->Exchanges, &this->Leaving})
+    for (auto &[Id, Entry] : *Open)
+      evhttp_connection_set_closecb(Entry->Connection, nullptr, nullptr);
   evhttp_free(this->Server);
 }
 
@@ -94,6 +109,7 @@
   Opened->Owner = Self;
   Opened->Id = Self->NextId++;
   Opened->Request = Request;
+  Opened->Connection = Connection;
   evhttp_connection_set_closecb(Connection, &handleClose, Opened.get());
   const ExchangeId Id = Opened->Id;
   Self->Exchanges.emplace(Id, std::move(Opened));
@@ -105,22 +121,43 @@
   auto *Closed = static_cast<Exchange *>(Context);
   HttpServer *Self = Closed->Owner;
   const ExchangeId Id = Closed->Id;
-  // evhttp frees the request together with its connection.
+  if (Closed->WriteWatch)
+    evbuffer_remove_cb_entry(outputOf(Closed->Connection), Closed->WriteWatch);
+  // evhttp frees the request together with its connection, but for a request
+  // whose reply was not ended: that one it detaches and leaves to its user.
+  if (!evhttp_request_get_connection(Closed->Request))
+    evhttp_request_free(Closed->Request);
+  if (Self->Leaving.erase(Id) > 0)
+    return;
   Self->Exchanges.erase(Id);
   if (Self->DepartedHandler)
     Self->DepartedHandler(Id);
 }
 
+void HttpServer::handleComplete(evhttp_request *Request, void *Context) {
+  auto *Ended = static_cast<Exchange *>(Context);
+  evhttp_connection_set_closecb(evhttp_request_get_connection(Request), nullptr,
+                                nullptr);
+  Ended->Owner->Leaving.erase(Ended->Id);
+}
+
+void HttpServer::handleWritten(evbuffer *Buffer, const evbuffer_cb_info *,
+                               void *Context) {
+  if (evbuffer_get_length(Buffer) == 0)
+    breakConnection(static_cast<Exchange *>(Context)->Connection);
+}
+
 HttpServer::Exchange *HttpServer::find(ExchangeId Id) {
   const auto Found = this->Exchanges.find(Id);
   return Found == this->Exchanges.end() ? nullptr : Found->second.get();
 }
 
-void HttpServer::finish(ExchangeId Id) {
-  Exchange *Ended = this->find(Id);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(Ended->Request),
-                                nullptr, nullptr);
-  this->Exchanges.erase(Id);
+HttpServer::Exchange *HttpServer::finish(ExchangeId Id) {
+  auto Node = this->Exchanges.extract(Id);
+  Exchange *Ended = Node.mapped().get();
+  this->Leaving.insert(std::move(Node));
+  evhttp_request_set_on_complete_cb(Ended->Request, &handleComplete, Ended);
+  return Ended;
 }
 
 void HttpServer::reply(ExchangeId Id, HttpReply Reply) {
@@ -166,15 +203,24 @@
 }
 
 void HttpServer::abort(ExchangeId Id) {
-  Exchange *Open = this->find(Id);
-  if (!Open)
+  if (this->find(Id))
+    breakConnection(this->finish(Id)->Connection);
+}
+
+void HttpServer::breakStream(ExchangeId Id) {
+  if (!this->find(Id))
     return;
-  evhttp_connection *Connection = evhttp_request_get_connection(Open->Request);
-  this->finish(Id);
-  // evhttp frees the connection and its request when it sees the end of the
-  // input; freeing them here would be unsafe from their own callback.
-  shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
-           SHUT_RDWR);
+  Exchange *Ended = this->finish(Id);
+  evbuffer *Output = outputOf(Ended->Connection);
+  if (evbuffer_get_length(Output) == 0)
+    breakConnection(Ended->Connection);
+  else
+    Ended->WriteWatch = evbuffer_add_cb(Output, &handleWritten, Ended);
+}
+
+std::size_t HttpServer::pendingBytes(ExchangeId Id) {
+  const Exchange *Open = this->find(Id);
+  return Open ? evbuffer_get_length(outputOf(Open->Connection)) : 0;
 }
 
 void HttpServer::stopListening() {
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <string_view>
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -63,23 +65,39 @@
   /// a whole one.
   void abort(ExchangeId Id);
 
+  /// Breaks the connection after what was sent has left, so that the caller
+  /// still reads the reason of a cut answer. The exchange ends at once.
+  void breakStream(ExchangeId Id);
+
+  /// Returns the bytes that wait for a slow caller; 0 for an ended exchange.
+  std::size_t pendingBytes(ExchangeId Id);
+
   /// Stops accepting connections; running exchanges go on.
   void stopListening();
 
-  std::size_t openExchanges() const { return this->Exchanges.size(); }
+  /// Counts the exchanges that are not answered, and the answers that have
+  /// not left yet.
+  std::size_t openExchanges() const {
+    return this->Exchanges.size() + this->Leaving.size();
+  }
 
 private:
   struct Exchange;
   static void handleRequest(evhttp_request *Request, void *Context);
   static void handleClose(evhttp_connection *Connection, void *Context);
+  static void handleComplete(evhttp_request *Request, void *Context);
+  static void handleWritten(evbuffer *Buffer, const evbuffer_cb_info *Info,
+                            void *Context);
   Exchange *find(ExchangeId Id);
-  void finish(ExchangeId Id);
+  Exchange *finish(ExchangeId Id);
 
   evhttp *Server;
   evhttp_bound_socket *Bound = nullptr;
   Handler RequestHandler;
   Departed DepartedHandler;
   std::map<ExchangeId, std::unique_ptr<Exchange>> Exchanges;
+  /// Ended exchanges whose bytes have not all left.
+  std::map<ExchangeId, std::unique_ptr<Exchange>> Leaving;
   ExchangeId NextId = 1;
 };
 
