Http: See callers that leave before their answer starts

evhttp stops reading after a request, so a caller's disconnection was noticed only at the first byte of its answer; work for callers that had left went on. The server now watches each connection while its request is open, without evhttp's read callback, which ends the process in that state. It also frees requests that evhttp takes off a broken connection, which leaked before.

The new test failed before the change (no departure within 20 s) and passes after it.

--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -31,6 +32,37 @@
   setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
 }
 
+/// Bounds what a caller may send ahead while its request is answered, in bytes.
+constexpr std::size_t MaxReadAhead = std::size_t{64} << 10U;
+
+/// Makes evhttp see the end of a connection whose answer has not started. It
+/// stops reading after a request otherwise, so a caller that left would be
+/// noticed at the first byte of its answer.
+void watchForEnd(evhttp_connection *Connection) {
+  bufferevent *Buffered = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_data_cb Write = nullptr;
+  bufferevent_event_cb Event = nullptr;
+  void *Context = nullptr;
+  bufferevent_getcb(Buffered, nullptr, &Write, &Event, &Context);
+  // evhttp's read callback stops the process in this state; it sets it again
+  // before it reads the next request, which stays in the buffer until then.
+  bufferevent_setcb(Buffered, nullptr, Write, Event, Context);
+  bufferevent_setwatermark(Buffered, EV_READ, 0, MaxReadAhead);
+  bufferevent_enable(Buffered, EV_READ);
+}
+
+void stopWatching(evhttp_connection *Connection) {
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(Connection),
+                           EV_READ, 0, 0);
+}
+
+/// evhttp takes an unanswered request off a connection that breaks and leaves
+/// it to its handler to free. In other cases it frees the request itself.
+void freeIfDetached(evhttp_request *Request) {
+  if (!evhttp_request_get_connection(Request))
+    evhttp_request_free(Request);
+}
+
 HttpRequest readRequest(evhttp_request *Request) {
   HttpRequest Read;
   Read.Method = methodName(Request);
@@ -95,6 +127,7 @@
   Opened->Id = Self->NextId++;
   Opened->Request = Request;
   evhttp_connection_set_closecb(Connection, &handleClose, Opened.get());
+  watchForEnd(Connection);
   const ExchangeId Id = Opened->Id;
   Self->Exchanges.emplace(Id, std::move(Opened));
   if (Self->RequestHandler)
@@ -105,7 +138,7 @@
   auto *Closed = static_cast<Exchange *>(Context);
   HttpServer *Self = Closed->Owner;
   const ExchangeId Id = Closed->Id;
-  // evhttp frees the request together with its connection.
+  freeIfDetached(Closed->Request);
   Self->Exchanges.erase(Id);
   if (Self->DepartedHandler)
     Self->DepartedHandler(Id);
@@ -118,8 +151,9 @@
 
 void HttpServer::finish(ExchangeId Id) {
   Exchange *Ended = this->find(Id);
-  evhttp_connection_set_closecb(evhttp_request_get_connection(Ended->Request),
-                                nullptr, nullptr);
+  evhttp_connection *Connection = evhttp_request_get_connection(Ended->Request);
+  evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+  stopWatching(Connection);
   this->Exchanges.erase(Id);
 }
 
@@ -169,10 +203,17 @@
   Exchange *Open = this->find(Id);
   if (!Open)
     return;
-  evhttp_connection *Connection = evhttp_request_get_connection(Open->Request);
+  evhttp_request *Request = Open->Request;
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
   this->finish(Id);
-  // evhttp frees the connection and its request when it sees the end of the
-  // input; freeing them here would be unsafe from their own callback.
+  // evhttp frees the connection when it sees the end of the input; freeing it
+  // here would be unsafe from its own callback.
+  evhttp_connection_set_closecb(
+      Connection,
+      [](evhttp_connection *, void *Context) {
+        freeIfDetached(static_cast<evhttp_request *>(Context));
+      },
+      Request);
   shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(Connection)),
            SHUT_RDWR);
 }
