Control: Add the decisions of the controller

Settings versions, membership, the zone lease, fleet orders and records of decisions need code that a test can step through.

--- /dev/null
+++ b/Source/Control/DecisionLog.h
@@ -0,0 +1,54 @@
+#ifndef TURMERICPASS_CONTROL_DECISIONLOG_H
+#define TURMERICPASS_CONTROL_DECISIONLOG_H
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace turmericpass {
+
+class Clock;
+
+/// One decision, for an operator who asks why something happened.
+struct DecisionRecord {
+  /// Milliseconds since 1970.
+  std::int64_t AtMs = 0;
+  /// The request, job, server or version that was decided about.
+  std::string Subject;
+  /// Such as "settings", "order", "lease" or "liveness".
+  std::string Kind;
+  /// A full sentence with the reason.
+  std::string Text;
+};
+
+/// The latest decisions of one process. Old ones are dropped when a bound is
+/// reached.
+class DecisionLog {
+public:
+  DecisionLog(const Clock &Time, std::size_t MaxRecords, std::size_t MaxBytes);
+
+  void record(std::string Subject, std::string Kind, std::string Text);
+
+  /// Returns the decisions about \p Subject, the oldest first; all for an
+  /// empty subject.
+  std::vector<DecisionRecord> about(const std::string &Subject) const;
+
+  std::size_t size() const { return this->Records.size(); }
+  std::size_t bytes() const { return this->Bytes; }
+
+private:
+  const Clock &Time;
+  std::size_t MaxRecords;
+  std::size_t MaxBytes;
+  std::size_t Bytes = 0;
+  std::deque<DecisionRecord> Records;
+};
+
+/// Returns \p Records as a JSON array.
+std::string toJson(const std::vector<DecisionRecord> &Records);
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Control/SettingsReplica.cpp
@@ -0,0 +1,39 @@
+#include "Control/SettingsReplica.h"
+
+#include <utility>
+
+namespace turmericpass {
+
+SettingsReplica::SettingsReplica(FleetSettings Initial,
+                                 std::vector<SettingsFile> Given)
+    : Current(std::move(Initial)), Files(std::move(Given)),
+      Document(packSettings(this->Files)) {}
+
+Result<bool> SettingsReplica::offer(std::uint64_t Version,
+                                    std::vector<SettingsFile> Offered) {
+  if (Version <= this->Current.Version)
+    return false;
+  SettingsCheck Check = checkSettings(Offered);
+  if (!Check.Problems.empty())
+    return failure(ErrorCode::InvalidArgument,
+                   "Settings version " + std::to_string(Version) +
+                       " cannot be used: " + Check.Problems.front().toText() +
+                       ".");
+  this->Current = std::move(Check.Settings);
+  this->Current.Version = Version;
+  this->Files = std::move(Offered);
+  this->Document = packSettings(this->Files);
+  return true;
+}
+
+Result<bool> SettingsReplica::offer(std::uint64_t Version,
+                                    const std::string &Offered) {
+  if (Version <= this->Current.Version)
+    return false;
+  Result<std::vector<SettingsFile>> Unpacked = unpackSettings(Offered);
+  if (!Unpacked)
+    return tl::make_unexpected(Unpacked.error());
+  return this->offer(Version, std::move(*Unpacked));
+}
+
+} // namespace turmericpass
