--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -134,6 +134,7 @@
   Sent.Body =
       nlohmann::json{{"model", Kind.Model},
                      {"stream", Kind.Stream},
+                     {"stream_options", {{"include_usage", true}}},
                      {"max_tokens", Tokens},
                      {"messages",
                       {{{"role", "user"}, {"content", this->promptFor(Kind)}}}}}
