Gateway: Add files and batches, intents and the controller's view

Cause: batch jobs and calls that run at most once need the stores, and the gateway must follow settings and membership.

GET /v1/files/ID reads the file for its size, because JobService keeps no way to its record.

--- a/Source/Admission/DispatcherChooser.cpp
+++ b/Source/Admission/DispatcherChooser.cpp
@@ -17,8 +17,6 @@
 /// A restarted dispatcher listens again within about this time, and by then
 /// the membership has noticed one that does not.
 constexpr Duration SuspectTime = 3s;
-/// The delay after which other zones adopt a zone without live nodes.
-constexpr Duration AdoptionDelay = 5s;
 /// Another zone is a few milliseconds away, and its own callers come first.
 constexpr double OtherZoneCostMs = 25;
 /// What a full set of outstanding requests adds to the expected wait.
@@ -36,33 +34,19 @@
     : Time(Time), OwnZone(std::move(OwnZone)) {}
 
 void DispatcherChooser::configure(const FleetSettings &NewSettings,
-                                  const std::set<std::string> &NewLiveNodes) {
+                                  const std::set<std::string> &NewLiveNodes,
+                                  const std::set<std::string> &NewAdopted) {
   const Instant Now = this->Time.now();
-  bool Changed = this->Settings != &NewSettings ||
-                 this->Version != NewSettings.Version ||
-                 this->LiveNodes != NewLiveNodes;
+  bool Changed =
+      this->Settings != &NewSettings || this->Version != NewSettings.Version ||
+      this->LiveNodes != NewLiveNodes || this->AdoptedZones != NewAdopted;
   Changed |= std::erase_if(this->SuspectUntil, [&](const auto &Entry) {
                return Entry.second <= Now;
              }) > 0;
   this->Settings = &NewSettings;
   this->Version = NewSettings.Version;
   this->LiveNodes = NewLiveNodes;
-
-  std::set<std::string> Empty;
-  for (const auto &[Name, Zone] : NewSettings.Zones)
-    Empty.insert(Name);
-  for (const auto &[Name, Node] : NewSettings.Nodes)
-    if (NewLiveNodes.count(Name))
-      Empty.erase(Node.Zone);
-  std::erase_if(this->EmptySince,
-                [&](const auto &Entry) { return !Empty.count(Entry.first); });
-  std::set<std::string> Adopted;
-  for (const std::string &Zone : Empty)
-    if (this->EmptySince.emplace(Zone, Now).first->second + AdoptionDelay <=
-        Now)
-      Adopted.insert(Zone);
-  Changed |= Adopted != this->AdoptedZones;
-  this->AdoptedZones = std::move(Adopted);
+  this->AdoptedZones = NewAdopted;
   if (Changed)
     this->assign();
 }
--- a/Source/Admission/DispatcherChooser.h
+++ b/Source/Admission/DispatcherChooser.h
@@ -25,7 +25,8 @@
 
   /// Takes the fleet as it is now. Cheap if nothing changed.
   void configure(const FleetSettings &Settings,
-                 const std::set<std::string> &LiveNodes);
+                 const std::set<std::string> &LiveNodes,
+                 const std::set<std::string> &AdoptedZones);
 
   /// Returns the dispatcher's address for work of \p Service, or nothing if
   /// all owners are in \p Excluded. Among about equal ones, \p Key decides,
@@ -71,8 +72,6 @@
   std::set<std::string> LiveNodes;
   /// Until when a lost peer is left out.
   std::map<std::string, Instant> SuspectUntil;
-  /// Since when a zone has had no live node.
-  std::map<std::string, Instant> EmptySince;
   std::set<std::string> AdoptedZones;
   std::map<std::string, std::vector<Owner>> Owners;
   std::map<PeerAndService, Heard> Hints;
--- a/Source/Admission/FleetSource.h
+++ b/Source/Admission/FleetSource.h
@@ -18,6 +18,12 @@
 
   /// The nodes whose dispatchers are believed to be live.
   virtual const std::set<std::string> &liveNodes() const = 0;
+
+  /// The zones without a live node that dispatchers elsewhere serve.
+  virtual const std::set<std::string> &adoptedZones() const = 0;
+
+  /// The fingerprints of requests that crashed servers.
+  virtual const std::set<std::string> &quarantined() const = 0;
 };
 
 } // namespace turmericpass
--- a/Source/Admission/PromptShape.cpp
+++ b/Source/Admission/PromptShape.cpp
@@ -1,13 +1,12 @@
 #include "Admission/PromptShape.h"
 
 #include "Core/Hash.h"
+#include "Core/PrefixBlocks.h"
 
 namespace turmericpass {
 
 namespace {
 
-/// About 64 tokens, a multiple of the usual block of an engine's cache.
-constexpr std::size_t BlockBytes = 256;
 /// 16 KiB of prompt; longer prefixes are rarely shared whole.
 constexpr std::size_t MaxBlocks = 64;
 
@@ -26,16 +25,8 @@
   return static_cast<std::uint32_t>((Ascii + 3) / 4 + Other);
 }
 
-std::vector<std::uint64_t> hashPrefixBlocks(std::string_view Model,
-                                            std::string_view Prompt) {
-  std::vector<std::uint64_t> Hashes;
-  std::uint64_t Chain = hash64(Model);
-  while (Prompt.size() >= BlockBytes && Hashes.size() < MaxBlocks) {
-    Chain = hash64(Prompt.substr(0, BlockBytes), Chain);
-    Hashes.push_back(Chain);
-    Prompt.remove_prefix(BlockBytes);
-  }
-  return Hashes;
+std::vector<std::uint64_t> hashPrefixBlocks(std::string_view Prompt) {
+  return prefixBlockHashes(Prompt.substr(0, MaxBlocks * PrefixBlockBytes));
 }
 
 std::string fingerprintOf(std::string_view Customer, std::string_view Service,
--- a/Source/Admission/PromptShape.h
+++ b/Source/Admission/PromptShape.h
@@ -12,10 +12,9 @@
 /// other character, as common tokenizers give for Korean.
 std::uint32_t estimateTokens(std::string_view Text);
 
-/// Returns one hash for each whole leading block of \p Prompt, each covering
-/// everything before it as well. \p Model separates the models' caches.
-std::vector<std::uint64_t> hashPrefixBlocks(std::string_view Model,
-                                            std::string_view Prompt);
+/// Returns the hashes of the leading blocks of \p Prompt, of a bounded number
+/// of them.
+std::vector<std::uint64_t> hashPrefixBlocks(std::string_view Prompt);
 
 /// Returns the name of equal requests of one customer.
 std::string fingerprintOf(std::string_view Customer, std::string_view Service,
--- /dev/null
+++ b/Source/Gateway/AgentFleet.h
@@ -0,0 +1,33 @@
+#ifndef TURMERICPASS_GATEWAY_AGENTFLEET_H
+#define TURMERICPASS_GATEWAY_AGENTFLEET_H
+
+#include "Admission/FleetSource.h"
+#include "Control/FleetAgent.h"
+
+namespace turmericpass {
+
+/// The fleet as the controller of this VM tells it.
+class AgentFleet : public FleetSource {
+public:
+  explicit AgentFleet(const FleetAgent &Agent) : Agent(Agent) {}
+
+  const FleetSettings &settings() const override {
+    return this->Agent.settings();
+  }
+  const std::set<std::string> &liveNodes() const override {
+    return this->Agent.liveNodes();
+  }
+  const std::set<std::string> &adoptedZones() const override {
+    return this->Agent.adoptedZones();
+  }
+  const std::set<std::string> &quarantined() const override {
+    return this->Agent.quarantined();
+  }
+
+private:
+  const FleetAgent &Agent;
+};
+
+} // namespace turmericpass
+
+#endif
--- a/Source/Gateway/CompletionCall.cpp
+++ b/Source/Gateway/CompletionCall.cpp
@@ -71,7 +71,7 @@
         !Message["role"].is_string())
       return wrong("messages", "a list of objects with a \"role\"");
     Prompt += Message["role"].get_ref<const std::string &>();
-    Prompt += '\n';
+    Prompt += ": ";
     const auto Content = Message.find("content");
     if (Content != Message.end() && !appendContent(*Content, Prompt))
       return wrong("messages[].content", "a text or a list of parts");
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -22,20 +22,12 @@
 constexpr const char *ModelsPath = "/v1/models";
 constexpr const char *ServicePrefix = "/services/";
 
-Problem wrongMethod(const std::string &Allowed) {
-  return {405,
-          "method-not-allowed",
-          "The method is not allowed",
-          "This path takes " + Allowed + ".",
-          Execution::NotRun,
-          0};
-}
-
 } // namespace
 
 GatewayDaemon::GatewayDaemon(GatewayPorts Given, LifeCycleLimits Limits)
     : Ports(std::move(Given)), Reader(this->Ports.Fleet, this->Index),
-      Online(this->Ports, Limits) {
+      Online(this->Ports, Limits),
+      Batches(this->Ports, this->Reader, this->Online) {
   this->configure();
   this->Ports.Http.onRequest([this](ExchangeId Exchange, HttpRequest Request) {
     this->handle(Exchange, std::move(Request));
@@ -80,6 +72,8 @@
     this->handleModels(Exchange, Request);
   } else if (Path.starts_with(ServicePrefix)) {
     this->handleService(Exchange, Request);
+  } else if (BatchApi::serves(Path)) {
+    this->Batches.handle(Exchange, std::move(Request));
   } else {
     this->Online.refuse(Exchange, {404, "not-found", "There is no such path",
                                    "The gateway serves /v1/chat/completions, "
--- a/Source/Gateway/GatewayDaemon.h
+++ b/Source/Gateway/GatewayDaemon.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_GATEWAY_GATEWAYDAEMON_H
 
 #include "Admission/CustomerIndex.h"
+#include "Gateway/BatchApi.h"
 #include "Gateway/GatewayPorts.h"
 #include "Gateway/OnlineCalls.h"
 #include "Gateway/RequestReader.h"
@@ -29,6 +30,9 @@
 
   void peerLost(const std::string &Peer) { this->Online.peerLost(Peer); }
 
+  /// Takes the fleet as it is now; called by itself a few times a second.
+  void configure();
+
   /// Stops accepting callers; what runs goes on.
   void drain();
 
@@ -41,12 +45,12 @@
   void handleService(ExchangeId Exchange, const HttpRequest &Request);
   void handleModels(ExchangeId Exchange, const HttpRequest &Request);
   void open(ExchangeId Exchange, Result<OnlineRequest> Request);
-  void configure();
 
   GatewayPorts Ports;
   CustomerIndex Index;
   RequestReader Reader;
   OnlineCalls Online;
+  BatchApi Batches;
   const FleetSettings *Configured = nullptr;
   std::uint64_t Version = 0;
   bool Draining = false;
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -74,7 +74,7 @@
 void OnlineCalls::configure() {
   const FleetSettings &Settings = this->Ports.Fleet.settings();
   const std::set<std::string> &Live = this->Ports.Fleet.liveNodes();
-  this->Chooser.configure(Settings, Live);
+  this->Chooser.configure(Settings, Live, this->Ports.Fleet.adoptedZones());
   this->Quotas.configure(Settings, Live.size());
   this->Repeats.setShare(Settings.Limits.RetryBudget);
 }
@@ -90,6 +90,13 @@
 }
 
 bool OnlineCalls::admit(ExchangeId Exchange, const OnlineRequest &Request) {
+  if (this->Ports.Fleet.quarantined().count(Request.Work.Fingerprint)) {
+    this->refuse(Exchange,
+                 {422, "quarantined", "Equal requests made servers crash",
+                  "Servers crashed while they ran this request.",
+                  Execution::NotRun, 0});
+    return false;
+  }
   if (this->Calls.size() >= MaxOpenCalls) {
     this->refuse(Exchange, {503, "overloaded", "The gateway is overloaded",
                             "This gateway holds too many requests.",
@@ -106,16 +113,20 @@
                             Execution::NotRun, *Wait});
     return false;
   }
-  const Duration Quota =
-      this->Quotas.take(Request.Work.Customer, Request.ReservedTokens);
-  if (Quota > Duration{0}) {
-    this->refuse(Exchange,
-                 {429, "quota-exceeded", "The customer's quota is used up",
-                  "The customer's requests or tokens per second are used up.",
-                  Execution::NotRun, toWholeMillis(Quota)});
-    return false;
-  }
-  return true;
+  return this->takeRequest(Exchange, Request.Work.Customer,
+                           Request.ReservedTokens);
+}
+
+bool OnlineCalls::takeRequest(ExchangeId Exchange, const std::string &Customer,
+                              std::uint32_t Tokens) {
+  const Duration Wait = this->Quotas.take(Customer, Tokens);
+  if (Wait == Duration{0})
+    return true;
+  this->refuse(Exchange,
+               {429, "quota-exceeded", "The customer's quota is used up",
+                "The customer's requests or tokens per second are used up.",
+                Execution::NotRun, toWholeMillis(Wait)});
+  return false;
 }
 
 void OnlineCalls::open(ExchangeId Exchange, OnlineRequest Request) {
@@ -225,10 +236,8 @@
 void OnlineCalls::replay(Call &Opened, const IntentDecision &Decision) {
   if (Decision.Verdict == IntentVerdict::Mismatch) {
     this->refuseOpened(
-        Opened, {422, "key-reused", "The idempotency key was used before",
-                 "Header \"Idempotency-Key\" was used with another request; "
-                 "send a new key.",
-                 Execution::NotRun, 0});
+        Opened, keyReused("Header \"Idempotency-Key\" was used with another "
+                          "request; send a new key."));
     return;
   }
   if (Decision.Verdict == IntentVerdict::InProgress) {
--- a/Source/Gateway/OnlineCalls.h
+++ b/Source/Gateway/OnlineCalls.h
@@ -42,6 +42,11 @@
 
   std::size_t count() const { return this->Calls.size(); }
 
+  /// Takes one request and \p Tokens from the customer's quota. Answers with
+  /// a problem and returns false if it is used up.
+  bool takeRequest(ExchangeId Exchange, const std::string &Customer,
+                   std::uint32_t Tokens);
+
   /// Answers with \p Value and counts it.
   void refuse(ExchangeId Exchange, const Problem &Value);
 
--- a/Source/Gateway/Problem.cpp
+++ b/Source/Gateway/Problem.cpp
@@ -100,6 +100,20 @@
           Reason.Message, Execution::NotRun, 0};
 }
 
+Problem wrongMethod(const std::string &Allowed) {
+  return {405,
+          "method-not-allowed",
+          "The method is not allowed",
+          "This path takes " + Allowed + ".",
+          Execution::NotRun,
+          0};
+}
+
+Problem keyReused(const std::string &Detail) {
+  return {422,    "key-reused",      "The idempotency key was used before",
+          Detail, Execution::NotRun, 0};
+}
+
 Problem toProblem(const Finish &Ending) {
   const Form Shape = formOf(Ending);
   return {Shape.Status,  Shape.Kind, Shape.Title,
--- a/Source/Gateway/Problem.h
+++ b/Source/Gateway/Problem.h
@@ -32,6 +32,12 @@
 /// Returns the problem of a request that was refused before anything ran.
 Problem toProblem(const Error &Reason);
 
+/// Returns the problem of a method that the path does not take.
+Problem wrongMethod(const std::string &Allowed);
+
+/// Returns the problem of an idempotency key that has another use.
+Problem keyReused(const std::string &Detail);
+
 /// Returns the problem of an ending that is not a good answer.
 Problem toProblem(const Finish &Ending);
 
--- a/Source/Gateway/RequestReader.cpp
+++ b/Source/Gateway/RequestReader.cpp
@@ -61,6 +61,16 @@
 
 } // namespace
 
+Result<std::string> readIdempotencyKey(const HttpRequest &Request) {
+  std::string Key = findHeader(Request.Headers, "Idempotency-Key");
+  if (Key.size() > MaxKeyBytes || !isPrintable(Key))
+    return failure(ErrorCode::InvalidArgument,
+                   "Header \"Idempotency-Key\" must be at most " +
+                       std::to_string(MaxKeyBytes) +
+                       " printable ASCII characters without spaces.");
+  return Key;
+}
+
 Result<const CustomerSettings *>
 RequestReader::customerOf(const HttpRequest &Request) const {
   const Result<std::string> Name =
@@ -75,16 +85,23 @@
   return &Found->second;
 }
 
+Result<void> RequestReader::checkSize(const HttpRequest &Request) const {
+  const std::size_t Most = this->Fleet.settings().Limits.BodyBytes;
+  if (Request.Body.size() <= Most)
+    return {};
+  return failure(ErrorCode::TooLarge,
+                 "The body exceeds limits.body_bytes, which is " +
+                     std::to_string(Most) + ".");
+}
+
 Result<OnlineRequest>
 RequestReader::readHead(const HttpRequest &Request) const {
   const FleetSettings &Settings = this->Fleet.settings();
   const Result<const CustomerSettings *> Customer = this->customerOf(Request);
   if (!Customer)
     return tl::make_unexpected(Customer.error());
-  if (Request.Body.size() > Settings.Limits.BodyBytes)
-    return failure(ErrorCode::TooLarge,
-                   "The body exceeds limits.body_bytes, which is " +
-                       std::to_string(Settings.Limits.BodyBytes) + ".");
+  if (const Result<void> Sized = this->checkSize(Request); !Sized)
+    return tl::make_unexpected(Sized.error());
   const Result<std::string> ClassName = readClass(Request, **Customer);
   if (!ClassName)
     return tl::make_unexpected(ClassName.error());
@@ -116,14 +133,11 @@
   Read.Work.Service = Service.Name;
   Read.Work.Repeatable = Service.Repeatable;
   Read.Kind = Service.Kind;
-  Read.Work.IdempotencyKey = findHeader(Request.Headers, "Idempotency-Key");
-  const std::string &Key = Read.Work.IdempotencyKey;
-  if (Key.size() > MaxKeyBytes || !isPrintable(Key))
-    return failure(ErrorCode::InvalidArgument,
-                   "Header \"Idempotency-Key\" must be at most " +
-                       std::to_string(MaxKeyBytes) +
-                       " printable ASCII characters without spaces.");
-  if (Key.empty() && !Service.Repeatable)
+  Result<std::string> Key = readIdempotencyKey(Request);
+  if (!Key)
+    return tl::make_unexpected(Key.error());
+  Read.Work.IdempotencyKey = std::move(*Key);
+  if (Read.Work.IdempotencyKey.empty() && !Service.Repeatable)
     return failure(ErrorCode::InvalidArgument,
                    "Service \"" + Service.Name +
                        "\" runs each call at most once; send an "
@@ -162,7 +176,7 @@
   Work.Stream = true;
   Work.MaxTokens = Call->MaxTokens ? Call->MaxTokens : Most;
   Work.PromptTokens = estimateTokens(Call->Prompt);
-  Work.PrefixHashes = hashPrefixBlocks(Call->Model, Call->Prompt);
+  Work.PrefixHashes = hashPrefixBlocks(Call->Prompt);
   Read->Chat = Chat;
   Read->Stream = Call->Stream;
   Read->IncludeUsage = Call->IncludeUsage;
--- a/Source/Gateway/RequestReader.h
+++ b/Source/Gateway/RequestReader.h
@@ -12,6 +12,10 @@
 
 class FleetSource;
 
+/// Returns the Idempotency-Key header, empty if there is none. Errors:
+/// InvalidArgument for one that cannot be a row's key.
+Result<std::string> readIdempotencyKey(const HttpRequest &Request);
+
 /// Checks callers' requests and turns them into work for dispatchers. Every
 /// error means that nothing ran.
 class RequestReader {
@@ -28,6 +32,9 @@
   /// Reads a request to /services/NAME/... Errors as above.
   Result<OnlineRequest> readServiceCall(const HttpRequest &Request) const;
 
+  /// Errors: TooLarge for a body above limits.body_bytes.
+  Result<void> checkSize(const HttpRequest &Request) const;
+
   /// Returns the customer of \p Request. Errors: Unauthenticated.
   Result<const CustomerSettings *> customerOf(const HttpRequest &Request) const;
 
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,6 +1,10 @@
 #include "Daemon/DaemonContext.h"
+#include "Gateway/AgentFleet.h"
 #include "Gateway/GatewayDaemon.h"
-#include "Gateway/StaticFleet.h"
+#include "Jobs/TableIntentLedger.h"
+#include "Jobs/TableJobService.h"
+#include "Platform/HttpObjectStore.h"
+#include "Platform/HttpTable.h"
 
 #include <utility>
 
@@ -12,6 +16,8 @@
 /// gets a problem document and not evhttp's own page.
 constexpr std::size_t BodySlack = std::size_t{1} << 20U;
 
+constexpr Duration StoreRetryPeriod = std::chrono::milliseconds(100);
+
 HttpLimits callerLimits(const FleetSettings &Settings) {
   HttpLimits Limits;
   Limits.BodyBytes = Settings.Limits.BodyBytes + BodySlack;
@@ -25,12 +31,25 @@
   }
   const NodeSettings &Node = Context.Options.Node;
   HttpServer Callers(Context.Loop, callerLimits(Context.Options.Settings));
-  const StaticFleet Fleet(Context.Options.Settings);
+  const PlatformSettings &Platform = Context.Options.Settings.Platform;
+  HttpTable Rows(Context.Client, Platform.Table);
+  HttpObjectStore Objects(Context.Client, Platform.Objects);
+  TableIntentLedger Intents(Rows, Context.Time, Context.Ids);
+  TableJobService Jobs(Rows, Objects, Context.Time, Context.Ids);
+  FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
+                   controllerAddress(Node), "gateway",
+                   Context.Options.Settings);
+  const AgentFleet Fleet(Agent);
   GatewayDaemon Gateway({Context.Loop, Callers, Context.Peers, Context.Time,
                          Context.Ids, Context.Log, Context.Stats, Context.Spans,
-                         Fleet, nullptr, nullptr, Node.Zone});
+                         Fleet, &Intents, &Jobs, Node.Zone});
+  Agent.onChange([&] { Gateway.configure(); });
+  Context.Loop.every(StoreRetryPeriod, [&] { Intents.tick(); });
   Context.Peers.onReceive([&](const std::string &From, const Message &Body) {
-    Gateway.received(From, Body);
+    if (const auto *View = std::get_if<FleetView>(&Body))
+      Agent.handle(*View);
+    else
+      Gateway.received(From, Body);
   });
   Context.Peers.onLost(
       [&](const std::string &Peer) { Gateway.peerLost(Peer); });
@@ -38,8 +57,12 @@
     Context.Log.log(LogLevel::Error, Bound.error().Message);
     return ExitStatus::Refused;
   }
-  return Context.run([&] { Gateway.drain(); },
-                     [&] { return Gateway.isIdle(); });
+  return Context.run(
+      [&] {
+        Agent.setDraining();
+        Gateway.drain();
+      },
+      [&] { return Gateway.isIdle() && Intents.kept() == 0; });
 }
 
 } // namespace
--- a/Source/Gateway/StaticFleet.h
+++ b/Tests/Support/StaticFleet.h
@@ -1,5 +1,5 @@
-#ifndef TURMERICPASS_GATEWAY_STATICFLEET_H
-#define TURMERICPASS_GATEWAY_STATICFLEET_H
+#ifndef TURMERICPASS_TESTS_SUPPORT_STATICFLEET_H
+#define TURMERICPASS_TESTS_SUPPORT_STATICFLEET_H
 
 #include "Admission/FleetSource.h"
 #include "Settings/FleetSettings.h"
@@ -8,7 +8,7 @@
 
 namespace turmericpass {
 
-/// A fleet whose settings do not change and whose nodes are all live.
+/// A fleet that a test sets up; all nodes of its settings are live.
 class StaticFleet : public FleetSource {
 public:
   explicit StaticFleet(FleetSettings Given) : Given(std::move(Given)) {
@@ -18,10 +18,17 @@
 
   const FleetSettings &settings() const override { return this->Given; }
   const std::set<std::string> &liveNodes() const override { return this->Live; }
+  const std::set<std::string> &adoptedZones() const override {
+    return this->Adopted;
+  }
+  const std::set<std::string> &quarantined() const override {
+    return this->Quarantine;
+  }
 
-private:
   FleetSettings Given;
   std::set<std::string> Live;
+  std::set<std::string> Adopted;
+  std::set<std::string> Quarantine;
 };
 
 } // namespace turmericpass
