--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -46,6 +47,37 @@
            SHUT_RDWR);
 }
 
+/// Bounds what a caller may send ahead while its request is answered, in bytes.
+constexpr std::size_t MaxReadAhead = std::size_t{64} << 10U;
+
+/// Makes evhttp see the end of a connection whose answer has not started. It
+/// stops reading after a request otherwise, so a caller that left would be
+/// noticed at the first byte of its answer.
+void watchForEnd(evhttp_connection *Connection) {
+  bufferevent *Buffered = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_data_cb Write = nullptr;
+  bufferevent_event_cb Event = nullptr;
+  void *Context = nullptr;
+  bufferevent_getcb(Buffered, nullptr, &Write, &Event, &Context);
+  // evhttp's read callback stops the process in this state; it sets it again
+  // before it reads the next request, which stays in the buffer until then.
+  bufferevent_setcb(Buffered, nullptr, Write, Event, Context);
+  bufferevent_setwatermark(Buffered, EV_READ, 0, MaxReadAhead);
+  bufferevent_enable(Buffered, EV_READ);
+}
+
+void stopWatching(evhttp_connection *Connection) {
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(Connection),
+                           EV_READ, 0, 0);
+}
+
+/// evhttp takes an unanswered request off a connection that breaks and leaves
+/// it to its handler to free. In other cases it frees the request itself.
+void freeIfDetached(evhttp_request *Request) {
+  if (!evhttp_request_get_connection(Request))
+    evhttp_request_free(Request);
+}
+
 HttpRequest readRequest(evhttp_request *Request) {
   HttpRequest Read;
   Read.Method = methodName(Request);
@@ -111,6 +143,7 @@
   Opened->Request = Request;
   Opened->Connection = Connection;
   evhttp_connection_set_closecb(Connection, &handleClose, Opened.get());
+  watchForEnd(Connection);
   const ExchangeId Id = Opened->Id;
   Self->Exchanges.emplace(Id, std::move(Opened));
   if (Self->RequestHandler)
@@ -123,10 +156,7 @@
   const ExchangeId Id = Closed->Id;
   if (Closed->WriteWatch)
     evbuffer_remove_cb_entry(outputOf(Closed->Connection), Closed->WriteWatch);
-  // evhttp frees the request together with its connection, but for a request
-  // whose reply was not ended: that one it detaches and leaves to its user.
-  if (!evhttp_request_get_connection(Closed->Request))
-    evhttp_request_free(Closed->Request);
+  freeIfDetached(Closed->Request);
   if (Self->Leaving.erase(Id) > 0)
     return;
   Self->Exchanges.erase(Id);
@@ -157,6 +187,7 @@
   Exchange *Ended = Node.mapped().get();
   this->Leaving.insert(std::move(Node));
   evhttp_request_set_on_complete_cb(Ended->Request, &handleComplete, Ended);
+  stopWatching(Ended->Connection);
   return Ended;
 }
 
