--- a/Source/Scheduling/FleetScheduler.cpp
+++ b/Source/Scheduling/FleetScheduler.cpp
@@ -1,296 +1,324 @@
 #include "Scheduling/FleetScheduler.h"
 
-#include "Core/IdSource.h"
-
 #include <algorithm>
+#include <utility>
 
 namespace turmericpass {
 
 namespace {
 
-// Longer than any message can be under way between two processes.
-constexpr std::chrono::seconds TombstoneLife{120};
 constexpr std::uint64_t DefaultRetryAfterMs = 1000;
+constexpr std::uint64_t LeastRetryAfterMs = 100;
+constexpr std::uint64_t LargestRetryAfterMs = 30000;
+// A report of the server's state after its loss, not from just before it.
+constexpr std::chrono::milliseconds ReportMargin{50};
+
+Finish refusal(FinishCode Code, std::string Detail,
+               std::uint64_t RetryAfterMs = 0) {
+  Finish Outcome;
+  Outcome.Code = Code;
+  Outcome.Ran = Execution::NotRun;
+  Outcome.Detail = std::move(Detail);
+  Outcome.RetryAfterMs = RetryAfterMs;
+  return Outcome;
+}
 
 } // namespace
 
-FleetScheduler::FleetScheduler(const Clock &TimeSource, IdSource &IdMaker)
-    : Time(TimeSource), Ids(IdMaker) {}
+FleetScheduler::FleetScheduler(const Clock &TimeSource,
+                               [[maybe_unused]] IdSource &IdMaker)
+    : Fleet(TimeSource), Work(Fleet), Answers(Fleet), Failures(Fleet),
+      Watch(Fleet, Work), Begun(TimeSource.now()) {}
 
-void FleetScheduler::configure(const FleetSettings &NewSettings,
+void FleetScheduler::configure(const FleetSettings &Settings,
                                const std::set<std::string> &Owned) {
-  this->Settings = NewSettings;
-  this->Pool.configure(NewSettings, Owned);
-  for (const auto &[Name, Service] : this->Settings.Services)
-    this->dispatch(Name);
+  this->Fleet.configure(Settings, Owned);
+  this->dispatchAll();
 }
 
 void FleetScheduler::setLeaving(const std::set<std::string> &Servers) {
-  this->Pool.setLeaving(Servers);
+  this->Fleet.Pool.setLeaving(Servers);
+  this->dispatchAll();
 }
 
 void FleetScheduler::setQuarantined(const std::set<std::string> &Fingerprints) {
-  this->Quarantined.insert(Fingerprints.begin(), Fingerprints.end());
+  for (const std::string &Fingerprint : Fingerprints) {
+    if (this->Fleet.Suspects.isQuarantined(Fingerprint))
+      continue;
+    this->Fleet.Suspects.add(Fingerprint);
+    this->Failures.endQuarantined(Fingerprint);
+  }
 }
 
-bool FleetScheduler::admit(const std::string &Peer, const Submit &Work) {
-  const auto Class = this->Settings.Classes.find(Work.Class);
-  if (Class == this->Settings.Classes.end()) {
-    this->refuse(Peer, Work, FinishCode::InvalidRequest,
-                 "The settings have no class '" + Work.Class + "'.");
-    return false;
-  }
-  if (this->Quarantined.count(Work.Fingerprint) != 0) {
-    this->refuse(Peer, Work, FinishCode::Quarantined,
-                 "Equal requests made backend servers fail.");
-    return false;
-  }
-  if (!this->Pool.serves(Work.Service)) {
-    this->refuse(Peer, Work, FinishCode::NoServer,
-                 "No server of '" + Work.Service + "' can be used here.");
-    return false;
+FleetScheduler::Standing FleetScheduler::standingOf(const std::string &Peer,
+                                                    const Submit &Work) {
+  if (WorkItem *Item = this->Fleet.findRequest(Work.RequestId)) {
+    if (Work.Attempt < Item->Work.Attempt)
+      return Standing::Stale;
+    if (Work.Attempt == Item->Work.Attempt)
+      return Item->Peer == Peer ? Standing::Repeated : Standing::Stale;
+    if (!Item->Repeatable && Item->verdict() != Execution::NotRun)
+      return Standing::Forbidden;
+    this->Fleet.fail(*Item, FinishCode::Cancelled,
+                     "A newer submission of the request replaced this one.");
+    return Standing::New;
   }
-  const WorkQueue &Queue = this->Queues[Work.Service];
+  const Tombstone *Ended = this->Fleet.Tombstones.find(Work.RequestId);
+  if (Ended == nullptr)
+    return Standing::New;
+  if (Work.Attempt <= Ended->Attempt)
+    return Standing::Stale;
+  const bool Once =
+      !Work.Repeatable || !this->Fleet.service(Work.Service).Repeatable;
+  return Once && Ended->Ran != Execution::NotRun ? Standing::Forbidden
+                                                 : Standing::New;
+}
+
+Finish FleetScheduler::refusalOf(const Submit &Work) {
+  const auto Class = this->Fleet.Settings.Classes.find(Work.Class);
+  if (Class == this->Fleet.Settings.Classes.end())
+    return refusal(FinishCode::InvalidRequest,
+                   "The settings have no class '" + Work.Class + "'.");
+  if (!Work.Fingerprint.empty() &&
+      this->Fleet.Suspects.isQuarantined(Work.Fingerprint))
+    return refusal(FinishCode::Quarantined,
+                   "Equal requests made backend servers fail, so this one is "
+                   "not run.");
+  if (!this->Fleet.Pool.serves(Work.Service))
+    return refusal(FinishCode::NoServer,
+                   "No server of '" + Work.Service + "' can be used here.",
+                   DefaultRetryAfterMs);
+  if (this->Draining)
+    return refusal(FinishCode::Overloaded, "This dispatcher is shutting down.",
+                   DefaultRetryAfterMs);
+  if (Work.RemainingMs == 0)
+    return refusal(FinishCode::DeadlineExceeded,
+                   "The deadline passed before the request was queued.");
+  const WorkQueue &Queue = this->Fleet.service(Work.Service).Queue;
   const bool IsBatch = Class->second.Kind == ClassKind::Batch;
-  const std::uint32_t Queued = IsBatch ? Queue.batch() : Queue.online();
-  if (this->Draining || Queued >= this->Settings.Limits.QueuePerService) {
-    this->refuse(Peer, Work, FinishCode::Overloaded,
-                 this->Draining ? "This dispatcher is shutting down."
-                                : "The queue of the service is full.");
-    return false;
-  }
-  if (Work.RemainingMs == 0) {
-    this->refuse(Peer, Work, FinishCode::DeadlineExceeded,
-                 "The deadline passed before the request was queued.");
-    return false;
-  }
-  return true;
+  const std::uint64_t Wait = this->Fleet.expectedWaitMs(Work.Service);
+  const std::uint64_t RetryAfter =
+      std::clamp(Wait, LeastRetryAfterMs, LargestRetryAfterMs);
+  if ((IsBatch ? Queue.batch() : Queue.online()) >=
+      this->Fleet.Settings.Limits.QueuePerService)
+    return refusal(FinishCode::Overloaded, "The queue of the service is full.",
+                   RetryAfter);
+  if (!IsBatch && Wait > Work.RemainingMs)
+    return refusal(FinishCode::Overloaded,
+                   "The request would wait beyond its deadline.", RetryAfter);
+  return Finish{};
 }
 
-void FleetScheduler::submit(const std::string &Peer, Submit Work) {
-  if (this->Items.count(Work.RequestId) != 0 ||
-      this->Ended.count(Work.RequestId) != 0)
-    return;
-  if (!this->admit(Peer, Work))
-    return;
-  const ClassSettings &Class = this->Settings.Classes.at(Work.Class);
-  const auto Service = this->Settings.Services.find(Work.Service);
+void FleetScheduler::refuse(const std::string &Peer, const Submit &Work,
+                            Finish Outcome) {
+  Outcome.RequestId = Work.RequestId;
+  Outcome.Attempt = Work.Attempt;
+  Outcome.Load = this->Fleet.hintFor(Work.Service);
+  this->Fleet.record(Work.RequestId, "", "refused", Outcome.Detail);
+  this->Fleet.send(Peer, std::move(Outcome));
+}
+
+WorkItem FleetScheduler::makeItem(const std::string &Peer, Submit Work) {
+  const ClassSettings &Class = this->Fleet.Settings.Classes.at(Work.Class);
+  const ServiceState &State = this->Fleet.service(Work.Service);
   WorkItem Item;
   Item.Peer = Peer;
-  Item.Sequence = ++this->LastSequence;
-  Item.IsModel = Service == this->Settings.Services.end() ||
-                 Service->second.Kind == ServiceKind::Model;
+  Item.IsModel = State.IsModel;
   Item.IsBatch = Class.Kind == ClassKind::Batch;
+  Item.Repeatable = Work.Repeatable && State.Repeatable;
+  Item.MayHedge = State.Hedge;
   Item.Rank = Class.Rank;
-  Item.Arrived = this->Time.now();
+  Item.LongShare = Class.LongShare;
+  Item.SuspectKey = Quarantine::keyFor(Work.Fingerprint, Work.RequestId);
+  Item.Arrived = this->Fleet.now();
   Item.Deadline = Item.Arrived + std::chrono::milliseconds(Work.RemainingMs);
+  Item.Cost = State.Sizes.cost(Work);
+  Item.Level = State.Sizes.levelOf(Item.IsBatch, State.Sizes.expect(Work));
+  Item.LevelBound = State.Sizes.bound(Item.IsBatch, Item.Level);
+  // Tokens from an earlier dispatcher show that the request ran.
+  Item.Answered = !Work.ResumeTokenIds.empty();
   Item.Work = std::move(Work);
-  const std::string Id = Item.Work.RequestId;
-  const std::string ServiceName = Item.Work.Service;
-  const std::uint32_t Attempt = Item.Work.Attempt;
-  this->Deadlines.emplace(Item.Deadline, Id);
-  this->Queues[ServiceName].push(Item);
-  this->Items.emplace(Id, std::move(Item));
-  this->Actions.emplace_back(
-      SendToPeer{Peer, Accepted{Id, Attempt, this->hintFor(ServiceName)}});
-  this->dispatch(ServiceName);
+  return Item;
+}
+
+void FleetScheduler::accept(const WorkItem &Item) {
+  this->Fleet.send(Item.Peer, Accepted{Item.Work.RequestId, Item.Work.Attempt,
+                                       this->Fleet.hintFor(Item.Work.Service)});
+}
+
+void FleetScheduler::submit(const std::string &Peer, Submit Work) {
+  switch (this->standingOf(Peer, Work)) {
+  case Standing::Stale:
+    return;
+  case Standing::Repeated:
+    this->accept(*this->Fleet.findRequest(Work.RequestId));
+    return;
+  case Standing::Forbidden: {
+    Finish Outcome = refusal(FinishCode::ServerLost,
+                             "The request may have run already and must not "
+                             "run twice.");
+    Outcome.Ran = Execution::Unknown;
+    this->refuse(Peer, Work, std::move(Outcome));
+    return;
+  }
+  case Standing::New:
+    break;
+  }
+  Finish Refusal = this->refusalOf(Work);
+  if (!Refusal.Detail.empty()) {
+    this->refuse(Peer, Work, std::move(Refusal));
+    return;
+  }
+  const std::string Service = Work.Service;
+  WorkItem &Item = this->Fleet.add(this->makeItem(Peer, std::move(Work)));
+  this->Fleet.enqueue(Item);
+  this->accept(Item);
+  this->Work.dispatch(Service);
 }
 
 void FleetScheduler::cancel(const std::string &Peer, const Cancel &Withdrawn) {
-  const auto Found = this->Items.find(Withdrawn.RequestId);
-  if (Found != this->Items.end()) {
-    Finish Outcome;
-    Outcome.Code = FinishCode::Cancelled;
-    Outcome.Ran = Found->second.Ran;
-    Outcome.Detail = "The request was cancelled.";
-    this->finish(Found->second, std::move(Outcome));
+  WorkItem *Item = this->Fleet.findRequest(Withdrawn.RequestId);
+  if (Item == nullptr || Item->Work.Attempt != Withdrawn.Attempt) {
+    this->cancelUnknown(Peer, Withdrawn);
     return;
   }
-  const bool Ended = this->Ended.count(Withdrawn.RequestId) != 0;
-  this->Ended[Withdrawn.RequestId] = this->Time.now() + TombstoneLife;
+  const std::string Service = Item->Work.Service;
+  this->Fleet.fail(*Item, FinishCode::Cancelled, "The request was cancelled.");
+  this->Work.dispatch(Service);
+}
+
+void FleetScheduler::cancelUnknown(const std::string &Peer,
+                                   const Cancel &Withdrawn) {
+  const Instant Now = this->Fleet.now();
   Finish Outcome;
   Outcome.RequestId = Withdrawn.RequestId;
   Outcome.Attempt = Withdrawn.Attempt;
   Outcome.Code = FinishCode::Cancelled;
-  Outcome.Ran = Ended ? Execution::Unknown : Execution::NotRun;
-  this->Actions.emplace_back(SendToPeer{Peer, std::move(Outcome)});
+  Outcome.Detail = "The request is not under way here.";
+  const Tombstone *Ended = this->Fleet.Tombstones.find(Withdrawn.RequestId);
+  const WorkItem *Newer = this->Fleet.findRequest(Withdrawn.RequestId);
+  if (Ended != nullptr && Ended->Attempt >= Withdrawn.Attempt) {
+    Outcome.Code = Ended->Code;
+    Outcome.Ran = Ended->Ran;
+  } else if (Newer == nullptr) {
+    // A process that just started may have run it before its restart.
+    Outcome.Ran = Now - this->Begun > TombstoneTable::Life ? Execution::NotRun
+                                                           : Execution::Unknown;
+    this->Fleet.Tombstones.add(
+        Withdrawn.RequestId, {Withdrawn.Attempt, Outcome.Code, Outcome.Ran, {}},
+        Now);
+  }
+  this->Fleet.send(Peer, std::move(Outcome));
 }
 
 void FleetScheduler::peerLost(const std::string &Peer) {
-  std::vector<std::string> Lost;
-  for (const auto &[Id, Item] : this->Items)
+  std::vector<ItemId> Lost;
+  for (const auto &[Id, Item] : this->Fleet.Items)
     if (Item.Peer == Peer)
       Lost.push_back(Id);
-  for (const std::string &Id : Lost)
-    this->finish(this->Items.at(Id), Finish{}, false);
+  for (const ItemId Id : Lost) {
+    WorkItem &Item = this->Fleet.Items.at(Id);
+    Finish Outcome;
+    Outcome.Code = FinishCode::Cancelled;
+    Outcome.Ran = Item.verdict();
+    this->Fleet.finish(Item, std::move(Outcome), false);
+  }
+  this->dispatchAll();
 }
 
 void FleetScheduler::attemptTokens(SchedulerAttemptId Id, TokenBatch Tokens) {
-  const auto Found = this->Attempts.find(Id);
-  if (Found == this->Attempts.end() || Tokens.Ids.empty())
-    return;
-  WorkItem &Item = this->Items.at(Found->second.RequestId);
-  Item.Ran = Execution::Ran;
-  std::vector<std::uint32_t> &Known = Item.Work.ResumeTokenIds;
-  Chunk Piece{Item.Work.RequestId, Item.Work.Attempt, Known.size(), Tokens.Ids,
-              std::move(Tokens.Texts)};
-  Known.insert(Known.end(), Tokens.Ids.begin(), Tokens.Ids.end());
-  this->Actions.emplace_back(SendToPeer{Item.Peer, std::move(Piece)});
+  this->Answers.tokens(Id, std::move(Tokens));
 }
 
 void FleetScheduler::attemptDone(SchedulerAttemptId Id, BackendReply Reply) {
-  const auto Found = this->Attempts.find(Id);
-  if (Found == this->Attempts.end())
+  const RunningAttempt *Run = this->Fleet.findAttempt(Id);
+  if (Run == nullptr)
     return;
-  WorkItem &Item = this->Items.at(Found->second.RequestId);
-  this->endAttempt(Id);
-  Finish Outcome;
-  Outcome.Code = Reply.Status >= 500 ? FinishCode::ServerError : FinishCode::Ok;
-  Outcome.Ran = Execution::Ran;
-  Outcome.Status = static_cast<std::uint32_t>(Reply.Status);
-  Outcome.ContentType = std::move(Reply.ContentType);
-  Outcome.Body = std::move(Reply.Body);
-  Outcome.Reason = std::move(Reply.Reason);
-  this->finish(Item, std::move(Outcome));
+  const std::string Service = this->Fleet.Items.at(Run->Item).Work.Service;
+  this->Answers.done(Id, std::move(Reply));
+  this->Work.dispatch(Service);
 }
 
 void FleetScheduler::attemptFailed(SchedulerAttemptId Id, const Error &Reason,
                                    AttemptProgress Progress) {
-  const auto Found = this->Attempts.find(Id);
-  if (Found == this->Attempts.end())
+  const RunningAttempt *Run = this->Fleet.findAttempt(Id);
+  if (Run == nullptr)
     return;
-  WorkItem &Item = this->Items.at(Found->second.RequestId);
-  this->endAttempt(Id);
-  if (Progress == AttemptProgress::Admitted)
-    Item.Ran = Execution::Ran;
-  if (Progress == AttemptProgress::NotSent && Item.Attempts.empty() &&
-      Item.Work.ResumeTokenIds.empty())
-    Item.Ran = Execution::NotRun;
-  Finish Outcome;
-  Outcome.Code = Progress == AttemptProgress::NotSent ? FinishCode::Overloaded
-                                                      : FinishCode::ServerLost;
-  Outcome.Ran = Item.Ran;
-  Outcome.Detail = Reason.Message;
-  this->finish(Item, std::move(Outcome));
+  const std::string Service = this->Fleet.Items.at(Run->Item).Work.Service;
+  this->Failures.attemptFailed(Id, Reason, Progress);
+  this->Work.releaseHeld(Service);
+  this->Work.dispatch(Service);
 }
 
-void FleetScheduler::loadReported(const std::string &, const LoadReport &) {}
-
-void FleetScheduler::cacheChanged(const std::string &,
-                                  const std::vector<CacheEvent> &) {}
-
-void FleetScheduler::tick() {
-  const Instant Now = this->Time.now();
-  while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now) {
-    WorkItem &Item = this->Items.at(this->Deadlines.begin()->second);
-    Finish Outcome;
-    Outcome.Code = FinishCode::DeadlineExceeded;
-    Outcome.Ran = Item.Ran;
-    Outcome.Detail = "The deadline passed before the answer was complete.";
-    this->finish(Item, std::move(Outcome));
-  }
-  std::erase_if(this->Ended,
-                [Now](const auto &Entry) { return Entry.second <= Now; });
+void FleetScheduler::loadReported(const std::string &Server,
+                                  const LoadReport &Report) {
+  ServerState *State = this->Fleet.Pool.find(Server);
+  if (State == nullptr)
+    return;
+  const Instant Now = this->Fleet.now();
+  State->Window.loadReported(Report.KvUsed,
+                             std::chrono::milliseconds(Report.AgeMs),
+                             State->TokensInFlight, Now);
+  // What it says may be old, but that it answers is new.
+  if (State->Health.state() == HealthState::Down &&
+      Now - State->Health.since() > ReportMargin)
+    State->Health.startReturn(Now);
 }
 
-void FleetScheduler::drain() { this->Draining = true; }
-
-bool FleetScheduler::isIdle() const { return this->Items.empty(); }
+void FleetScheduler::cacheChanged(const std::string &Server,
+                                  const std::vector<CacheEvent> &Events) {
+  if (this->Fleet.Pool.find(Server) != nullptr)
+    this->Fleet.Prefixes.apply(Server, Events);
+}
 
-std::vector<SchedulerAction> FleetScheduler::takeActions() {
-  return std::exchange(this->Actions, {});
+void FleetScheduler::endDeadlines() {
+  const Instant Now = this->Fleet.now();
+  auto &Deadlines = this->Fleet.Deadlines;
+  while (!Deadlines.empty() && Deadlines.begin()->first <= Now)
+    this->Fleet.fail(this->Fleet.Items.at(Deadlines.begin()->second),
+                     FinishCode::DeadlineExceeded,
+                     "The deadline passed before the answer was complete.");
 }
 
-void FleetScheduler::refuse(const std::string &Peer, const Submit &Work,
-                            FinishCode Code, const std::string &Detail) {
-  Finish Outcome;
-  Outcome.RequestId = Work.RequestId;
-  Outcome.Attempt = Work.Attempt;
-  Outcome.Code = Code;
-  Outcome.Ran = Execution::NotRun;
-  Outcome.Detail = Detail;
-  if (Code == FinishCode::Overloaded || Code == FinishCode::NoServer)
-    Outcome.RetryAfterMs = DefaultRetryAfterMs;
-  Outcome.Load = this->hintFor(Work.Service);
-  this->Actions.emplace_back(SendToPeer{Peer, std::move(Outcome)});
+void FleetScheduler::endUnservable() {
+  std::vector<ItemId> Ended;
+  for (const auto &[Id, Item] : this->Fleet.Items)
+    if (Item.Attempts.empty() && !this->Fleet.Pool.serves(Item.Work.Service))
+      Ended.push_back(Id);
+  for (const ItemId Id : Ended)
+    this->Fleet.fail(this->Fleet.Items.at(Id), FinishCode::NoServer,
+                     "No server of the service can be used here any more.",
+                     DefaultRetryAfterMs);
 }
 
-void FleetScheduler::dispatch(const std::string &Service) {
-  const auto Queue = this->Queues.find(Service);
-  if (Queue == this->Queues.end())
-    return;
-  while (!Queue->second.empty()) {
-    ServerState *Server = this->Pool.mostFree(Service);
-    if (Server == nullptr)
-      return;
-    WorkItem &Item = this->Items.at(Queue->second.front());
-    Queue->second.remove(Item);
-    this->start(Item, *Server);
+void FleetScheduler::dispatchAll() {
+  for (const auto &[Name, Entry] : this->Fleet.Settings.Services) {
+    const ServiceState &State = this->Fleet.service(Name);
+    const bool Waits =
+        State.Queue.online() + State.Queue.batch() != 0 || !State.Held.empty();
+    if (Waits && !this->Fleet.Pool.serves(Name))
+      this->endUnservable();
+    this->Work.releaseHeld(Name);
+    this->Work.dispatch(Name);
   }
 }
 
-void FleetScheduler::start(WorkItem &Item, ServerState &Server) {
-  const Instant Now = this->Time.now();
-  const SchedulerAttemptId Id = ++this->LastAttempt;
-  this->Attempts.emplace(
-      Id, RunningAttempt{Id, Item.Work.RequestId, Server.Name, Now});
-  Item.Attempts.push_back(Id);
-  if (Item.Ran == Execution::NotRun)
-    Item.Ran = Execution::Unknown;
-  ++Server.Running;
-  if (!Item.IsBatch)
-    ++Server.RunningOnline;
-  StartAttempt Order{Id, Server.Name, Item.Work};
-  Order.Work.RemainingMs = static_cast<std::uint64_t>(
-      std::chrono::ceil<std::chrono::milliseconds>(Item.Deadline - Now)
-          .count());
-  this->Actions.emplace_back(std::move(Order));
+void FleetScheduler::tick() {
+  const Instant Now = this->Fleet.now();
+  this->endDeadlines();
+  this->Fleet.Tombstones.expire(Now);
+  this->Fleet.Suspects.expire(Now);
+  if (!this->Watch.run())
+    return;
+  this->dispatchAll();
 }
 
-void FleetScheduler::endAttempt(SchedulerAttemptId Id) {
-  const auto Found = this->Attempts.find(Id);
-  WorkItem &Item = this->Items.at(Found->second.RequestId);
-  if (ServerState *Server = this->Pool.find(Found->second.Server)) {
-    --Server->Running;
-    if (!Item.IsBatch)
-      --Server->RunningOnline;
-  }
-  std::erase(Item.Attempts, Id);
-  this->Attempts.erase(Found);
-}
+void FleetScheduler::drain() { this->Draining = true; }
 
-void FleetScheduler::finish(WorkItem &Item, Finish Outcome, bool Tell) {
-  const std::string Id = Item.Work.RequestId;
-  const std::string Service = Item.Work.Service;
-  while (!Item.Attempts.empty()) {
-    this->Actions.emplace_back(CancelAttempt{Item.Attempts.front()});
-    this->endAttempt(Item.Attempts.front());
-  }
-  this->Queues[Service].remove(Item);
-  this->Deadlines.erase({Item.Deadline, Id});
-  this->Ended[Id] = this->Time.now() + TombstoneLife;
-  Outcome.RequestId = Id;
-  Outcome.Attempt = Item.Work.Attempt;
-  Outcome.TotalTokens = Item.Work.ResumeTokenIds.size();
-  const std::string Peer = Item.Peer;
-  this->Items.erase(Id);
-  if (Tell) {
-    Outcome.Load = this->hintFor(Service);
-    this->Actions.emplace_back(SendToPeer{Peer, std::move(Outcome)});
-  }
-  this->dispatch(Service);
-}
+bool FleetScheduler::isIdle() const { return this->Fleet.Items.empty(); }
 
-LoadHint FleetScheduler::hintFor(const std::string &Service) {
-  LoadHint Hint;
-  Hint.Service = Service;
-  Hint.FreeSlots = this->Pool.freeOfOnline(Service);
-  const auto Queue = this->Queues.find(Service);
-  if (Queue != this->Queues.end()) {
-    Hint.QueuedOnline = Queue->second.online();
-    Hint.QueuedBatch = Queue->second.batch();
-  }
-  return Hint;
+std::vector<SchedulerAction> FleetScheduler::takeActions() {
+  return std::exchange(this->Fleet.Actions, {});
 }
 
 } // namespace turmericpass
--- a/Source/Scheduling/FleetScheduler.h
+++ b/Source/Scheduling/FleetScheduler.h
@@ -1,17 +1,15 @@
 #ifndef TURMERICPASS_SCHEDULING_FLEETSCHEDULER_H
 #define TURMERICPASS_SCHEDULING_FLEETSCHEDULER_H
 
+#include "Scheduling/AnswerCollector.h"
+#include "Scheduling/FailurePolicy.h"
+#include "Scheduling/FleetState.h"
 #include "Scheduling/Scheduler.h"
-#include "Scheduling/ServerPool.h"
-#include "Scheduling/WorkItem.h"
-#include "Scheduling/WorkQueue.h"
-#include "Settings/FleetSettings.h"
+#include "Scheduling/StreamWatch.h"
+#include "Scheduling/WorkAssigner.h"
 
-#include <map>
 #include <set>
 #include <string>
-#include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace turmericpass {
@@ -21,7 +19,7 @@
 /// The dispatcher's decisions over the servers that its node owns.
 class FleetScheduler : public Scheduler {
 public:
-  FleetScheduler(const Clock &Time, IdSource &Ids);
+  FleetScheduler(const Clock &TimeSource, IdSource &IdMaker);
 
   void configure(const FleetSettings &Settings,
                  const std::set<std::string> &Owned) override;
@@ -44,30 +42,27 @@
   std::vector<SchedulerAction> takeActions() override;
 
 private:
-  bool admit(const std::string &Peer, const Submit &Work);
-  void refuse(const std::string &Peer, const Submit &Work, FinishCode Code,
-              const std::string &Detail);
-  void dispatch(const std::string &Service);
-  void start(WorkItem &Item, ServerState &Server);
-  void endAttempt(SchedulerAttemptId Id);
-  /// Ends the item, cancels its attempts and sends \p Outcome.
-  void finish(WorkItem &Item, Finish Outcome, bool Tell = true);
-  LoadHint hintFor(const std::string &Service);
+  enum class Standing { New, Repeated, Stale, Forbidden };
 
-  const Clock &Time;
-  [[maybe_unused]] IdSource &Ids;
-  FleetSettings Settings;
-  ServerPool Pool;
-  std::map<std::string, WorkQueue> Queues;
-  std::unordered_map<std::string, WorkItem> Items;
-  std::unordered_map<SchedulerAttemptId, RunningAttempt> Attempts;
-  std::set<std::pair<Instant, std::string>> Deadlines;
-  std::set<std::string> Quarantined;
-  /// Requests that ended, with the time until which they are remembered.
-  std::unordered_map<std::string, Instant> Ended;
-  std::vector<SchedulerAction> Actions;
-  SchedulerAttemptId LastAttempt = 0;
-  std::uint64_t LastSequence = 0;
+  /// Tells how a submission stands to earlier ones of the same request.
+  Standing standingOf(const std::string &Peer, const Submit &Work);
+  /// Returns why \p Work is refused, with RetryAfterMs, or an empty Detail.
+  Finish refusalOf(const Submit &Work);
+  void refuse(const std::string &Peer, const Submit &Work, Finish Outcome);
+  WorkItem makeItem(const std::string &Peer, Submit Work);
+  void accept(const WorkItem &Item);
+  void cancelUnknown(const std::string &Peer, const Cancel &Withdrawn);
+  void dispatchAll();
+  void endDeadlines();
+  /// Ends queued work of services that no server of this node can serve.
+  void endUnservable();
+
+  FleetState Fleet;
+  WorkAssigner Work;
+  AnswerCollector Answers;
+  FailurePolicy Failures;
+  StreamWatch Watch;
+  Instant Begun;
   bool Draining = false;
 };
 
--- /dev/null
+++ b/Source/Scheduling/LatencyTracker.cpp
@@ -0,0 +1,152 @@
+#include "Scheduling/LatencyTracker.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace turmericpass {
+
+namespace {
+
+constexpr std::chrono::seconds Horizon{5};
+constexpr std::size_t FirstSamples = 512;
+constexpr std::size_t GapSamples = 512;
+// Each stream gives a sample for each token; one in four is enough.
+constexpr std::uint64_t GapSampling = 4;
+constexpr std::chrono::milliseconds RefreshInterval{50};
+constexpr double Weight = 0.3;
+constexpr std::uint32_t EnoughSamples = 3;
+constexpr std::size_t EnoughForQuantile = 20;
+// Healthy servers differ by less than this; a neighbour's burst costs more.
+constexpr double SlowFactor = 3;
+constexpr double GoodFactor = 2;
+// A long prompt taken in beside the streams pauses them for some steps.
+constexpr double SilenceFactor = 4;
+constexpr double SilenceOverHigh = 2;
+constexpr double LeastSilenceMs = 20;
+// Differences below this are the noise of the network and of timers.
+constexpr double LeastExcessMs = 5;
+constexpr double StallFactor = 10;
+constexpr double LeastStallMs = 100;
+constexpr double UnknownStallMs = 2000;
+constexpr double HedgeQuantile = 0.95;
+// Where all times are alike the 95th percentile is the median, and a copy at
+// that point would be a waste.
+constexpr double HedgeOverMedian = 1.25;
+
+Duration fromMillis(double Value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Value));
+}
+
+} // namespace
+
+LatencyTracker::LatencyTracker()
+    : Firsts(FirstSamples, Horizon), Gaps(GapSamples, Horizon) {}
+
+void LatencyTracker::Mean::add(double Sample, Instant Now) {
+  if (this->Count == 0 || Now - this->At > Horizon) {
+    this->Millis = Sample;
+    this->Count = 0;
+  }
+  this->Millis += Weight * (Sample - this->Millis);
+  ++this->Count;
+  this->At = Now;
+}
+
+void LatencyTracker::firstToken(const std::string &Server, Duration Elapsed,
+                                bool Fit, Instant Now) {
+  this->Servers[Server].First.add(toMillis(Elapsed), Now);
+  if (Fit)
+    this->Firsts.add(toMillis(Elapsed), Now);
+}
+
+void LatencyTracker::gap(const std::string &Server, Duration Elapsed, bool Fit,
+                         Instant Now) {
+  this->Servers[Server].Gap.add(toMillis(Elapsed), Now);
+  if (Fit && ++this->GapsSeen % GapSampling == 0)
+    this->Gaps.add(toMillis(Elapsed), Now);
+}
+
+void LatencyTracker::overdue(const std::string &Server, Duration Elapsed,
+                             Instant Now) {
+  this->Servers[Server].First.add(toMillis(Elapsed), Now);
+}
+
+double LatencyTracker::medianOf(Mean ServerTimes::*Which, Instant Now) const {
+  std::vector<double> Values;
+  for (const auto &[Name, Times] : this->Servers)
+    if ((Times.*Which).Count != 0 && Now - (Times.*Which).At <= Horizon)
+      Values.push_back((Times.*Which).Millis);
+  // A server has no median to be compared with if it is the only one.
+  if (Values.size() < 2)
+    return 0;
+  // The lower middle: of two servers the slower one is the suspect.
+  const auto Middle =
+      Values.begin() + static_cast<std::ptrdiff_t>((Values.size() - 1) / 2);
+  std::nth_element(Values.begin(), Middle, Values.end());
+  return *Middle;
+}
+
+void LatencyTracker::refresh(Instant Now) {
+  if (Now - this->Refreshed < RefreshInterval)
+    return;
+  this->Refreshed = Now;
+  this->MedianFirst = this->medianOf(&ServerTimes::First, Now);
+  this->MedianGap = this->medianOf(&ServerTimes::Gap, Now);
+  const std::vector<double> Gap = this->Gaps.sorted(Now);
+  this->HighGap = Gap.empty() ? 0 : SampleWindow::quantile(Gap, HedgeQuantile);
+  const std::vector<double> First = this->Firsts.sorted(Now);
+  this->HedgeAfter =
+      First.size() < EnoughForQuantile
+          ? 0
+          : std::max(SampleWindow::quantile(First, HedgeQuantile),
+                     HedgeOverMedian * SampleWindow::quantile(First, 0.5));
+}
+
+bool LatencyTracker::isSlow(const std::string &Server, Duration Silence,
+                            Duration FirstSilence) const {
+  const auto Found = this->Servers.find(Server);
+  const ServerTimes Own =
+      Found == this->Servers.end() ? ServerTimes{} : Found->second;
+  const auto Exceeds = [](const Mean &Value, double Median) {
+    return Median != 0 && Value.Count >= EnoughSamples &&
+           Value.Millis > SlowFactor * Median &&
+           Value.Millis > Median + LeastExcessMs;
+  };
+  if (Exceeds(Own.First, this->MedianFirst) ||
+      Exceeds(Own.Gap, this->MedianGap))
+    return true;
+  if (this->MedianFirst != 0 &&
+      toMillis(FirstSilence) >
+          std::max(LeastSilenceMs, SilenceFactor * this->MedianFirst))
+    return true;
+  return this->MedianGap != 0 &&
+         toMillis(Silence) >
+             std::max({LeastSilenceMs, SilenceFactor * this->MedianGap,
+                       SilenceOverHigh * this->HighGap});
+}
+
+bool LatencyTracker::isGoodGap(Duration Elapsed) const {
+  return toMillis(Elapsed) <= std::max(GoodFactor * this->MedianGap,
+                                       this->MedianGap + LeastExcessMs);
+}
+
+bool LatencyTracker::isGoodFirst(Duration Elapsed) const {
+  return toMillis(Elapsed) <= std::max(GoodFactor * this->MedianFirst,
+                                       this->MedianFirst + LeastExcessMs);
+}
+
+std::optional<Duration> LatencyTracker::hedgeDelay() const {
+  if (this->HedgeAfter == 0)
+    return std::nullopt;
+  return fromMillis(this->HedgeAfter);
+}
+
+Duration LatencyTracker::stallLimit() const {
+  if (this->MedianGap == 0)
+    return fromMillis(UnknownStallMs);
+  return fromMillis(std::max({LeastStallMs, StallFactor * this->MedianGap,
+                              SilenceOverHigh * this->HighGap}));
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Scheduling/Placement.cpp
@@ -0,0 +1,189 @@
+#include "Scheduling/Placement.h"
+
+#include "Scheduling/FleetState.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+// A server that holds the prompt's prefix is preferred up to this many times
+// the mean load.
+constexpr double PrefixLoadBound = 1.25;
+
+/// What is thrown away if the attempt ends now: the prompt and the tokens so
+/// far have to be taken in again, a plain call starts from nothing.
+double workLost(const WorkItem &Item, const RunningAttempt &Run, Instant Now) {
+  if (!Item.IsModel)
+    return toMillis(Now - Run.Started);
+  return static_cast<double>(Item.Work.PromptTokens) +
+         static_cast<double>(Item.Work.ResumeTokenIds.size());
+}
+
+/// Compares the used shares of the windows. Equal servers take turns, so that
+/// every one gives samples of its speed also when little is asked.
+bool isLessLoaded(ServerState &Left, ServerState &Right, Instant Now) {
+  const std::uint64_t LeftLoad =
+      std::uint64_t{Left.running()} * Right.limit(Now);
+  const std::uint64_t RightLoad =
+      std::uint64_t{Right.running()} * Left.limit(Now);
+  if (LeftLoad != RightLoad)
+    return LeftLoad < RightLoad;
+  return Left.LastStart < Right.LastStart;
+}
+
+} // namespace
+
+bool Placement::isRestricted(const WorkItem &Item) const {
+  for (const ServerState *Server : this->Fleet.Pool.of(Item.Work.Service))
+    if (Server->isUsable() &&
+        !this->Fleet.Suspects.mayStart(Item.SuspectKey, Server->Name))
+      return true;
+  return false;
+}
+
+bool Placement::isAllowed(const ServerState &Server,
+                          const WorkItem &Item) const {
+  return Server.isUsable() &&
+         this->Fleet.Suspects.mayStart(Item.SuspectKey, Server.Name);
+}
+
+bool Placement::isAboveShare(const ServerState &Server, const WorkItem &Item,
+                             std::uint32_t Extra) const {
+  const auto Held = Server.LongByClass.find(Item.Work.Class);
+  const std::uint32_t Long =
+      (Held == Server.LongByClass.end() ? 0 : Held->second) + Extra;
+  const auto Share =
+      static_cast<std::uint32_t>(Item.LongShare * Server.Window.requests());
+  return Long > std::max(1U, Share);
+}
+
+bool Placement::holdsItsShare(const WorkItem &Item) const {
+  // Batch work yields to everything at once, so its long work needs no bound.
+  if (!Item.isLong() || Item.IsBatch)
+    return false;
+  ServiceState &State = this->Fleet.service(Item.Work.Service);
+  const std::uint32_t Capacity =
+      this->Fleet.Pool.capacity(State.Name, this->Fleet.now());
+  const auto Share = static_cast<std::uint32_t>(Item.LongShare * Capacity);
+  return State.LongByClass[Item.Work.Class] >= std::max(1U, Share);
+}
+
+bool Placement::fits(ServerState &Server, const WorkItem &Item,
+                     Instant Now) const {
+  const std::uint32_t Running = Server.running();
+  if (Running >= Server.limit(Now))
+    return false;
+  const double Tokens =
+      Item.IsModel ? static_cast<double>(Item.Work.PromptTokens) + Item.Cost +
+                         static_cast<double>(Item.Work.ResumeTokenIds.size())
+                   : 0;
+  if (Running != 0 && static_cast<double>(Server.TokensInFlight) + Tokens >
+                          static_cast<double>(Server.Window.tokens()))
+    return false;
+  return Item.IsBatch || !Item.isLong() || !this->isAboveShare(Server, Item, 1);
+}
+
+bool Placement::leavesReserve(const WorkItem &Item, Instant Now) const {
+  if (!Item.IsBatch)
+    return true;
+  ServiceState &State = this->Fleet.service(Item.Work.Service);
+  const std::uint32_t Idle = this->Fleet.Pool.freeOfOnline(State.Name, Now);
+  return this->Fleet.Pool.freeSlots(State.Name, Now) >
+         State.Reserve.slots(Now, Idle);
+}
+
+ServerState *Placement::probe(const WorkItem &Item, Instant Now) {
+  // Batch work makes the best probe; online work is risked only without it.
+  if (!Item.Repeatable || this->Fleet.Suspects.isSuspect(Item.SuspectKey) ||
+      (!Item.IsBatch &&
+       this->Fleet.service(Item.Work.Service).Queue.batch() != 0))
+    return nullptr;
+  for (ServerState *Server : this->Fleet.Pool.of(Item.Work.Service))
+    if (!Server->isFit() && this->isAllowed(*Server, Item) &&
+        Server->Health.probeDue(Now) && this->fits(*Server, Item, Now))
+      return Server;
+  return nullptr;
+}
+
+ServerState *Placement::best(const WorkItem &Item, const std::string &Avoid,
+                             Instant Now) {
+  ServerState *Best = nullptr;
+  ServerState *Holder = nullptr;
+  std::size_t Depth = 0;
+  std::uint32_t Sum = 0;
+  std::uint32_t Usable = 0;
+  for (ServerState *Server : this->Fleet.Pool.of(Item.Work.Service)) {
+    if (!Server->isUsable() || !Server->isFit())
+      continue;
+    Sum += Server->running();
+    ++Usable;
+    if (Server->Name == Avoid || !this->isAllowed(*Server, Item) ||
+        !this->fits(*Server, Item, Now))
+      continue;
+    if (Best == nullptr || isLessLoaded(*Server, *Best, Now))
+      Best = Server;
+    const std::size_t Held =
+        this->Fleet.Prefixes.depth(Server->Name, Item.Work.PrefixHashes);
+    if (Held > Depth ||
+        (Held == Depth && Holder && Server->running() < Holder->running())) {
+      Depth = Held;
+      Holder = Server;
+    }
+  }
+  if (Holder != nullptr && Depth > 0 &&
+      Holder->running() <= PrefixLoadBound * Sum / Usable)
+    return Holder;
+  return Best;
+}
+
+ServerState *Placement::choose(const WorkItem &Item) {
+  const Instant Now = this->Fleet.now();
+  if (!this->leavesReserve(Item, Now))
+    return nullptr;
+  if (ServerState *Probed = this->probe(Item, Now))
+    return Probed;
+  if (ServerState *Found = this->best(Item, Item.Avoid, Now))
+    return Found;
+  return Item.Avoid.empty() ? nullptr : this->best(Item, "", Now);
+}
+
+ServerState *Placement::chooseOther(const WorkItem &Item,
+                                    const std::string &Used) {
+  return this->best(Item, Used, this->Fleet.now());
+}
+
+std::optional<SchedulerAttemptId>
+Placement::victimFor(const WorkItem &Item, const std::string &Except) {
+  const Instant Now = this->Fleet.now();
+  std::optional<SchedulerAttemptId> Victim;
+  double Least = 0;
+  bool VictimIsBatch = false;
+  for (ServerState *Server : this->Fleet.Pool.of(Item.Work.Service)) {
+    if (Server->Name == Except || !Server->isFit() ||
+        !this->isAllowed(*Server, Item) ||
+        Server->running() > Server->limit(Now) ||
+        (Item.isLong() && this->isAboveShare(*Server, Item, 1)))
+      continue;
+    for (const SchedulerAttemptId Id : Server->Attempts) {
+      const RunningAttempt &Run = this->Fleet.Attempts.at(Id);
+      const WorkItem &Other = this->Fleet.Items.at(Run.Item);
+      const bool Yields =
+          Other.IsBatch || (!Item.isLong() && Other.IsModel && Run.IsLong &&
+                            this->isAboveShare(*Server, Other, 0));
+      if (!Yields || !Other.Repeatable)
+        continue;
+      const double Lost = workLost(Other, Run, Now);
+      if (Victim && (VictimIsBatch > Other.IsBatch ||
+                     (VictimIsBatch == Other.IsBatch && Lost >= Least)))
+        continue;
+      Victim = Id;
+      Least = Lost;
+      VictimIsBatch = Other.IsBatch;
+    }
+  }
+  return Victim;
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Scheduling/SampleWindow.h
@@ -0,0 +1,38 @@
+#ifndef TURMERICPASS_SCHEDULING_SAMPLEWINDOW_H
+#define TURMERICPASS_SCHEDULING_SAMPLEWINDOW_H
+
+#include "Core/Clock.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace turmericpass {
+
+/// The last samples of one measure, of which only recent ones count.
+class SampleWindow {
+public:
+  SampleWindow(std::size_t Most, Duration Horizon);
+
+  void add(double Value, Instant Now);
+
+  /// Returns the recent samples in ascending order.
+  std::vector<double> sorted(Instant Now) const;
+
+  /// Returns the \p Share quantile of \p Sorted, which must not be empty.
+  static double quantile(const std::vector<double> &Sorted, double Share);
+
+private:
+  struct Sample {
+    double Value = 0;
+    Instant At;
+  };
+
+  std::size_t Most;
+  Duration Horizon;
+  std::vector<Sample> Samples;
+  std::size_t Next = 0;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Scheduling/ServerHealth.cpp
@@ -0,0 +1,94 @@
+#include "Scheduling/ServerHealth.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+// Slowness comes and goes within seconds; a probe risks one request.
+constexpr std::chrono::milliseconds ProbeInterval{400};
+constexpr std::chrono::milliseconds FirstDownTime{1000};
+constexpr std::uint32_t MostDoublings = 4;
+constexpr std::chrono::milliseconds FirstPause{50};
+constexpr std::uint32_t MostPauseDoublings = 5;
+// Several samples over some time, because all streams of one engine step
+// give one sample each at the same moment.
+constexpr std::uint32_t EnoughGood = 6;
+constexpr std::chrono::milliseconds GoodTime{60};
+// The window comes back in four steps: 1/4, 1/2, 3/4, all.
+constexpr std::chrono::milliseconds ReturnStep{200};
+constexpr std::uint32_t ReturnSteps = 4;
+
+} // namespace
+
+void ServerHealth::markSlow(Instant Now) {
+  this->State = HealthState::Slow;
+  this->Since = Now;
+  this->Good = 0;
+  this->NextProbe = Now + ProbeInterval;
+}
+
+void ServerHealth::markDown(Instant Now) {
+  this->State = HealthState::Down;
+  this->Since = Now;
+  this->Good = 0;
+  this->NextProbe =
+      Now + FirstDownTime * (1U << std::min(this->Losses, MostDoublings));
+  ++this->Losses;
+}
+
+void ServerHealth::refused(Instant Now) {
+  const std::uint32_t Doublings = std::min(this->Refusals, MostPauseDoublings);
+  this->PausedUntil = Now + FirstPause * (1U << Doublings);
+  ++this->Refusals;
+}
+
+void ServerHealth::goodSample(Instant Now, std::uint32_t Weight) {
+  this->Refusals = 0;
+  if (this->State == HealthState::Normal) {
+    this->Losses = 0;
+    return;
+  }
+  if (this->State == HealthState::Returning)
+    return;
+  if (this->Good == 0)
+    this->GoodSince = Now;
+  this->Good += Weight;
+  if (this->Good >= EnoughGood && Now - this->GoodSince >= GoodTime)
+    this->startReturn(Now);
+}
+
+void ServerHealth::startReturn(Instant Now) {
+  this->State = HealthState::Returning;
+  this->Since = Now;
+  this->PausedUntil = Now;
+}
+
+void ServerHealth::probed(Instant Now) {
+  this->NextProbe = Now + ProbeInterval;
+}
+
+bool ServerHealth::probeDue(Instant Now) const {
+  return (this->State == HealthState::Slow ||
+          this->State == HealthState::Down) &&
+         Now >= this->NextProbe && Now >= this->PausedUntil;
+}
+
+std::uint32_t ServerHealth::allowance(std::uint32_t Limit, Instant Now) {
+  if (Now < this->PausedUntil)
+    return 0;
+  if (this->State == HealthState::Normal)
+    return Limit;
+  if (this->State != HealthState::Returning)
+    return this->probeDue(Now) ? 1 : 0;
+  const auto Step =
+      static_cast<std::uint32_t>((Now - this->Since) / ReturnStep) + 1;
+  if (Step < ReturnSteps)
+    return std::max(1U, Limit * Step / ReturnSteps);
+  this->State = HealthState::Normal;
+  this->Since = Now;
+  return Limit;
+}
+
+} // namespace turmericpass
--- a/Source/Scheduling/ServerPool.cpp
+++ b/Source/Scheduling/ServerPool.cpp
@@ -2,6 +2,8 @@
 
 #include "Settings/FleetSettings.h"
 
+#include <algorithm>
+
 namespace turmericpass {
 
 void ServerPool::configure(const FleetSettings &Settings,
@@ -12,16 +14,30 @@
     const auto Known = Settings.Servers.find(Name);
     if (Known == Settings.Servers.end())
       continue;
-    ServerState &State = this->Servers[Name];
-    State.Name = Name;
-    State.Service = Known->second.Service;
-    State.Slots = Known->second.Slots;
-    State.Owned = true;
+    const auto [Place, IsNew] = this->Servers.try_emplace(Name);
+    ServerState &State = Place->second;
+    if (IsNew ||
+        (State.Service != Known->second.Service && State.Attempts.empty())) {
+      State = ServerState{};
+      State.Name = Name;
+      State.Service = Known->second.Service;
+      State.Window = ConcurrencyWindow(Known->second.Slots);
+    }
+    State.Window.setSlots(Known->second.Slots);
+    // A server that changes its service finishes its old work first.
+    State.Owned = State.Service == Known->second.Service;
     State.Leaving = this->Leaving.count(Name) != 0;
   }
   std::erase_if(this->Servers, [](const auto &Entry) {
-    return !Entry.second.Owned && Entry.second.Running == 0;
+    return !Entry.second.Owned && Entry.second.Attempts.empty();
   });
+  this->index();
+}
+
+void ServerPool::index() {
+  this->ByService.clear();
+  for (auto &[Name, State] : this->Servers)
+    this->ByService[State.Service].push_back(&State);
 }
 
 void ServerPool::setLeaving(const std::set<std::string> &Names) {
@@ -35,32 +51,46 @@
   return Found == this->Servers.end() ? nullptr : &Found->second;
 }
 
-ServerState *ServerPool::mostFree(const std::string &Service) {
-  ServerState *Best = nullptr;
-  for (auto &[Name, State] : this->Servers) {
-    if (State.Service != Service || !State.isUsable() ||
-        State.Running >= State.Slots)
-      continue;
-    if (Best == nullptr ||
-        State.Slots - State.Running > Best->Slots - Best->Running)
-      Best = &State;
-  }
-  return Best;
+const std::vector<ServerState *> &
+ServerPool::of(const std::string &Service) const {
+  static const std::vector<ServerState *> None;
+  const auto Found = this->ByService.find(Service);
+  return Found == this->ByService.end() ? None : Found->second;
 }
 
 bool ServerPool::serves(const std::string &Service) const {
-  for (const auto &[Name, State] : this->Servers)
-    if (State.Service == Service && State.isUsable())
-      return true;
-  return false;
+  const std::vector<ServerState *> &All = this->of(Service);
+  return std::any_of(All.begin(), All.end(), [](const ServerState *Server) {
+    return Server->isUsable();
+  });
+}
+
+std::uint32_t ServerPool::freeOfOnline(const std::string &Service,
+                                       Instant Now) const {
+  std::uint32_t Free = 0;
+  for (ServerState *Server : this->of(Service))
+    if (Server->isUsable())
+      Free += Server->limit(Now) -
+              std::min(Server->limit(Now), Server->RunningOnline);
+  return Free;
+}
+
+std::uint32_t ServerPool::capacity(const std::string &Service,
+                                   Instant Now) const {
+  std::uint32_t Sum = 0;
+  for (ServerState *Server : this->of(Service))
+    if (Server->isUsable())
+      Sum += Server->limit(Now);
+  return Sum;
 }
 
-std::uint32_t ServerPool::freeOfOnline(const std::string &Service) const {
+std::uint32_t ServerPool::freeSlots(const std::string &Service,
+                                    Instant Now) const {
   std::uint32_t Free = 0;
-  for (const auto &[Name, State] : this->Servers)
-    if (State.Service == Service && State.isUsable() &&
-        State.Slots > State.RunningOnline)
-      Free += State.Slots - State.RunningOnline;
+  for (ServerState *Server : this->of(Service))
+    if (Server->isUsable())
+      Free +=
+          Server->limit(Now) - std::min(Server->limit(Now), Server->running());
   return Free;
 }
 
--- a/Source/Scheduling/ServerPool.h
+++ b/Source/Scheduling/ServerPool.h
@@ -1,29 +1,19 @@
 #ifndef TURMERICPASS_SCHEDULING_SERVERPOOL_H
 #define TURMERICPASS_SCHEDULING_SERVERPOOL_H
 
-#include <cstdint>
+#include "Scheduling/ServerState.h"
+
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace turmericpass {
 
 struct FleetSettings;
 
-/// What the scheduler knows of one backend server.
-struct ServerState {
-  std::string Name;
-  std::string Service;
-  std::uint32_t Slots = 0;
-  bool Owned = false;
-  bool Leaving = false;
-  std::uint32_t Running = 0;
-  std::uint32_t RunningOnline = 0;
-
-  bool isUsable() const { return this->Owned && !this->Leaving; }
-};
-
-/// The backend servers that this node owns, or owned and still uses.
+/// The backend servers that this node owns, and those that it no longer owns
+/// but still uses.
 class ServerPool {
 public:
   void configure(const FleetSettings &Settings,
@@ -33,18 +23,27 @@
   /// Returns the server called \p Name, or nullptr.
   ServerState *find(const std::string &Name);
 
-  /// Returns the usable server of \p Service with the most free slots, or
-  /// nullptr if none has one.
-  ServerState *mostFree(const std::string &Service);
+  /// Returns the servers of \p Service. The pointers hold until the next
+  /// configure().
+  const std::vector<ServerState *> &of(const std::string &Service) const;
 
   /// Returns whether any server of \p Service can be used.
   bool serves(const std::string &Service) const;
 
   /// Returns the slots of usable servers that nothing online holds.
-  std::uint32_t freeOfOnline(const std::string &Service) const;
+  std::uint32_t freeOfOnline(const std::string &Service, Instant Now) const;
+
+  /// Returns the requests that usable servers may run at once.
+  std::uint32_t capacity(const std::string &Service, Instant Now) const;
+
+  /// Returns the slots of usable servers that nothing holds.
+  std::uint32_t freeSlots(const std::string &Service, Instant Now) const;
 
 private:
+  void index();
+
   std::map<std::string, ServerState> Servers;
+  std::map<std::string, std::vector<ServerState *>> ByService;
   std::set<std::string> Leaving;
 };
 
--- a/Source/Scheduling/WorkQueue.cpp
+++ b/Source/Scheduling/WorkQueue.cpp
@@ -1,18 +1,58 @@
 #include "Scheduling/WorkQueue.h"
 
-#include "Scheduling/WorkItem.h"
-
 namespace turmericpass {
 
-void WorkQueue::push(const WorkItem &Item) {
-  const Key Place{Item.IsBatch, Item.Rank, Item.Sequence};
-  if (this->Order.emplace(Place, Item.Work.RequestId).second)
-    ++(Item.IsBatch ? this->Batch : this->Online);
+namespace {
+
+// Work of N tokens (or milliseconds) waits behind smaller work that comes up
+// to twice N milliseconds later, so that short work passes long work and
+// long work still has its turn.
+constexpr double PenaltyMsPerUnit = 2;
+constexpr double LargestPenaltyMs = 10000;
+
+Instant keyFor(const WorkItem &Item) {
+  const double Penalty =
+      std::min(Item.Cost * PenaltyMsPerUnit, LargestPenaltyMs);
+  return Item.Arrived +
+         std::chrono::microseconds(static_cast<std::int64_t>(Penalty * 1000));
+}
+
+} // namespace
+
+void WorkQueue::push(WorkItem &Item) {
+  Item.Place = ItemPlace::Queued;
+  Item.QueueKey = Item.WasStarted ? Item.Arrived : keyFor(Item);
+  ClassLanes &Lanes =
+      this->Classes[ClassKey{Item.IsBatch, Item.Rank, Item.Work.Class}];
+  (Item.isLong() ? Lanes.Long : Lanes.Short).push(Item);
+  ++(Item.IsBatch ? this->Batch : this->Online);
+}
+
+void WorkQueue::remove(WorkItem &Item, bool Served) {
+  if (Item.Place != ItemPlace::Queued)
+    return;
+  Item.Place = ItemPlace::Running;
+  ClassLanes &Lanes =
+      this->Classes[ClassKey{Item.IsBatch, Item.Rank, Item.Work.Class}];
+  (Item.isLong() ? Lanes.Long : Lanes.Short).remove(Item, Served);
+  --(Item.IsBatch ? this->Batch : this->Online);
 }
 
-void WorkQueue::remove(const WorkItem &Item) {
-  if (this->Order.erase(Key{Item.IsBatch, Item.Rank, Item.Sequence}) != 0)
-    --(Item.IsBatch ? this->Batch : this->Online);
+std::vector<FairLane *> WorkQueue::lanes() {
+  std::vector<FairLane *> Order;
+  for (auto &[Key, Lanes] : this->Classes) {
+    const bool HasShort = !Lanes.Short.empty();
+    const bool HasLong = !Lanes.Long.empty();
+    const bool LongFirst =
+        HasLong && (!HasShort || Lanes.Long.headKey() < Lanes.Short.headKey());
+    if (HasLong && LongFirst)
+      Order.push_back(&Lanes.Long);
+    if (HasShort)
+      Order.push_back(&Lanes.Short);
+    if (HasLong && !LongFirst)
+      Order.push_back(&Lanes.Long);
+  }
+  return Order;
 }
 
 } // namespace turmericpass
--- a/Source/Scheduling/WorkQueue.h
+++ b/Source/Scheduling/WorkQueue.h
@@ -1,34 +1,40 @@
 #ifndef TURMERICPASS_SCHEDULING_WORKQUEUE_H
 #define TURMERICPASS_SCHEDULING_WORKQUEUE_H
 
+#include "Scheduling/FairLane.h"
+#include "Scheduling/WorkItem.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace turmericpass {
 
-struct WorkItem;
-
 /// The waiting work of one service: online before batch, then by the rank of
-/// the class, then by arrival.
+/// the class. A class has one lane for short and one for long work.
 class WorkQueue {
 public:
-  void push(const WorkItem &Item);
-  void remove(const WorkItem &Item);
+  void push(WorkItem &Item);
+  /// Takes the item out if it is queued; \p Served tells that it starts.
+  void remove(WorkItem &Item, bool Served);
 
-  bool empty() const { return this->Order.empty(); }
-  /// Returns the request id of the item to serve next; the queue must not be
-  /// empty.
-  const std::string &front() const { return this->Order.begin()->second; }
+  /// Returns the lanes that hold work, in the order in which they are served:
+  /// by class and, in a class, by the key of their heads.
+  std::vector<FairLane *> lanes();
 
   std::uint32_t online() const { return this->Online; }
   std::uint32_t batch() const { return this->Batch; }
 
 private:
-  using Key = std::tuple<bool, std::uint32_t, std::uint64_t>;
+  using ClassKey = std::tuple<bool, std::uint32_t, std::string>;
+  struct ClassLanes {
+    FairLane Short;
+    FairLane Long;
+  };
 
-  std::map<Key, std::string> Order;
+  std::map<ClassKey, ClassLanes> Classes;
   std::uint32_t Online = 0;
   std::uint32_t Batch = 0;
 };
