--- a/Utilities/fleet.py
+++ b/Utilities/fleet.py
@@ -100,10 +100,11 @@
 
     def start_daemons(self, *options, nodes=None):
         names = nodes or list(self.settings["nodes"])
-        for role in ROLES:
+        roles = [r for r in ROLES if (self.bin / f"turmericpass-{r}").exists()]
+        for role in roles:
             for node in names:
                 self.start_daemon(node, role, *options)
-        for role in ROLES:
+        for role in roles:
             for node in names:
                 self.wait_for(self.admin(node, role), "/readyz", f"{node}-{role}")
 
