Platform, Backends: Add store budgets and failure tests

BudgetedTable and BudgetedObjectStore keep one process within its part of the platform's rates, hold calls in a bounded queue, and pause with jitter while the store refuses. A call refused without effect is sent again within its wait; one whose reply was lost is not, because its caller has to read back.

EventLoop ignores SIGPIPE: a stand-in that cut a stream with bytes unsent ended the whole process.

--- a/Source/Backends/HttpBackendPort.cpp
+++ b/Source/Backends/HttpBackendPort.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t MaxEventBytes = std::size_t{1} << 20U;
 
 constexpr int Refused = 503;
+constexpr std::string_view EventStreamType = "text/event-stream";
 
 AttemptProgress toAttemptProgress(HttpProgress Progress) {
   switch (Progress) {
@@ -189,6 +190,10 @@
                {ErrorCode::Unavailable,
                 "The server refused the request before admission."},
                AttemptProgress::NotSent);
+  else if (Open->IsStream && !Open->ContentType.starts_with(EventStreamType))
+    this->fail(Id,
+               {ErrorCode::Malformed, "The engine's answer is not a stream."},
+               AttemptProgress::Admitted);
 }
 
 void HttpBackendPort::handlePiece(AttemptId Id, std::string_view Bytes) {
@@ -285,7 +290,6 @@
   Attempt *Open = this->find(Id);
   if (!Open)
     return;
-  Open->Call = 0;
   // A connection that breaks after the end of the answer took nothing away.
   if (Open->SawEnd)
     this->handleReply(Id, {});
--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Error.h"
 
+#include <csignal>
 #include <event2/event.h>
 #include <utility>
 
@@ -36,6 +37,8 @@
 } // namespace
 
 EventLoop::EventLoop(const Clock &Time) : Time(Time), Base(nullptr) {
+  // A peer that closes its connection while we write must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   event_config *Config = event_config_new();
   // The default timer has a granularity of some milliseconds, too coarse for
   // hedges and for the pacing of the stand-ins.
--- /dev/null
+++ b/Source/Platform/BudgetedObjectStore.h
@@ -0,0 +1,30 @@
+#ifndef TURMERICPASS_PLATFORM_BUDGETEDOBJECTSTORE_H
+#define TURMERICPASS_PLATFORM_BUDGETEDOBJECTSTORE_H
+
+#include "Platform/ObjectStore.h"
+#include "Platform/StoreQueue.h"
+
+namespace turmericpass {
+
+/// Keeps the calls to another ObjectStore within a budget. Errors as for
+/// ObjectStore; Unavailable also stands for a call that was not sent for lack
+/// of budget.
+class BudgetedObjectStore : public ObjectStore {
+public:
+  BudgetedObjectStore(EventLoop &Loop, ObjectStore &Inner,
+                      const StoreLimits &Limits, std::uint64_t Seed);
+
+  void put(std::string Name, std::string Bytes, PutDone Done) override;
+  void get(std::string Name, GetDone Done) override;
+  void remove(std::string Name, PutDone Done) override;
+
+  const StoreCounts &counts() const { return this->Queue.counts(); }
+
+private:
+  ObjectStore &Inner;
+  StoreQueue Queue;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Platform/BudgetedTable.h
@@ -0,0 +1,30 @@
+#ifndef TURMERICPASS_PLATFORM_BUDGETEDTABLE_H
+#define TURMERICPASS_PLATFORM_BUDGETEDTABLE_H
+
+#include "Platform/StoreQueue.h"
+#include "Platform/Table.h"
+
+namespace turmericpass {
+
+/// Keeps the calls to another Table within a budget. Errors as for Table;
+/// Unavailable also stands for a call that was not sent for lack of budget.
+class BudgetedTable : public Table {
+public:
+  BudgetedTable(EventLoop &Loop, Table &Inner, const StoreLimits &Limits,
+                std::uint64_t Seed);
+
+  void transact(TableTransaction Transaction, TransactDone Done) override;
+  void get(std::string Key, GetDone Done) override;
+  void scan(std::string Prefix, std::string After, std::size_t Limit,
+            ScanDone Done) override;
+
+  const StoreCounts &counts() const { return this->Queue.counts(); }
+
+private:
+  Table &Inner;
+  StoreQueue Queue;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Platform/StoreBudget.cpp
@@ -0,0 +1,85 @@
+#include "Platform/StoreBudget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericpass {
+
+namespace {
+
+/// The part of a second's calls that may start at once. The rest is spread
+/// evenly, so that no second holds more than the limit.
+constexpr double BurstShare = 0.1;
+
+/// Pauses double at most this often before they reach the longest one.
+constexpr std::uint32_t MaxDoublings = 10;
+
+double toSeconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+} // namespace
+
+StoreBudget::StoreBudget(const Clock &Time, const StoreLimits &Limits,
+                         std::uint64_t Seed)
+    : Time(Time), Reads(makeBucket(Limits.ReadsPerSecond, Time.now())),
+      Writes(makeBucket(Limits.WritesPerSecond, Time.now())), Random(Seed),
+      PausedUntil(Time.now()) {}
+
+StoreBudget::Bucket StoreBudget::makeBucket(double PerSecond, Instant Now) {
+  Bucket Made;
+  Made.Burst = std::max(1.0, std::floor(PerSecond * BurstShare));
+  Made.PerSecond = PerSecond > Made.Burst ? PerSecond - Made.Burst : PerSecond;
+  Made.Tokens = Made.Burst;
+  Made.Since = Now;
+  return Made;
+}
+
+StoreBudget::Bucket &StoreBudget::bucketOf(StoreAccess Access) {
+  return Access == StoreAccess::Read ? this->Reads : this->Writes;
+}
+
+Duration StoreBudget::waitFor(StoreAccess Access) {
+  const Instant Now = this->Time.now();
+  if (Now < this->PausedUntil)
+    return this->PausedUntil - Now;
+  // The end of the probe comes as finish().
+  if (this->Probing)
+    return LongestPause;
+  Bucket &Used = this->bucketOf(Access);
+  Used.Tokens = std::min(Used.Burst, Used.Tokens + toSeconds(Now - Used.Since) *
+                                                       Used.PerSecond);
+  Used.Since = Now;
+  if (Used.Tokens >= 1)
+    return Duration(0);
+  const double Missing = (1 - Used.Tokens) / Used.PerSecond;
+  return Duration(static_cast<std::int64_t>(std::ceil(Missing * 1e6)));
+}
+
+void StoreBudget::start(StoreAccess Access) {
+  this->bucketOf(Access).Tokens -= 1;
+  this->Probing = this->Refusals > 0;
+}
+
+void StoreBudget::finish(bool Unavailable) {
+  const Instant Now = this->Time.now();
+  if (!Unavailable) {
+    this->Refusals = 0;
+    this->Probing = false;
+    this->PausedUntil = Now;
+    return;
+  }
+  // Calls that were under way together tell of one outage, not of many.
+  if (Now < this->PausedUntil)
+    return;
+  this->Probing = false;
+  const Duration Whole =
+      std::min(LongestPause,
+               FirstPause * (1U << std::min(this->Refusals, MaxDoublings)));
+  ++this->Refusals;
+  std::uniform_int_distribution<std::int64_t> Jitter(Whole.count() / 2,
+                                                     Whole.count());
+  this->PausedUntil = Now + Duration(Jitter(this->Random));
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Tests/Backends/HttpBackendPortTest.cpp
@@ -0,0 +1,364 @@
+#include "Backends/HttpBackendPort.h"
+
+#include "Core/PrefixBlocks.h"
+#include "Http/EvhttpClient.h"
+#include "StandIns/EnginePrompt.h"
+#include "StandIns/StandInEngine.h"
+#include "StandIns/StandInService.h"
+#include "Support/RunUntil.h"
+#include "Telemetry/Logger.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+#include <optional>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t BodyLimit = std::size_t{1} << 20U;
+const std::string Local = "127.0.0.1:";
+
+/// What became of one attempt.
+struct Outcome {
+  std::vector<std::uint32_t> Ids;
+  int Batches = 0;
+  std::optional<BackendReply> Reply;
+  std::optional<Error> Reason;
+  AttemptProgress Progress = AttemptProgress::NotSent;
+
+  bool ended() const { return this->Reply || this->Reason; }
+  bool failedWith(ErrorCode Code, AttemptProgress At) const {
+    return this->Reason && this->Reason->Code == Code && this->Progress == At;
+  }
+};
+
+/// A port with a stand-in engine and a stand-in service.
+struct Bench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  NullLogger Log;
+  StandInEngine Engine;
+  StandInService Service;
+  EvhttpClient Client{Loop, BodyLimit};
+  std::unique_ptr<HttpBackendPort> Port =
+      std::make_unique<HttpBackendPort>(Loop, Client);
+  std::string EngineAddress;
+  std::string ServiceAddress;
+  Outcome Last;
+
+  explicit Bench(std::uint32_t Slots = 8)
+      : Engine(Loop, Log, makeOptions(Slots), [] {}),
+        Service(Loop, Log, 1ms, [] {}) {
+    EngineAddress = Local + std::to_string(*Engine.listen("127.0.0.1", 0));
+    ServiceAddress = Local + std::to_string(*Service.listen("127.0.0.1", 0));
+  }
+
+  static EngineOptions makeOptions(std::uint32_t Slots) {
+    EngineOptions Options;
+    Options.Slots = Slots;
+    Options.TokenMs = 1;
+    Options.LoadLagMs = 0;
+    Options.CacheLagMs = 0;
+    Options.CacheGapEvery = 2;
+    return Options;
+  }
+
+  AttemptHandlers handlers(Outcome &To) {
+    AttemptHandlers Handlers;
+    Handlers.Tokens = [&To](const TokenBatch &Batch) {
+      ++To.Batches;
+      To.Ids.insert(To.Ids.end(), Batch.Ids.begin(), Batch.Ids.end());
+    };
+    Handlers.Done = [&To](BackendReply Reply) {
+      cr_assert(!To.ended());
+      To.Reply = std::move(Reply);
+    };
+    Handlers.Failed = [&To](Error Reason, AttemptProgress Progress) {
+      cr_assert(!To.ended());
+      To.Reason = std::move(Reason);
+      To.Progress = Progress;
+    };
+    return Handlers;
+  }
+
+  /// Runs one attempt to its end.
+  const Outcome &run(const std::string &Address, const Submit &Work,
+                     bool IsModel) {
+    this->Last = {};
+    this->Port->start(Address, Work, IsModel, "tag-1",
+                      this->handlers(this->Last));
+    cr_assert(runUntil(this->Loop, [this] { return this->Last.ended(); }));
+    return this->Last;
+  }
+
+  void fault(const std::string &Address, const std::string &Body) {
+    HttpRequest Request{"POST", "/fault", "", {}, Body};
+    bool Set = false;
+    HttpCallHandlers Handlers;
+    Handlers.Done = [&](const HttpReply &Reply) { Set = Reply.Status == 200; };
+    this->Client.call(Address, Request, 5s, Handlers);
+    cr_assert(runUntil(this->Loop, [&] { return Set; }));
+  }
+
+  std::uint64_t count(const char *Name) {
+    return Engine.stats()[Name].get<std::uint64_t>();
+  }
+};
+
+Submit question(const std::string &Prompt) {
+  Submit Work;
+  Work.Method = "POST";
+  Work.Path = "/v1/completions";
+  Work.ContentType = "application/json";
+  Work.Body = R"({"prompt":")" + Prompt + R"("})";
+  return Work;
+}
+
+std::vector<std::uint32_t> answer(const std::string &Prompt,
+                                  std::size_t Count) {
+  std::vector<std::uint32_t> Ids;
+  for (std::size_t I = 0; I < Count; ++I)
+    Ids.push_back(answerToken(Prompt, I));
+  return Ids;
+}
+
+/// Answers every request in a way that the stand-ins do not know.
+std::uint16_t serve(HttpServer &Server,
+                    const std::function<void(ExchangeId)> &Answer) {
+  Server.onRequest([&Server, Answer](ExchangeId Id, const HttpRequest &Asked) {
+    Server.startStream(
+        Id, 200,
+        {{"Content-Type", "text/event-stream"},
+         {"X-Request-Id", findHeader(Asked.Headers, "X-Request-Id")}});
+    Answer(Id);
+  });
+  return *Server.listen("127.0.0.1", 0);
+}
+
+} // namespace
+
+Test(BackendPort, ModelAnswersWholeAndWithItsReason) {
+  Bench Given;
+  const Outcome &Got =
+      Given.run(Given.EngineAddress, question("[[tokens=7]]"), true);
+  cr_assert(Got.Reply && Got.Reply->Status == 200);
+  cr_assert(Got.Reply->Reason == "stop");
+  cr_assert(Got.Ids == answer("[[tokens=7]]", 7));
+}
+
+// Guards against a resumed answer that repeats or skips tokens.
+Test(BackendPort, ResumedAnswerContinues) {
+  Bench Given;
+  Submit Work = question("resume [[tokens=9]]");
+  const auto Whole = answer("resume [[tokens=9]]", 9);
+  Work.ResumeTokenIds.assign(Whole.begin(), Whole.begin() + 4);
+  Work.MaxTokens = 9;
+  const Outcome &Got = Given.run(Given.EngineAddress, Work, true);
+  cr_assert(Got.Reply.has_value());
+  cr_assert(Got.Ids ==
+            std::vector<std::uint32_t>(Whole.begin() + 4, Whole.end()));
+}
+
+// Guards against one message for each token when many arrive together.
+Test(BackendPort, TokensOfOneReadAreMerged) {
+  Bench Given;
+  HttpServer Server(Given.Loop, {});
+  const std::uint16_t Port = serve(Server, [&](ExchangeId Id) {
+    for (const char *Token : {"1", "2", "3"})
+      Server.sendPiece(Id,
+                       std::string("data: {\"choices\":[],\"token_ids\":[") +
+                           Token + "]}\n\n");
+    Server.sendPiece(Id, "data: [DONE]\n\n");
+    Server.endStream(Id);
+  });
+  const Outcome &Got =
+      Given.run(Local + std::to_string(Port), question("x"), true);
+  cr_assert(Got.Ids == std::vector<std::uint32_t>({1, 2, 3}));
+  cr_assert(Got.Batches == 1);
+}
+
+// Guards against a truncated answer that passes for a whole one.
+Test(BackendPort, StreamWithoutItsEndMarkFails) {
+  Bench Given;
+  HttpServer Server(Given.Loop, {});
+  const std::uint16_t Port = serve(Server, [&](ExchangeId Id) {
+    Server.sendPiece(Id, "data: {\"choices\":[],\"token_ids\":[5]}\n\n");
+    Server.endStream(Id);
+  });
+  const Outcome &Got =
+      Given.run(Local + std::to_string(Port), question("x"), true);
+  cr_assert(Got.failedWith(ErrorCode::Unavailable, AttemptProgress::Admitted));
+  cr_assert(Got.Ids == std::vector<std::uint32_t>({5}));
+}
+
+Test(BackendPort, CutStreamFailsAndKeepsItsTokens) {
+  Bench Given;
+  Given.fault(Given.EngineAddress, R"({"kind":"cut","factor":3})");
+  const Outcome &Got =
+      Given.run(Given.EngineAddress, question("[[tokens=9]]"), true);
+  cr_assert(Got.failedWith(ErrorCode::Unavailable, AttemptProgress::Admitted));
+  cr_assert(Got.Ids == answer("[[tokens=9]]", 3));
+}
+
+// Guards against another caller's answer being passed on.
+Test(BackendPort, AnswerWithAnotherTagIsDiscarded) {
+  Bench Given;
+  Given.fault(Given.EngineAddress, R"({"kind":"wrong_tag"})");
+  const Outcome &Model =
+      Given.run(Given.EngineAddress, question("[[tokens=2]]"), true);
+  cr_assert(Model.failedWith(ErrorCode::Malformed, AttemptProgress::Sent));
+  cr_assert(Model.Ids.empty());
+  Given.fault(Given.ServiceAddress, R"({"kind":"wrong_tag"})");
+  const Outcome &Plain = Given.run(Given.ServiceAddress, question("x"), false);
+  cr_assert(Plain.failedWith(ErrorCode::Malformed, AttemptProgress::Sent));
+}
+
+Test(BackendPort, MalformedEventFails) {
+  Bench Given;
+  Given.fault(Given.EngineAddress, R"({"kind":"garbage","factor":2})");
+  const Outcome &Got =
+      Given.run(Given.EngineAddress, question("[[tokens=5]]"), true);
+  cr_assert(Got.failedWith(ErrorCode::Malformed, AttemptProgress::Admitted));
+  cr_assert(Got.Ids == answer("[[tokens=5]]", 1));
+}
+
+// Guards against an engine that never stops generating.
+Test(BackendPort, AnswerBeyondItsLimitIsCutOff) {
+  Bench Given;
+  Given.fault(Given.EngineAddress, R"({"kind":"endless"})");
+  Submit Work = question("[[tokens=5]]");
+  Work.MaxTokens = 5;
+  const Outcome &Got = Given.run(Given.EngineAddress, Work, true);
+  cr_assert(Got.failedWith(ErrorCode::Malformed, AttemptProgress::Admitted));
+  cr_assert(
+      runUntil(Given.Loop, [&] { return Given.count("cancelled") == 1; }));
+}
+
+// Guards against not_run being denied or claimed wrongly.
+Test(BackendPort, ProgressTellsWhatTheServerMayHaveRun) {
+  Bench Given;
+  Given.fault(Given.EngineAddress, R"({"kind":"refuse"})");
+  cr_assert(Given.run(Given.EngineAddress, question("x"), true)
+                .failedWith(ErrorCode::Unavailable, AttemptProgress::NotSent));
+  cr_assert(Given.run("127.0.0.1:1", question("x"), false)
+                .failedWith(ErrorCode::Unavailable, AttemptProgress::NotSent));
+  Given.fault(Given.ServiceAddress, R"({"kind":"lose_reply"})");
+  cr_assert(Given.run(Given.ServiceAddress, question("x"), false)
+                .failedWith(ErrorCode::Unavailable, AttemptProgress::Sent));
+  cr_assert(Given.Service.stats()["executed"] == 1);
+  Submit Broken = question("x");
+  Broken.Body = "no JSON";
+  cr_assert(
+      Given.run(Given.EngineAddress, Broken, true)
+          .failedWith(ErrorCode::InvalidArgument, AttemptProgress::NotSent));
+}
+
+// Guards against answers for a caller that cancelled from within a handler.
+Test(BackendPort, CancelledAttemptIsSilentAndEndsAtTheEngine) {
+  Bench Given;
+  Outcome Got;
+  AttemptId Id = 0;
+  AttemptHandlers Handlers = Given.handlers(Got);
+  Handlers.Tokens = [&](const TokenBatch &) {
+    ++Got.Batches;
+    Given.Port->cancel(Id);
+  };
+  Id = Given.Port->start(Given.EngineAddress, question("[[tokens=10000]]"),
+                         true, "tag-1", Handlers);
+  cr_assert(
+      runUntil(Given.Loop, [&] { return Given.count("cancelled") == 1; }));
+  cr_assert(Got.Batches == 1 && !Got.ended());
+}
+
+// Guards against a slot given later to work that nobody waits for.
+Test(BackendPort, CancelledAttemptThatWaitsNeverStarts) {
+  Bench Given(1);
+  Outcome Running;
+  Outcome Waiting;
+  const AttemptId First =
+      Given.Port->start(Given.EngineAddress, question("[[tokens=10000]]"), true,
+                        "tag-1", Given.handlers(Running));
+  cr_assert(runUntil(Given.Loop, [&] { return Running.Batches > 0; }));
+  const AttemptId Second =
+      Given.Port->start(Given.EngineAddress, question("b"), true, "tag-2",
+                        Given.handlers(Waiting));
+  cr_assert(runUntil(Given.Loop, [&] { return Given.count("waiting") == 1; }));
+  Given.Port->cancel(Second);
+  cr_assert(runUntil(Given.Loop, [&] { return Given.count("waiting") == 0; }));
+  Given.Port->cancel(First);
+  cr_assert(runUntil(Given.Loop, [&] { return Given.count("running") == 0; }));
+  cr_assert(Given.count("started") == 1);
+}
+
+Test(BackendPort, EndOfThePortCancelsItsAttempts) {
+  Bench Given;
+  Outcome Got;
+  Given.Port->start(Given.EngineAddress, question("[[tokens=10000]]"), true,
+                    "tag-1", Given.handlers(Got));
+  cr_assert(runUntil(Given.Loop, [&] { return Got.Batches > 0; }));
+  Given.Port.reset();
+  const int Batches = Got.Batches;
+  cr_assert(
+      runUntil(Given.Loop, [&] { return Given.count("cancelled") == 1; }));
+  cr_assert(Got.Batches == Batches && !Got.ended());
+}
+
+Test(BackendPort, PlainCallKeepsMethodPathHeadersAndBody) {
+  Bench Given;
+  Submit Work;
+  Work.Method = "PUT";
+  Work.Path = "/services/webshop/a%2Fb?x=1";
+  Work.Body = "raw \n text";
+  Work.IdempotencyKey = "key-1";
+  const Outcome &Got = Given.run(Given.ServiceAddress, Work, false);
+  cr_assert(Got.Reply && Got.Reply->ContentType == "application/json");
+  const auto Echo = nlohmann::json::parse(Got.Reply->Body);
+  cr_assert(Echo["method"] == "PUT" && Echo["query"] == "x=1");
+  cr_assert(Echo["path"] == "/services/webshop/a%2Fb");
+  cr_assert(Echo["body"] == Work.Body);
+  cr_assert(Given.Service.stats()["by_key"]["key-1"] == 1);
+  cr_assert(Given.Service.stats()["by_tag"]["tag-1"] == 1);
+}
+
+Test(BackendPort, CallCarriesItsTraceContext) {
+  Bench Given;
+  HttpServer Server(Given.Loop, {});
+  std::string Parent;
+  Server.onRequest([&](ExchangeId Id, const HttpRequest &Asked) {
+    Parent = findHeader(Asked.Headers, "traceparent");
+    Server.reply(Id, {204, {{"X-Request-Id", "tag-1"}}, ""});
+  });
+  Submit Work = question("x");
+  Work.Trace = {"0af7651916cd43dd8448eb211c80319c", "b7ad6b7169203331"};
+  const std::string Address =
+      Local + std::to_string(*Server.listen("127.0.0.1", 0));
+  cr_assert(Given.run(Address, Work, false).Reply->Status == 204);
+  cr_assert(Parent ==
+            "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+}
+
+// Guards against engine and affinity counting different blocks.
+Test(BackendPort, LoadAndCacheEventsAreRead) {
+  Bench Given;
+  const std::string Prompt(3 * PrefixBlockBytes, 'p');
+  Given.run(Given.EngineAddress, question(Prompt), true);
+  std::optional<LoadReport> Load;
+  std::optional<std::vector<CacheEvent>> Events;
+  Given.Port->fetchLoad(Given.EngineAddress, [&](const auto &Report) {
+    cr_assert(Report.has_value());
+    Load = *Report;
+  });
+  Given.Port->fetchCacheEvents(Given.EngineAddress, 0, [&](const auto &Read) {
+    cr_assert(Read.has_value());
+    Events = *Read;
+  });
+  cr_assert(runUntil(Given.Loop, [&] { return Load && Events; }));
+  cr_assert(Load->Running == 0 && Load->KvUsed > 0);
+  // Every second event is a gap.
+  const auto Blocks = prefixBlockHashes(Prompt);
+  cr_assert(Events->size() == 2);
+  cr_assert(Events->front().BlockHash == Blocks[0]);
+  cr_assert(Events->back().BlockHash == Blocks[2]);
+}
--- /dev/null
+++ b/Tests/Platform/PlatformAdaptersTest.cpp
@@ -0,0 +1,200 @@
+#include "Http/EvhttpClient.h"
+#include "Platform/HttpObjectStore.h"
+#include "Platform/HttpTable.h"
+#include "Platform/HttpVmList.h"
+#include "Platform/HttpWeightStore.h"
+#include "StandIns/StandInPlatform.h"
+#include "Support/RunUntil.h"
+#include "Telemetry/Logger.h"
+
+#include <criterion/criterion.h>
+#include <map>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Bench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  NullLogger Log;
+  StandInPlatform Platform{Loop, Log, {0, 2, 0, 16, 1}};
+  EvhttpClient Client{Loop, std::size_t{1} << 20U};
+  std::string Address =
+      "127.0.0.1:" + std::to_string(*Platform.listen("127.0.0.1", 0));
+  HttpTable Rows{Client, Address};
+  HttpObjectStore Objects{Client, Address};
+  HttpVmList Vms{Client, Address};
+  HttpWeightStore Weights{Client, Address};
+
+  /// Runs the loop until the handler that \p Call gets was called.
+  template <typename T>
+  Result<T>
+  wait(const std::function<void(std::function<void(Result<T>)>)> &Call) {
+    std::optional<Result<T>> Got;
+    Call([&Got](Result<T> Outcome) { Got = std::move(Outcome); });
+    cr_assert(runUntil(this->Loop, [&] { return Got.has_value(); }));
+    return *Got;
+  }
+
+  Result<void> transact(const TableTransaction &Transaction) {
+    return this->wait<void>(
+        [&](auto Done) { this->Rows.transact(Transaction, std::move(Done)); });
+  }
+  Result<TableRow> get(const std::string &Key) {
+    return this->wait<TableRow>(
+        [&](auto Done) { this->Rows.get(Key, std::move(Done)); });
+  }
+  Result<std::vector<TableRow>>
+  scan(const std::string &Prefix, const std::string &After, std::size_t Limit) {
+    return this->wait<std::vector<TableRow>>([&](auto Done) {
+      this->Rows.scan(Prefix, After, Limit, std::move(Done));
+    });
+  }
+  Result<std::string> getObject(const std::string &Name) {
+    return this->wait<std::string>(
+        [&](auto Done) { this->Objects.get(Name, std::move(Done)); });
+  }
+  Result<std::string> getWeights(const std::string &Name) {
+    return this->wait<std::string>(
+        [&](auto Done) { this->Weights.get(Name, std::move(Done)); });
+  }
+  Result<VmListing> list() {
+    return this->wait<VmListing>(
+        [&](auto Done) { this->Vms.list(std::move(Done)); });
+  }
+  void post(const std::string &Path, const std::string &Body) {
+    const auto Status = this->wait<int>([&](auto Done) {
+      HttpCallHandlers Handlers;
+      Handlers.Done = [Done](const HttpReply &Reply) { Done(Reply.Status); };
+      this->Client.call(this->Address, {"POST", Path, "", {}, Body}, 5s,
+                        Handlers);
+    });
+    cr_assert(*Status == 200);
+  }
+};
+
+} // namespace
+
+// Guards against a transaction that is made in part.
+Test(PlatformTable, FailedCheckChangesNothing) {
+  Bench Given;
+  cr_assert(Given.transact({"w1", {{"a", 0}}, {{"a", "1"}}, {}}).has_value());
+  const Result<TableRow> First = Given.get("a");
+  cr_assert(First->Value == "1" && First->WriteId == "w1");
+  const auto Lost =
+      Given.transact({"w2", {{"a", 0}}, {{"a", "2"}, {"b", "2"}}, {"a"}});
+  cr_assert(Lost.error().Code == ErrorCode::Conflict);
+  cr_assert(Given.get("a")->Version == First->Version);
+  cr_assert(Given.get("b").error().Code == ErrorCode::NotFound);
+}
+
+// Guards against a holder of an old version who takes a new row for its own.
+Test(PlatformTable, RowPutAgainHasANewVersion) {
+  Bench Given;
+  cr_assert(Given.transact({"w1", {}, {{"a", "1"}}, {}}).has_value());
+  const std::uint64_t Old = Given.get("a")->Version;
+  cr_assert(Given.transact({"w2", {}, {}, {"a"}}).has_value());
+  cr_assert(Given.transact({"w3", {{"a", 0}}, {{"a", "1"}}, {}}).has_value());
+  cr_assert(Given.get("a")->Version > Old);
+}
+
+// Guards against rows that a scan in pages skips or gives twice, and against
+// keys that the encoding changes.
+Test(PlatformTable, ScanInPagesGivesEveryRowOnce) {
+  Bench Given;
+  const std::string Prefix = "job/ü&=?#%/";
+  std::map<std::string, std::string> Written;
+  TableTransaction All{"w", {}, {{"job", "0"}, {"job/z", "0"}}, {}};
+  for (int I = 0; I < 23; ++I) {
+    All.Puts.push_back({Prefix + std::to_string(I), std::to_string(I)});
+    Written[All.Puts.back().Key] = All.Puts.back().Value;
+  }
+  cr_assert(Given.transact(All).has_value());
+  std::map<std::string, std::string> Read;
+  std::string After;
+  for (auto Page = Given.scan(Prefix, After, 7); !Page->empty();
+       Page = Given.scan(Prefix, After, 7)) {
+    cr_assert(Page->size() <= 7);
+    for (const TableRow &Row : *Page) {
+      cr_assert(Row.Key > After && Read.emplace(Row.Key, Row.Value).second);
+      After = Row.Key;
+    }
+  }
+  cr_assert(Read == Written);
+}
+
+// Guards against a write that took effect being reported as without effect.
+Test(PlatformTable, LostReplyIsATimeoutAndTheWriteIdTells) {
+  Bench Given;
+  Given.post("/fault", R"({"kind":"lose_reply","where":"table"})");
+  const auto Lost = Given.transact({"w1", {{"a", 0}}, {{"a", "1"}}, {}});
+  cr_assert(Lost.error().Code == ErrorCode::Timeout);
+  cr_assert(Given.get("a")->WriteId == "w1");
+}
+
+Test(PlatformTable, OutageAndLimitAreUnavailableWithoutEffect) {
+  Bench Given;
+  for (const char *Fault :
+       {R"({"kind":"outage"})", R"({"kind":"limit","factor":0.5})"}) {
+    Given.post("/fault", Fault);
+    (void)Given.transact({"w1", {}, {{"a", "1"}}, {"a"}});
+    const auto Refused = Given.transact({"w2", {}, {{"a", "1"}}, {}});
+    cr_assert(Refused.error().Code == ErrorCode::Unavailable);
+    Given.post("/fault", R"({"kind":"none"})");
+    cr_assert(Given.get("a").error().Code == ErrorCode::NotFound);
+  }
+  HttpTable Nowhere(Given.Client, "127.0.0.1:1");
+  const auto Unreached = Given.wait<TableRow>(
+      [&](auto Done) { Nowhere.get("a", std::move(Done)); });
+  cr_assert(Unreached.error().Code == ErrorCode::Unavailable);
+}
+
+// Guards against bytes that are stored changed.
+Test(PlatformTable, TextThatIsNotUtf8IsRefused) {
+  Bench Given;
+  cr_assert(Given.transact({"w", {}, {{"a", "\xff"}}, {}}).error().Code ==
+            ErrorCode::InvalidArgument);
+}
+
+Test(PlatformObjects, AnyBytesUnderAnyNameComeBack) {
+  Bench Given;
+  cr_assert(rc::check([&](const std::string &Bytes) {
+    const std::string Name = "results/" + *rc::gen::nonEmpty<std::string>();
+    const auto put = [&](auto Done) {
+      Given.Objects.put(Name, Bytes, std::move(Done));
+    };
+    RC_ASSERT(Given.wait<void>(put).has_value());
+    RC_ASSERT(Given.wait<void>(put).has_value());
+    RC_ASSERT(Given.getObject(Name) == Bytes);
+    const auto remove = [&](auto Done) {
+      Given.Objects.remove(Name, std::move(Done));
+    };
+    RC_ASSERT(Given.wait<void>(remove).has_value());
+    RC_ASSERT(Given.getObject(Name).error().Code == ErrorCode::NotFound);
+  }));
+}
+
+Test(PlatformWeights, RateIsToldApartFromAnOutage) {
+  Bench Given;
+  cr_assert(Given.getWeights("m")->size() == 16);
+  cr_assert(Given.getWeights("m").has_value());
+  cr_assert(Given.getWeights("m").error().Code == ErrorCode::RateLimited);
+}
+
+Test(PlatformVms, ChangesShowAfterTheLag) {
+  Bench Given;
+  Given.post("/vms", R"({"vms":[{"name":"a","state":"live"},)"
+                     R"({"name":"b","state":"live"}]})");
+  cr_assert(Given.list()->Vms.size() == 2);
+  Given.post("/vms",
+             R"({"lag_ms":3600000,"vms":[{"name":"a","state":"leaving"}]})");
+  cr_assert(Given.list()->Vms[0].State == VmState::Live);
+  cr_assert(Given.list()->Age == 1h);
+  Given.post("/vms", R"({"lag_ms":0,"vms":[{"name":"b","state":"leaving"}]})");
+  cr_assert(Given.list()->Vms[0].State == VmState::Live);
+  cr_assert(Given.list()->Vms[1].State == VmState::Leaving);
+}
--- /dev/null
+++ b/Tests/Platform/StoreBudgetTest.cpp
@@ -0,0 +1,140 @@
+#include "Platform/BudgetedTable.h"
+#include "Support/RunUntil.h"
+
+#include <criterion/criterion.h>
+#include <deque>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Fails the first calls as it is told, then succeeds.
+class ScriptedTable : public Table {
+public:
+  std::deque<ErrorCode> Failures;
+  int Calls = 0;
+
+  void transact(TableTransaction, TransactDone Done) override {
+    ++this->Calls;
+    if (this->Failures.empty()) {
+      Done({});
+      return;
+    }
+    const ErrorCode Code = this->Failures.front();
+    this->Failures.pop_front();
+    Done(failure(Code, "scripted"));
+  }
+  void get(std::string, GetDone Done) override {
+    Done(failure(ErrorCode::NotFound, "scripted"));
+  }
+  void scan(std::string, std::string, std::size_t, ScanDone Done) override {
+    Done(std::vector<TableRow>());
+  }
+};
+
+struct Bench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  ScriptedTable Inner;
+  std::vector<Result<void>> Ended;
+
+  void write(Table &To) {
+    To.transact({"w", {}, {}, {}}, [this](const Result<void> &Outcome) {
+      this->Ended.push_back(Outcome);
+    });
+  }
+};
+
+} // namespace
+
+// Guards against a process that takes more of the shared store than its part.
+Test(StoreBudget, NoSecondHoldsMoreCallsThanTheLimit) {
+  cr_assert(rc::check([](const std::vector<std::uint16_t> &Gaps) {
+    const auto Rate = *rc::gen::inRange(1, 50);
+    ManualClock Time;
+    StoreBudget Budget(Time, {double(Rate), 1000, 10, 1s}, 1);
+    std::deque<Instant> Starts;
+    for (const std::uint16_t Gap : Gaps) {
+      Time.advance(Duration(Gap));
+      // Rounding may leave a microsecond to wait for.
+      for (int Look = 0; Look < 3; ++Look)
+        Time.advance(Budget.waitFor(StoreAccess::Write));
+      RC_ASSERT(Budget.waitFor(StoreAccess::Write) == Duration(0));
+      Budget.start(StoreAccess::Write);
+      Budget.finish(false);
+      Starts.push_back(Time.now());
+      while (Starts.front() <= Time.now() - 1s)
+        Starts.pop_front();
+      RC_ASSERT(Starts.size() <= std::size_t(Rate));
+    }
+  }));
+}
+
+// Guards against an outage being met with a flood of calls, all at one time.
+Test(StoreBudget, PausesGrowToABoundAndEndWithASuccess) {
+  ManualClock Time;
+  StoreBudget Budget(Time, {}, 7);
+  Duration Bound = StoreBudget::FirstPause;
+  for (int Turn = 0; Turn < 12; ++Turn) {
+    Budget.start(StoreAccess::Read);
+    Budget.finish(true);
+    const Duration Pause = Budget.waitFor(StoreAccess::Read);
+    cr_assert(Pause >= Bound / 2 && Pause <= Bound);
+    Budget.finish(true);
+    cr_assert(Budget.waitFor(StoreAccess::Read) == Pause);
+    Time.advance(Pause);
+    Bound = std::min(Bound * 2, StoreBudget::LongestPause);
+  }
+  Budget.start(StoreAccess::Read);
+  cr_assert(Budget.waitFor(StoreAccess::Read) > Duration(0),
+            "one call at a time finds out whether the outage is over");
+  Budget.finish(false);
+  cr_assert(Budget.waitFor(StoreAccess::Read) == Duration(0));
+}
+
+Test(BudgetedTable, RefusedCallIsSentAgainAndTimeoutIsNot) {
+  Bench Given;
+  BudgetedTable Budgeted(Given.Loop, Given.Inner, {100, 100, 10, 10s}, 1);
+  Given.Inner.Failures = {ErrorCode::Unavailable, ErrorCode::Unavailable};
+  Given.write(Budgeted);
+  cr_assert(runUntil(Given.Loop, [&] { return Given.Ended.size() == 1; }));
+  cr_assert(Given.Ended[0].has_value());
+  cr_assert(Given.Inner.Calls == 3);
+  // A repeated write after a lost reply could run twice.
+  Given.Inner.Failures = {ErrorCode::Timeout};
+  Given.write(Budgeted);
+  cr_assert(runUntil(Given.Loop, [&] { return Given.Ended.size() == 2; }));
+  cr_assert(Given.Ended[1].error().Code == ErrorCode::Timeout);
+  cr_assert(Given.Inner.Calls == 4);
+  cr_assert(Budgeted.counts().Writes == 4 && Budgeted.counts().Retries == 2);
+}
+
+// Guards against memory and waits that grow without bound in an outage.
+Test(BudgetedTable, CallsBeyondQueueOrWaitFailUnsent) {
+  Bench Given;
+  BudgetedTable Budgeted(Given.Loop, Given.Inner, {1, 100, 2, 50ms}, 1);
+  for (int Turn = 0; Turn < 4; ++Turn)
+    Given.write(Budgeted);
+  cr_assert(Given.Ended.size() == 1, "a refusal comes from the loop");
+  cr_assert(runUntil(Given.Loop, [&] { return Given.Ended.size() == 4; }));
+  for (int Turn = 1; Turn < 4; ++Turn)
+    cr_assert(Given.Ended[Turn].error().Code == ErrorCode::Unavailable);
+  cr_assert(Given.Inner.Calls == 1);
+  cr_assert(Budgeted.counts().Refused == 3);
+}
+
+Test(BudgetedTable, ReadsPassThrough) {
+  Bench Given;
+  BudgetedTable Budgeted(Given.Loop, Given.Inner, {}, 1);
+  bool Missing = false;
+  bool Scanned = false;
+  Budgeted.get("k", [&](const auto &Row) {
+    Missing = Row.error().Code == ErrorCode::NotFound;
+  });
+  Budgeted.scan("k", "", 5,
+                [&](const auto &Rows) { Scanned = Rows.has_value(); });
+  cr_assert(Missing && Scanned);
+  cr_assert(Budgeted.counts().Reads == 2);
+}
--- a/Tests/StandIns/EngineOrders.cpp
+++ b/Tests/StandIns/EngineOrders.cpp
@@ -25,18 +25,21 @@
   this->HighestFencing = std::max(this->HighestFencing, Fencing);
   const auto Kind = Order["kind"].get<std::string>();
   const auto Name = Order["name"].get<std::string>();
-  if (Kind == "load")
+  if (Kind == "load") {
     this->Models.insert(Name);
-  else if (Kind == "unload")
+    this->Unloaded.erase(Name);
+  } else if (Kind == "unload") {
     this->Models.erase(Name);
-  else if (Kind == "adapter")
+    this->Unloaded.insert(Name);
+  } else if (Kind == "adapter") {
     this->Adapters.insert(Name);
-  else if (Kind == "version")
+  } else if (Kind == "version") {
     this->Version = Name;
-  else if (Kind == "role")
+  } else if (Kind == "role") {
     this->Role = Name;
-  else
+  } else {
     return {400, {}, Json{{"error", "The kind is not known."}}.dump()};
+  }
   ++this->Applied;
   return {200, {}, this->describe().dump()};
 }
--- a/Tests/StandIns/EngineOrders.h
+++ b/Tests/StandIns/EngineOrders.h
@@ -20,6 +20,12 @@
   /// below the highest one seen, if fencing is checked.
   HttpReply handle(const std::string &Body);
 
+  /// Whether an order took model \p Name away. Models that no order named
+  /// count as loaded, so that tests need not agree on a name.
+  bool isUnloaded(const std::string &Name) const {
+    return this->Unloaded.contains(Name);
+  }
+
   /// Describes the present state.
   nlohmann::json describe() const;
 
@@ -29,6 +35,7 @@
   std::uint64_t Applied = 0;
   std::uint64_t Refused = 0;
   std::set<std::string> Models;
+  std::set<std::string> Unloaded;
   std::set<std::string> Adapters;
   std::string Version;
   std::string Role;
--- a/Tests/StandIns/EnginePrompt.cpp
+++ b/Tests/StandIns/EnginePrompt.cpp
@@ -87,6 +87,8 @@
   EnginePrompt Prompt;
   Prompt.Chat = Chat;
   Prompt.Stream = Fields.value("stream", Json(false)) == Json(true);
+  const Json Model = Fields.value("model", Json(""));
+  Prompt.Model = Model.is_string() ? Model.get<std::string>() : "";
   Result<std::string> Text = readText(Fields, Chat);
   if (!Text)
     return tl::make_unexpected(Text.error());
--- a/Tests/StandIns/EnginePrompt.h
+++ b/Tests/StandIns/EnginePrompt.h
@@ -12,6 +12,8 @@
 
 /// A request to a model engine, read from its body.
 struct EnginePrompt {
+  /// The model asked for; empty if the body names none.
+  std::string Model;
   std::string Text;
   bool Chat = false;
   bool Stream = false;
--- a/Tests/StandIns/FaultSwitches.cpp
+++ b/Tests/StandIns/FaultSwitches.cpp
@@ -13,10 +13,9 @@
 
 HttpReply FaultSwitches::handle(const std::string &Body) {
   const Json Fault = Json::parse(Body, nullptr, false);
-  const std::string Kind =
-      Fault.is_object() ? Fault.value("kind", Json("")).dump() : "";
-  const std::string Name =
-      Kind.size() > 2 ? Kind.substr(1, Kind.size() - 2) : "";
+  const Json Kind =
+      Fault.is_object() ? Fault.value("kind", Json("")) : Json("");
+  const std::string Name = Kind.is_string() ? Kind.get<std::string>() : "";
   if (Name == "none") {
     this->Switches.clear();
     return {200, {}, "{}"};
--- a/Tests/StandIns/LaggingVms.cpp
+++ b/Tests/StandIns/LaggingVms.cpp
@@ -41,21 +41,21 @@
     this->Lag = Duration(
         static_cast<std::int64_t>(List["lag_ms"].get<double>() * 1000));
   for (const Json &Vm : List["vms"])
-    this->Changes.push_back({this->Time.now() + this->Lag,
-                             Vm["name"].get<std::string>(),
-                             Vm["state"].get<std::string>()});
+    this->Changes.emplace(
+        this->Time.now() + this->Lag,
+        Change{Vm["name"].get<std::string>(), Vm["state"].get<std::string>()});
   return reply(200, Json::object());
 }
 
 HttpReply LaggingVms::list() {
   while (!this->Changes.empty() &&
-         this->Changes.front().Due <= this->Time.now()) {
-    const Change &Next = this->Changes.front();
+         this->Changes.begin()->first <= this->Time.now()) {
+    const Change &Next = this->Changes.begin()->second;
     if (Next.State == "gone")
       this->Shown.erase(Next.Name);
     else
       this->Shown[Next.Name] = Next.State;
-    this->Changes.pop_front();
+    this->Changes.erase(this->Changes.begin());
   }
   Json Vms = Json::array();
   for (const auto &[Name, State] : this->Shown)
--- a/Tests/StandIns/LaggingVms.h
+++ b/Tests/StandIns/LaggingVms.h
@@ -4,10 +4,8 @@
 #include "Core/Clock.h"
 #include "Http/HttpTypes.h"
 
-#include <deque>
 #include <map>
 #include <string>
-#include <utility>
 
 namespace turmericpass {
 
@@ -23,7 +21,6 @@
 
 private:
   struct Change {
-    Instant Due;
     std::string Name;
     std::string State;
   };
@@ -33,7 +30,8 @@
 
   const Clock &Time;
   Duration Lag;
-  std::deque<Change> Changes;
+  /// Changes not yet shown, by the time when they are due.
+  std::multimap<Instant, Change> Changes;
   std::map<std::string, std::string> Shown;
 };
 
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -33,6 +33,9 @@
 /// How often a frozen engine looks whether it still is.
 constexpr Duration FreezePoll = 10ms;
 
+/// Time for written bytes to leave before a connection is cut.
+constexpr Duration FlushTime = 2ms;
+
 constexpr std::string_view CrashMark = "[[crash]]";
 
 Duration fromMillis(double Millis) {
@@ -144,19 +147,15 @@
     return;
   }
   const std::string Tag = this->replyTag(*Opened);
-  if (this->Faults.isOn("refuse")) {
+  Result<EnginePrompt> Prompt = readEnginePrompt(Request.Body, Chat);
+  if (this->Faults.isOn("refuse") ||
+      (Prompt && this->Orders.isUnloaded(Prompt->Model))) {
     ++this->Counters["refused"];
-    HttpReply Refusal = jsonReply(503, {{"error", "Refused."}});
-    Refusal.Headers.emplace_back("X-Request-Id", Tag);
-    Refusal.Headers.emplace_back("X-Admitted", "false");
-    this->Server.reply(Id, Refusal);
+    this->answerError(Id, 503, "The engine does not admit the request.", Tag);
     return;
   }
-  Result<EnginePrompt> Prompt = readEnginePrompt(Request.Body, Chat);
   if (!Prompt) {
-    HttpReply Wrong = jsonReply(400, {{"error", Prompt.error().Message}});
-    Wrong.Headers.emplace_back("X-Request-Id", Tag);
-    this->Server.reply(Id, Wrong);
+    this->answerError(Id, 400, Prompt.error().Message, Tag);
     return;
   }
   Opened->Prompt = std::move(*Prompt);
@@ -166,6 +165,16 @@
   this->Batch.add(Id);
 }
 
+void StandInEngine::answerError(ExchangeId Id, int Status,
+                                const std::string &Text,
+                                const std::string &Tag) {
+  HttpReply Reply = jsonReply(Status, {{"error", Text}});
+  Reply.Headers.emplace_back("X-Request-Id", Tag);
+  if (Status == 503)
+    Reply.Headers.emplace_back("X-Admitted", "false");
+  this->Server.reply(Id, Reply);
+}
+
 std::string StandInEngine::replyTag(const Run &Open) const {
   return this->Faults.isOn("wrong_tag") ? "wrong-" + Open.Tag : Open.Tag;
 }
@@ -266,7 +275,8 @@
                  {"started", Found->second->Started},
                  {"tokens", Found->second->Sent}});
   this->Runs.erase(Found);
-  this->Server.abort(Id);
+  // What was sent before has to reach the caller first.
+  this->Loop.after(FlushTime, [this, Id] { this->Server.abort(Id); });
 }
 
 void StandInEngine::departed(ExchangeId Id) {
--- a/Tests/StandIns/StandInEngine.h
+++ b/Tests/StandIns/StandInEngine.h
@@ -52,6 +52,8 @@
   void handleHeld();
   void route(ExchangeId Id, const HttpRequest &Request);
   void complete(ExchangeId Id, const HttpRequest &Request, bool Chat);
+  void answerError(ExchangeId Id, int Status, const std::string &Text,
+                   const std::string &Tag);
   HttpReply setFault(const HttpRequest &Request);
   HttpReply describeLoad();
   HttpReply describeCacheEvents(const HttpRequest &Request) const;
