--- a/Source/Control/FleetOrders.cpp
+++ b/Source/Control/FleetOrders.cpp
@@ -55,8 +55,11 @@
   this->Refilled = this->Time.now();
 }
 
-void FleetOrders::finished(const FleetOrder &Order) {
-  this->Pending.erase({Order.Server, Order.Kind, Order.Model});
+void FleetOrders::failed(const FleetOrder &Order) {
+  const auto Known =
+      this->Pending.find({Order.Server, Order.Kind, Order.Model});
+  if (Known != this->Pending.end())
+    Known->second = std::min(Known->second, this->Time.now());
 }
 
 /// The zones split the weight store's rate evenly, since no message between
@@ -105,6 +108,7 @@
   std::vector<FleetOrder> Orders;
   if (Rights.Fencing == 0)
     return Orders;
+  std::vector<std::pair<Instant, FleetOrder>> Wanted;
   for (const EngineState &Engine : Observed) {
     const ServerSettings *Server =
         findOrderable(Settings, Engine.Server, this->Zone, Leaving, Rights);
@@ -114,10 +118,22 @@
     if (Model.empty() || Engine.Models.count(Model) > 0 ||
         this->isPending(Engine.Server, OrderKind::Load, Model))
       continue;
-    if (this->takeLoad())
-      Orders.push_back(
-          this->issue(Engine.Server, OrderKind::Load, Model, Rights.Fencing));
+    const auto Last =
+        this->Pending.find({Engine.Server, OrderKind::Load, Model});
+    Wanted.emplace_back(
+        Last == this->Pending.end() ? Instant{} : Last->second,
+        FleetOrder{Engine.Server, OrderKind::Load, Model, Rights.Fencing, 0});
   }
+  // The server whose last order is the oldest comes first, so that one that
+  // always fails does not use up the loads of the others.
+  std::stable_sort(Wanted.begin(), Wanted.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first < Right.first;
+                   });
+  for (const auto &[Last, Order] : Wanted)
+    if (this->takeLoad())
+      Orders.push_back(this->issue(Order.Server, OrderKind::Load, Order.Model,
+                                   Rights.Fencing));
   this->unload(Settings, Observed, Leaving, Rights, Orders);
   return Orders;
 }
--- a/Source/Control/FleetOrders.h
+++ b/Source/Control/FleetOrders.h
@@ -57,8 +57,9 @@
                                  const std::set<std::string> &Leaving,
                                  const OrderRights &Rights);
 
-  /// Takes the end of an order; its effect is seen in the next observation.
-  void finished(const FleetOrder &Order);
+  /// Makes a failed order one that may be given again. A successful one stays
+  /// pending until its deadline, by when an observation shows its effect.
+  void failed(const FleetOrder &Order);
 
   /// Forgets pending orders and spends the loads in hand, so that a takeover
   /// does not double the rate at the weight store.
@@ -85,6 +86,7 @@
 
   const Clock &Time;
   std::string Zone;
+  /// The deadline of the last order of each kind.
   std::map<PendingKey, Instant> Pending;
   /// Loads that may be ordered at once.
   double Loads = 0;
--- /dev/null
+++ b/Source/Controller/FleetReport.cpp
@@ -0,0 +1,34 @@
+#include "Controller/ControllerDaemon.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericpass {
+
+std::string ControllerDaemon::describeFleet() const {
+  nlohmann::json Zones = nlohmann::json::array();
+  for (const ZoneStatus &Zone : this->Members.zones())
+    Zones.push_back({{"zone", Zone.Zone},
+                     {"reachable", Zone.Reachable},
+                     {"settings_version", Zone.SettingsVersion},
+                     {"live_nodes", Zone.LiveNodes}});
+  nlohmann::json Daemons = nlohmann::json::array();
+  for (const auto &[Address, State] : this->Daemons)
+    Daemons.push_back({{"role", State.Role},
+                       {"address", Address},
+                       {"settings_version", State.SettingsVersion},
+                       {"draining", State.Draining},
+                       {"heard", this->isHeard(State)}});
+  const nlohmann::json Root = {{"node", this->Node},
+                               {"settings_version", this->Replica.version()},
+                               {"in_force", this->versionInForce()},
+                               {"relay", this->Members.isRelay()},
+                               {"holds_orders_lease", this->Lease.holds()},
+                               {"zones", std::move(Zones)},
+                               {"daemons", std::move(Daemons)},
+                               {"leaving", this->Members.leavingServers()},
+                               {"quarantined", this->Members.quarantined()}};
+  return Root.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+         "\n";
+}
+
+} // namespace turmericpass
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -304,7 +304,8 @@
   return jsonReply(200, {{"running", this->Sample.Running},
                          {"waiting", this->Sample.Waiting},
                          {"kv_used", this->Sample.KvUsed},
-                         {"age_ms", Age.count()}});
+                         {"age_ms", Age.count()},
+                         {"models", this->Orders.describe()["models"]}});
 }
 
 HttpReply StandInEngine::describeCacheEvents(const HttpRequest &Request) const {
