--- a/Source/Controller/ControllerDaemon.cpp
+++ b/Source/Controller/ControllerDaemon.cpp
@@ -50,7 +50,7 @@
                                    std::vector<SettingsFile> Files)
     : Ports(Given), Time(Given.Loop.clock()), Node(Node),
       Started(this->Time.now()), Replica(std::move(Initial), std::move(Files)),
-      Store(Given.Rows, Given.Ids, this->Time),
+      Store(Given.Rows, Given.Ids, this->Time), Marks(Given.Rows, Given.Ids),
       Follower(
           this->Store, this->Replica, this->Time, Given.Log,
           [this] { this->settingsChanged(); },
@@ -102,10 +102,8 @@
   this->Daemons[From] = {Report.Role, Report.SettingsVersion, Report.Draining,
                          this->Time.now()};
   for (const std::string &Server : Report.LeavingServers)
-    if (this->Members.announceLeaving(Server))
-      this->Decisions.record(Server, "leaving",
-                             "The " + Report.Role +
-                                 " of this node reported that it leaves.");
+    this->announceLeaving(Server, "The " + Report.Role +
+                                      " of this node reported that it leaves.");
   for (const std::string &Fingerprint : Report.QuarantinedFingerprints)
     if (this->Members.announceQuarantine(Fingerprint))
       this->Decisions.record(Fingerprint, "quarantine",
@@ -134,6 +132,7 @@
 void ControllerDaemon::exchange() {
   this->updateOwnState();
   this->Lease.tick(this->Members.isRelay() && !this->Draining);
+  this->pollMarks();
   this->sendDigests(this->Members.tick());
   this->fleetChanged();
 }
@@ -160,16 +159,33 @@
 /// Takes what the list says to leave. A VM that is missing is unknown, not
 /// dead, so its absence changes nothing.
 void ControllerDaemon::handleVms(const VmListing &Listing) {
-  for (const VmEntry &Vm : Listing.Vms) {
-    if (Vm.State != VmState::Leaving)
-      continue;
-    if (this->Members.announceLeaving(Vm.Name))
-      this->Decisions.record(Vm.Name, "leaving",
-                             "The platform's list says that it leaves.");
-  }
+  for (const VmEntry &Vm : Listing.Vms)
+    if (Vm.State == VmState::Leaving)
+      this->announceLeaving(Vm.Name,
+                            "The platform's list says that it leaves.");
   this->fleetChanged();
 }
 
+void ControllerDaemon::pollMarks() {
+  if (this->MarkPollOpen || !this->Members.isRelay())
+    return;
+  this->MarkPollOpen = true;
+  this->Marks.list([this](const Result<std::set<std::string>> &Names) {
+    this->MarkPollOpen = false;
+    if (!Names)
+      return;
+    for (const std::string &Name : *Names)
+      this->announceLeaving(Name, "An operator drains it.");
+    this->fleetChanged();
+  });
+}
+
+void ControllerDaemon::announceLeaving(const std::string &Name,
+                                       const std::string &Reason) {
+  if (this->Members.announceLeaving(Name))
+    this->Decisions.record(Name, "leaving", Reason);
+}
+
 void ControllerDaemon::settingsChanged() {
   this->Members.setSettings(this->Replica.settings());
   this->Decisions.record("settings", "settings",
--- a/Source/Controller/ControllerDaemon.h
+++ b/Source/Controller/ControllerDaemon.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_CONTROLLER_CONTROLLERDAEMON_H
 
 #include "Control/DecisionLog.h"
+#include "Control/DrainMarks.h"
 #include "Control/MembershipDigest.h"
 #include "Control/SettingsFollower.h"
 #include "Control/SettingsReplica.h"
@@ -72,6 +73,8 @@
   void exchange();
   void pollVms();
   void handleVms(const VmListing &Listing);
+  void pollMarks();
+  void announceLeaving(const std::string &Name, const std::string &Reason);
   void settingsChanged();
   void updateOwnState();
   void fleetChanged();
@@ -89,6 +92,7 @@
   Instant Started;
   SettingsReplica Replica;
   SettingsStore Store;
+  DrainMarks Marks;
   SettingsFollower Follower;
   MembershipDigest Members;
   DecisionLog Decisions;
@@ -99,6 +103,7 @@
   FleetView LastView;
   Instant LastVmPoll{};
   bool VmPollOpen = false;
+  bool MarkPollOpen = false;
   bool Draining = false;
 };
 
