Jobs: Claim chunks, run their items and commit results once

Batch items may run more than once, so each chunk has an epoch that every claim raises, and one transaction commits a chunk only under its epoch.

ClaimPlanner, LeaseWatch and ChunkRun decide without I/O; ChunkClaims, ChunkCommit, LeaseKeeper and StopList write what they decide; BatchWorker joins them. A takeover also checks the version of the holder's lease row, so that a holder that wakes up and renews keeps its chunks. Jobs that must stop are listed in rows of their own: one read a second serves all jobs of a batcher, where reading each job's row would grow with the jobs.

--- /dev/null
+++ b/Source/Jobs/BatchWorker.cpp
@@ -0,0 +1,287 @@
+#include "Jobs/BatchWorker.h"
+
+#include "Platform/ObjectStore.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+/// One chunk that this batcher claimed.
+struct BatchWorker::Held {
+  explicit Held(ChunkRun Run) : Run(std::move(Run)) {}
+
+  ChunkRun Run;
+  std::shared_ptr<ChunkCommit> Commit;
+  /// Running items and the ids they were handed out under.
+  std::map<std::uint32_t, ItemId> Running;
+  bool Loading = false;
+  /// The lease may have lapsed: nothing starts until the row was read.
+  bool Suspect = false;
+  bool Validating = false;
+  std::uint64_t SuspectSince = 0;
+  Instant NextTry{};
+};
+
+namespace {
+
+constexpr Duration RetryPeriod = std::chrono::seconds(1);
+/// The most chunks that one transaction claims.
+constexpr std::size_t MaxClaims = 4;
+
+} // namespace
+
+BatchWorker::BatchWorker(Table &Rows, ObjectStore &Objects, const Clock &Time,
+                         IdSource &Ids, BatchLimits Limits, Protections Rules)
+    : Rows(Rows), Objects(Objects), Time(Time), Ids(Ids), Limits(Limits),
+      Rules(Rules), Name(Ids.longId()), Lease(Rows, Time, Ids, this->Name),
+      Stops(Rows, Time),
+      Claims(
+          Rows, Time, Ids, this->Name, Rules,
+          [this](const std::string &JobId, const std::string &Chunk) {
+            return this->holds(JobId, Chunk);
+          },
+          [this](const JobRow &Job, const std::string &Chunk,
+                 const ChunkRow &Row) { this->onClaimed(Job, Chunk, Row); }) {}
+
+BatchWorker::~BatchWorker() = default;
+
+void BatchWorker::tick() {
+  this->noticePause();
+  if (!this->Draining || !this->idle())
+    this->Lease.tick();
+  else
+    this->Lease.giveUp();
+  if (!this->idle())
+    this->Stops.tick();
+  std::vector<ChunkId> Ids;
+  for (const auto &[Id, Chunk] : this->Chunks)
+    Ids.push_back(Id);
+  for (const ChunkId Id : Ids) {
+    const auto Found = this->Chunks.find(Id);
+    if (Found != this->Chunks.end())
+      this->tend(Id, *Found->second);
+  }
+  this->Claims.tick(this->chunksWanted());
+}
+
+// Nobody takes a chunk over while its holder renews its lease. After a pause
+// the rows tell whether the chunks are still this batcher's.
+void BatchWorker::noticePause() {
+  if (!this->Lease.mayHaveLapsed())
+    return;
+  for (auto &[Id, Chunk] : this->Chunks) {
+    Chunk->Suspect = true;
+    Chunk->SuspectSince = this->Lease.renewals();
+  }
+}
+
+std::size_t BatchWorker::chunksWanted() const {
+  if (this->Draining || !this->Lease.current() ||
+      this->inputBytes() + this->resultBytes() > this->Limits.HeldBytes)
+    return 0;
+  std::size_t Waiting = 0;
+  for (const auto &[Id, Chunk] : this->Chunks)
+    Waiting += Chunk->Run.loaded() ? Chunk->Run.waiting() : MaxItemsPerChunk;
+  if (Waiting >= this->Limits.WaitingItems)
+    return 0;
+  const std::size_t Missing = this->Limits.WaitingItems - Waiting;
+  return std::clamp((Missing + MaxItemsPerChunk - 1) / MaxItemsPerChunk,
+                    std::size_t{1}, MaxClaims);
+}
+
+bool BatchWorker::holds(const std::string &JobId,
+                        const std::string &Chunk) const {
+  return std::any_of(this->Chunks.begin(), this->Chunks.end(),
+                     [&](const auto &Entry) {
+                       const Held &One = *Entry.second;
+                       // A commit that is under way may have created the chunk
+                       // of the rest.
+                       return One.Run.job().Record.Id == JobId &&
+                              (One.Run.name() == Chunk ||
+                               (One.Commit && One.Commit->restName() == Chunk));
+                     });
+}
+
+void BatchWorker::onClaimed(const JobRow &Job, const std::string &Chunk,
+                            const ChunkRow &Row) {
+  this->Chunks[this->NextChunk++] =
+      std::make_unique<Held>(ChunkRun(Job, Chunk, Row));
+}
+
+void BatchWorker::tend(ChunkId Id, Held &Chunk) {
+  const JobRecord &Job = Chunk.Run.job().Record;
+  const bool Due = this->Time.wallMillis() >= Job.DueMs;
+  if (!Chunk.Run.stopped() && (Due || this->Stops.contains(Job.Id)))
+    this->stop(Chunk, Remainder::Drop);
+  if (!Chunk.Run.stopped() && this->Draining)
+    Chunk.Run.stop(Remainder::Release);
+  if (Chunk.Suspect)
+    this->validate(Id, Chunk);
+  else if (!Chunk.Run.loaded() && !Chunk.Run.stopped())
+    this->load(Id, Chunk);
+  const auto Still = this->Chunks.find(Id);
+  if (Still != this->Chunks.end())
+    this->advanceCommit(Id, *Still->second);
+}
+
+void BatchWorker::load(ChunkId Id, Held &Chunk) {
+  if (Chunk.Loading || this->Time.now() < Chunk.NextTry)
+    return;
+  Chunk.Loading = true;
+  const JobRecord &Job = Chunk.Run.job().Record;
+  this->Objects.get(
+      pieceName(Job.Customer, Job.InputFile, Chunk.Run.row().Piece),
+      [this, Id](const Result<std::string> &Piece) {
+        const auto Found = this->Chunks.find(Id);
+        if (Found == this->Chunks.end())
+          return;
+        Held &Loaded = *Found->second;
+        Loaded.Loading = false;
+        Loaded.NextTry = this->Time.now() + RetryPeriod;
+        if (Piece && !Loaded.Run.stopped())
+          Loaded.Run.load(*Piece);
+      });
+}
+
+void BatchWorker::validate(ChunkId Id, Held &Chunk) {
+  // The row is read only after a renewal: from then on nobody takes over
+  // without another lapse, because a takeover checks the lease row's version.
+  if (Chunk.Validating || this->Time.now() < Chunk.NextTry ||
+      this->Lease.renewals() <= Chunk.SuspectSince)
+    return;
+  Chunk.Validating = true;
+  Chunk.NextTry = this->Time.now() + RetryPeriod;
+  this->Rows.get(
+      chunkKey(Chunk.Run.job().Record.Id, Chunk.Run.name()),
+      [this, Id](const Result<TableRow> &Row) { this->onValidated(Id, Row); });
+}
+
+void BatchWorker::onValidated(ChunkId Id, const Result<TableRow> &Row) {
+  const auto Found = this->Chunks.find(Id);
+  if (Found == this->Chunks.end())
+    return;
+  Held &Chunk = *Found->second;
+  Chunk.Validating = false;
+  // A commit under way finds out by itself what became of the row.
+  if (!Row || Chunk.Commit)
+    return;
+  const Result<ChunkRow> Now = decodeChunkRow(Row->Value);
+  if (!Now)
+    return;
+  if (Now->State == ChunkState::Claimed &&
+      Now->Epoch == Chunk.Run.row().Epoch && Now->Holder == this->Name) {
+    Chunk.Suspect = false;
+    return;
+  }
+  ++this->StaleCommits;
+  this->release(Id);
+}
+
+void BatchWorker::stop(Held &Chunk, Remainder Fate) {
+  Chunk.Run.stop(Fate);
+  for (const auto &[Index, Item] : Chunk.Running)
+    this->Withdrawn.push_back(Item);
+}
+
+void BatchWorker::advanceCommit(ChunkId Id, Held &Chunk) {
+  if (!Chunk.Commit) {
+    const bool Crowded = this->resultBytes() > this->Limits.HeldBytes;
+    std::optional<CommitPlan> Plan =
+        Chunk.Run.commitDue(this->Time.now(), Crowded);
+    if (!Plan)
+      return;
+    Chunk.Commit = std::make_shared<ChunkCommit>(
+        this->Rows, this->Objects, this->Time, this->Ids, this->Rules,
+        Chunk.Run, std::move(*Plan));
+  }
+  const std::shared_ptr<ChunkCommit> Commit = Chunk.Commit;
+  Commit->tick();
+  if (Commit->state() == ChunkCommit::State::Busy)
+    return;
+  this->Claims.review(Chunk.Run.job().Record.Id);
+  if (Commit->state() == ChunkCommit::State::Stale) {
+    ++this->StaleCommits;
+    return this->release(Id);
+  }
+  ++this->Commits;
+  if (Commit->plan().Rest != Remainder::Keep)
+    return this->release(Id);
+  Chunk.Run.continueAs(Commit->restName(), Commit->plan());
+  Chunk.Commit.reset();
+}
+
+void BatchWorker::release(ChunkId Id) {
+  const auto Found = this->Chunks.find(Id);
+  for (const auto &[Index, Item] : Found->second->Running) {
+    this->Withdrawn.push_back(Item);
+    this->Items.erase(Item);
+  }
+  this->Chunks.erase(Found);
+}
+
+std::optional<WorkItem> BatchWorker::next() {
+  if (this->Draining || !this->Stops.fresh() || this->Lease.mayHaveLapsed() ||
+      this->resultBytes() > this->Limits.HeldBytes)
+    return std::nullopt;
+  // Chunks take turns, so that one job's chunk does not hold up another's.
+  for (std::size_t I = 0; I < this->Chunks.size(); ++I) {
+    auto Found = this->Chunks.upper_bound(this->LastServed);
+    if (Found == this->Chunks.end())
+      Found = this->Chunks.begin();
+    this->LastServed = Found->first;
+    Held &Chunk = *Found->second;
+    const JobRecord &Job = Chunk.Run.job().Record;
+    if (Chunk.Suspect || this->Stops.contains(Job.Id) ||
+        this->Time.wallMillis() >= Job.DueMs)
+      continue;
+    const std::optional<std::uint32_t> Index =
+        Chunk.Run.start(this->Time.now());
+    if (!Index)
+      continue;
+    const ItemId Id = this->NextItem++;
+    this->Items[Id] = {Found->first, *Index};
+    Chunk.Running[*Index] = Id;
+    return WorkItem{Id,
+                    Job.Id,
+                    Job.Customer,
+                    Job.Class,
+                    Job.Id + "/" + std::to_string(Chunk.Run.row().Piece) + "/" +
+                        std::to_string(*Index),
+                    Chunk.Run.line(*Index),
+                    Job.DueMs};
+  }
+  return std::nullopt;
+}
+
+void BatchWorker::finish(ItemId Id, ItemOutcome Outcome) {
+  const auto Found = this->Items.find(Id);
+  if (Found == this->Items.end())
+    return;
+  const auto [ChunkOf, Index] = Found->second;
+  this->Items.erase(Found);
+  Held &Chunk = *this->Chunks.at(ChunkOf);
+  Chunk.Running.erase(Index);
+  Chunk.Run.finish(Index, std::move(Outcome), this->Time.now());
+}
+
+std::vector<ItemId> BatchWorker::takeWithdrawn() {
+  return std::exchange(this->Withdrawn, {});
+}
+
+void BatchWorker::drain() { this->Draining = true; }
+
+std::size_t BatchWorker::inputBytes() const {
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Chunk] : this->Chunks)
+    Bytes += Chunk->Run.inputBytes();
+  return Bytes;
+}
+
+std::size_t BatchWorker::resultBytes() const {
+  std::size_t Bytes = 0;
+  for (const auto &[Id, Chunk] : this->Chunks)
+    Bytes += Chunk->Run.resultBytes();
+  return Bytes;
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/ChunkClaims.cpp
@@ -0,0 +1,225 @@
+#include "Jobs/ChunkClaims.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+constexpr Duration MinPause = std::chrono::milliseconds(200);
+constexpr Duration MaxPause = std::chrono::seconds(4);
+/// How long a job without claimable chunks is left alone.
+constexpr Duration RestTime = std::chrono::seconds(5);
+constexpr Duration LeaseScanPeriod = std::chrono::seconds(5);
+/// A lease row that stood still this long is removed.
+constexpr Duration DeadLeaseAge = std::chrono::hours(1);
+constexpr std::size_t IndexPage = 100;
+constexpr std::size_t LeasePage = 1000;
+constexpr std::string_view AllShards = "open/";
+
+} // namespace
+
+ChunkClaims::ChunkClaims(Table &Rows, const Clock &Time, IdSource &Ids,
+                         std::string Batcher, Protections Rules, Held IsHeld,
+                         Claimed OnClaimed)
+    : Rows(Rows), Time(Time), Ids(Ids), Batcher(std::move(Batcher)),
+      Writer(Rows, Rules), Planner(Rules), IsHeld(std::move(IsHeld)),
+      OnClaimed(std::move(OnClaimed)), Pause(MinPause) {}
+
+void ChunkClaims::review(const std::string &JobId) {
+  if (std::find(this->Reviews.begin(), this->Reviews.end(), JobId) ==
+      this->Reviews.end())
+    this->Reviews.push_back(JobId);
+}
+
+void ChunkClaims::tick(std::size_t MaxChunks) {
+  if (this->Busy || this->Time.now() < this->Next ||
+      (MaxChunks == 0 && this->Reviews.empty()))
+    return;
+  this->Busy = true;
+  this->MaxChunks = MaxChunks;
+  this->beginStep(MaxChunks > 0);
+}
+
+void ChunkClaims::beginStep(bool MayClaim) {
+  if (!this->Reviews.empty()) {
+    const std::string JobId = this->Reviews.front();
+    this->Reviews.pop_front();
+    return this->examine(JobId);
+  }
+  if (MayClaim && this->NeedLeases && this->Time.now() >= this->NextLeases)
+    return this->scanLeases();
+  if (!this->Candidates.empty())
+    return this->examine(this->Candidates.front());
+  this->scanIndex();
+}
+
+void ChunkClaims::scanLeases() {
+  this->NeedLeases = false;
+  const Instant Sent = this->Time.now();
+  this->NextLeases = Sent + LeaseScanPeriod;
+  this->Rows.scan(std::string(LeasePrefix), "", LeasePage,
+                  [this, Sent](const Result<std::vector<TableRow>> &Page) {
+                    this->onLeases(Page, Sent);
+                  });
+}
+
+void ChunkClaims::onLeases(const Result<std::vector<TableRow>> &Page,
+                           Instant Sent) {
+  if (!Page)
+    return this->endStep(false);
+  std::map<std::string, std::uint64_t> Versions;
+  for (const TableRow &Row : *Page)
+    Versions[Row.Key.substr(LeasePrefix.size())] = Row.Version;
+  this->Leases.observe(Versions, Sent, this->Time.now());
+  this->collectDeadLeases();
+  this->endStep(true);
+}
+
+void ChunkClaims::collectDeadLeases() {
+  for (const std::string &Holder : this->Leases.unchangedFor(DeadLeaseAge)) {
+    const std::string Key = leaseKey(Holder);
+    this->Rows.transact({this->Ids.longId(),
+                         {{Key, this->Leases.versionOf(Holder)}},
+                         {},
+                         {Key}},
+                        [](const Result<void> &) {});
+  }
+}
+
+void ChunkClaims::scanIndex() {
+  // A scan runs on from shard to shard, so that a fleet with few jobs finds
+  // them all in one page; the random start spreads a large fleet.
+  if (!this->Positioned)
+    this->Cursor = indexPrefix(
+        static_cast<std::uint32_t>(this->Ids.number() % IndexShards));
+  this->Positioned = true;
+  this->Rows.scan(std::string(AllShards), this->Cursor, IndexPage,
+                  [this](const Result<std::vector<TableRow>> &Page) {
+                    this->onIndex(Page);
+                  });
+}
+
+void ChunkClaims::onIndex(const Result<std::vector<TableRow>> &Page) {
+  if (!Page)
+    return this->endStep(false);
+  const bool Wrapped = Page->size() < IndexPage;
+  const bool FromStart = this->Cursor.empty();
+  this->Cursor = Wrapped ? std::string() : Page->back().Key;
+  const Instant Now = this->Time.now();
+  for (const TableRow &Row : *Page) {
+    const std::string JobId = Row.Key.substr(Row.Key.rfind('/') + 1);
+    const auto Rest = this->Resting.find(JobId);
+    if (Rest == this->Resting.end() || Rest->second <= Now)
+      this->Candidates.push_back(JobId);
+  }
+  if (Wrapped && FromStart)
+    std::erase_if(this->Resting,
+                  [Now](const auto &Entry) { return Entry.second <= Now; });
+  if (Wrapped && !FromStart && this->Candidates.empty())
+    return this->scanIndex();
+  this->endStep(!this->Candidates.empty());
+}
+
+void ChunkClaims::examine(const std::string &JobId) {
+  this->Rows.get(jobKey(JobId), [this, JobId](const Result<TableRow> &Row) {
+    this->onJob(JobId, Row);
+  });
+}
+
+void ChunkClaims::onJob(const std::string &JobId, const Result<TableRow> &Row) {
+  if (!Row) {
+    if (Row.error().Code == ErrorCode::NotFound)
+      this->drop(JobId);
+    return this->endStep(false);
+  }
+  Result<JobRow> Job = decodeJobRow(Row->Value);
+  if (!Job) {
+    this->drop(JobId);
+    return this->endStep(false);
+  }
+  auto View =
+      std::make_shared<JobView>(JobView{std::move(*Job), Row->Version, {}});
+  scanChunks(this->Rows, JobId,
+             [this, View](Result<std::vector<ChunkEntry>> Chunks) {
+               this->onChunks(View, std::move(Chunks));
+             });
+}
+
+void ChunkClaims::onChunks(const std::shared_ptr<JobView> &View,
+                           Result<std::vector<ChunkEntry>> Chunks) {
+  if (!Chunks)
+    return this->endStep(false);
+  View->Chunks = std::move(*Chunks);
+  ClaimContext Context;
+  Context.Batcher = this->Batcher;
+  Context.WallMs = this->Time.wallMillis();
+  Context.MaxChunks = this->MaxChunks;
+  Context.Random = this->Ids.number();
+  Context.Lapsed = [this](const std::string &Holder) {
+    return this->Leases.lapsed(Holder);
+  };
+  Context.Held = this->IsHeld;
+  const JobPlan Plan = this->Planner.plan(*View, Context);
+  this->NeedLeases = this->NeedLeases || Plan.ForeignClaims;
+  if (Plan.Step != JobStep::Nothing)
+    return this->write(*View, Plan);
+  this->drop(View->Job.Record.Id);
+  this->endStep(!this->Candidates.empty());
+}
+
+void ChunkClaims::write(const JobView &View, const JobPlan &Plan) {
+  const std::string Id = View.Job.Record.Id;
+  const std::string Key = jobKey(Id);
+  TableTransaction Change{this->Ids.longId(), {{Key, View.Version}}, {}, {}};
+  if (Plan.Step == JobStep::Expire || Plan.Step == JobStep::Finalize)
+    Change.Puts.push_back({Key, encode(Plan.Job)});
+  if (Plan.Step == JobStep::Expire)
+    Change.Puts.push_back({stopKey(Id), "{}"});
+  if (Plan.Step == JobStep::Finalize)
+    Change.Deletes = {indexKey(View.Job.Record), stopKey(Id)};
+  std::set<std::string> Losers;
+  for (const ChunkChange &Chunk : Plan.Changes) {
+    const std::string ChunkKey = chunkKey(Id, Chunk.Name);
+    Change.Checks.push_back({ChunkKey, Chunk.Version});
+    Change.Puts.push_back({ChunkKey, encode(Chunk.Row)});
+    if (!Chunk.FormerHolder.empty() && Chunk.FormerHolder != this->Batcher)
+      Losers.insert(Chunk.FormerHolder);
+  }
+  // A holder that renewed its lease since keeps its chunks.
+  for (const std::string &Loser : Losers)
+    Change.Checks.push_back({leaseKey(Loser), this->Leases.versionOf(Loser)});
+  const std::string Witness = Change.Puts.front().Key;
+  this->Writer.commit(
+      std::move(Change), Witness,
+      [this, Id, Plan, Job = View.Job](const Result<void> &Reply) {
+        this->onWritten(Id, Plan, Job, Reply);
+      });
+}
+
+void ChunkClaims::onWritten(const std::string &JobId, const JobPlan &Plan,
+                            const JobRow &Job, const Result<void> &Reply) {
+  if (!Reply)
+    return this->endStep(Reply.error().Code == ErrorCode::Conflict);
+  if (Plan.Step == JobStep::Claim)
+    for (const ChunkChange &Chunk : Plan.Changes)
+      this->OnClaimed(Job, Chunk.Name, Chunk.Row);
+  if (Plan.Step == JobStep::Finalize)
+    this->drop(JobId);
+  if (Plan.Step == JobStep::Expire || Plan.Step == JobStep::Reopen)
+    this->review(JobId);
+  this->endStep(true);
+}
+
+void ChunkClaims::drop(const std::string &JobId) {
+  this->Resting[JobId] = this->Time.now() + RestTime;
+  std::erase(this->Candidates, JobId);
+}
+
+void ChunkClaims::endStep(bool Fruitful) {
+  this->Busy = false;
+  this->Pause = Fruitful ? MinPause : std::min(this->Pause * 2, MaxPause);
+  this->Next = this->Time.now() + this->Pause;
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/ChunkClaims.h
@@ -0,0 +1,83 @@
+#ifndef TURMERICPASS_JOBS_CHUNKCLAIMS_H
+#define TURMERICPASS_JOBS_CHUNKCLAIMS_H
+
+#include "Core/Clock.h"
+#include "Core/IdSource.h"
+#include "Jobs/ClaimPlanner.h"
+#include "Jobs/LeaseWatch.h"
+#include "Jobs/TableWriter.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace turmericpass {
+
+/// Looks for jobs with claimable chunks and writes what ClaimPlanner decides.
+///
+/// One step reads one page of the index (100 jobs) or one job (its row and
+/// its chunk rows). Steps that find nothing become rarer, so that a fleet
+/// without work reads little.
+class ChunkClaims {
+public:
+  using Claimed = std::function<void(const JobRow &Job, const std::string &Name,
+                                     const ChunkRow &Row)>;
+  using Held =
+      std::function<bool(const std::string &Job, const std::string &Chunk)>;
+
+  ChunkClaims(Table &Rows, const Clock &Time, IdSource &Ids,
+              std::string Batcher, Protections Rules, Held IsHeld,
+              Claimed OnClaimed);
+
+  /// Makes one step if one is due. \p MaxChunks is how many chunks to claim
+  /// at most; with 0, only jobs given to review() are looked at.
+  void tick(std::size_t MaxChunks);
+
+  /// Looks at \p JobId soon: a chunk of it was committed, so that it may have
+  /// ended.
+  void review(const std::string &JobId);
+
+private:
+  void beginStep(bool MayClaim);
+  void scanLeases();
+  void onLeases(const Result<std::vector<TableRow>> &Page, Instant Sent);
+  void collectDeadLeases();
+  void scanIndex();
+  void onIndex(const Result<std::vector<TableRow>> &Page);
+  void examine(const std::string &JobId);
+  void onJob(const std::string &JobId, const Result<TableRow> &Row);
+  void onChunks(const std::shared_ptr<JobView> &View,
+                Result<std::vector<ChunkEntry>> Chunks);
+  void write(const JobView &View, const JobPlan &Plan);
+  void onWritten(const std::string &JobId, const JobPlan &Plan,
+                 const JobRow &Job, const Result<void> &Reply);
+  void endStep(bool Fruitful);
+  void drop(const std::string &JobId);
+
+  Table &Rows;
+  const Clock &Time;
+  IdSource &Ids;
+  std::string Batcher;
+  TableWriter Writer;
+  ClaimPlanner Planner;
+  Held IsHeld;
+  Claimed OnClaimed;
+  LeaseWatch Leases;
+  std::deque<std::string> Reviews;
+  std::deque<std::string> Candidates;
+  /// When a job without claimable chunks may be looked at again.
+  std::map<std::string, Instant> Resting;
+  std::string Cursor;
+  bool Positioned = false;
+  std::size_t MaxChunks = 0;
+  bool Busy = false;
+  bool NeedLeases = false;
+  Instant NextLeases{};
+  Instant Next{};
+  Duration Pause;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Jobs/ChunkCommit.h
@@ -0,0 +1,70 @@
+#ifndef TURMERICPASS_JOBS_CHUNKCOMMIT_H
+#define TURMERICPASS_JOBS_CHUNKCOMMIT_H
+
+#include "Core/Clock.h"
+#include "Core/IdSource.h"
+#include "Jobs/ChunkRun.h"
+#include "Jobs/Protections.h"
+#include "Platform/Table.h"
+
+#include <memory>
+
+namespace turmericpass {
+
+class ObjectStore;
+
+/// Makes one part of a chunk durable: the result object of the holder's
+/// epoch, then one transaction that holds only where the chunk row is still
+/// claimed under that epoch. It goes on through outages until the outcome is
+/// known.
+class ChunkCommit : public std::enable_shared_from_this<ChunkCommit> {
+public:
+  enum class State {
+    Busy,
+    Committed,
+    /// Another batcher claimed the chunk; nothing was committed.
+    Stale,
+  };
+
+  ChunkCommit(Table &Rows, ObjectStore &Objects, const Clock &Time,
+              IdSource &Ids, Protections Rules, const ChunkRun &Run,
+              CommitPlan Plan);
+
+  /// Begins, or tries again what failed; call it every 100 ms.
+  void tick();
+
+  State state() const { return this->Outcome; }
+  const CommitPlan &plan() const { return this->Plan; }
+
+  /// The name of the chunk that holds what the commit left out.
+  std::string restName() const;
+
+private:
+  void putResults();
+  void readRow();
+  void decide(const TableRow &Row);
+  void write(std::uint64_t Version);
+  void retry();
+  void end(State Outcome);
+  void collectOldEpochs();
+  void removeObject(std::uint64_t Epoch);
+
+  Table &Rows;
+  ObjectStore &Objects;
+  const Clock &Time;
+  Protections Rules;
+  std::string JobId;
+  std::string Chunk;
+  ChunkRow Row;
+  CommitPlan Plan;
+  std::string WriteId;
+  State Outcome = State::Busy;
+  bool Stored = false;
+  bool Waiting = true;
+  Instant Next{};
+  Duration Backoff;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Source/Jobs/LeaseKeeper.cpp
@@ -0,0 +1,55 @@
+#include "Jobs/LeaseKeeper.h"
+
+#include "Jobs/JobRows.h"
+#include "Jobs/LeaseWatch.h"
+
+namespace turmericpass {
+
+namespace {
+
+constexpr Duration RetryPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(Table &Rows, const Clock &Time, IdSource &Ids,
+                         std::string Batcher)
+    : Rows(Rows), Time(Time), Ids(Ids), Batcher(std::move(Batcher)) {}
+
+void LeaseKeeper::tick() {
+  const Instant Sent = this->Time.now();
+  if (this->Busy || this->Ended || Sent < this->Next)
+    return;
+  this->Busy = true;
+  this->Next = Sent + RetryPeriod;
+  this->Rows.transact(
+      {this->Ids.longId(), {}, {{leaseKey(this->Batcher), "{}"}}, {}},
+      [this, Sent](const Result<void> &Reply) {
+        this->Busy = false;
+        if (!Reply)
+          return;
+        // Counted from the sending, since the row changed no earlier.
+        this->Renewed = Sent;
+        ++this->Renewals;
+        this->Next = Sent + LeasePeriod;
+      });
+}
+
+bool LeaseKeeper::current() const {
+  return this->Renewals > 0 &&
+         this->Time.now() - this->Renewed < LeasePeriod * 2;
+}
+
+bool LeaseKeeper::mayHaveLapsed() const {
+  return this->Renewals > 0 &&
+         this->Time.now() - this->Renewed >= LeaseLapse - LeasePeriod;
+}
+
+void LeaseKeeper::giveUp() {
+  if (this->Ended)
+    return;
+  this->Ended = true;
+  this->Rows.transact({this->Ids.longId(), {}, {}, {leaseKey(this->Batcher)}},
+                      [](const Result<void> &) {});
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/Jobs/LeaseWatch.cpp
@@ -0,0 +1,38 @@
+#include "Jobs/LeaseWatch.h"
+
+namespace turmericpass {
+
+void LeaseWatch::observe(const std::map<std::string, std::uint64_t> &Versions,
+                         Instant Sent, Instant Answered) {
+  for (const auto &[Holder, Version] : Versions)
+    this->Entries.try_emplace(Holder);
+  for (auto &[Holder, Entry] : this->Entries) {
+    const auto Found = Versions.find(Holder);
+    const std::uint64_t Version = Found == Versions.end() ? 0 : Found->second;
+    if (Entry.Seen && Entry.Version == Version) {
+      Entry.Last = Sent;
+      continue;
+    }
+    Entry = {Version, Answered, Answered, true};
+  }
+}
+
+bool LeaseWatch::lapsed(const std::string &Holder) {
+  const Entry &Found = this->Entries[Holder];
+  return Found.Seen && Found.Last - Found.First >= LeaseLapse;
+}
+
+std::uint64_t LeaseWatch::versionOf(const std::string &Holder) const {
+  const auto Found = this->Entries.find(Holder);
+  return Found == this->Entries.end() ? 0 : Found->second.Version;
+}
+
+std::vector<std::string> LeaseWatch::unchangedFor(Duration Age) const {
+  std::vector<std::string> Holders;
+  for (const auto &[Holder, Entry] : this->Entries)
+    if (Entry.Seen && Entry.Version != 0 && Entry.Last - Entry.First >= Age)
+      Holders.push_back(Holder);
+  return Holders;
+}
+
+} // namespace turmericpass
