Batcher: Feed items of claimed chunks to dispatchers

A claimed chunk needs its items run at batch priority without flooding the dispatchers or starving idle slots.

BatcherDaemon reuses the gateway's request life cycle and dispatcher choice, so that batch and online work share one answer to lost peers, late pieces and refusals. Items for services that must not be repeated are sent once, under an intent row of their own.

Every submission and resubmission asks the worker first whether the item may still start, because an item that waits for a dispatcher can outlive its job or its chunk's lease.

--- a/Source/Jobs/BatchWorker.cpp
+++ b/Source/Jobs/BatchWorker.cpp
@@ -219,8 +219,24 @@
   this->Chunks.erase(Found);
 }
 
-std::optional<WorkItem> BatchWorker::next() {
-  if (this->Draining || !this->Stops.fresh() || this->Lease.mayHaveLapsed() ||
+bool BatchWorker::mayStartAny() const {
+  return this->Stops.fresh() && !this->Lease.mayHaveLapsed();
+}
+
+bool BatchWorker::mayStartOf(const Held &Chunk) const {
+  const JobRecord &Job = Chunk.Run.job().Record;
+  return !Chunk.Suspect && !Chunk.Run.dropped() &&
+         !this->Stops.contains(Job.Id) && this->Time.wallMillis() < Job.DueMs;
+}
+
+bool BatchWorker::mayStart(ItemId Id) const {
+  const auto Found = this->Items.find(Id);
+  return Found != this->Items.end() && this->mayStartAny() &&
+         this->mayStartOf(*this->Chunks.at(Found->second.first));
+}
+
+std::optional<WorkItem> BatchWorker::next(const std::set<std::string> &Skip) {
+  if (this->Draining || !this->mayStartAny() ||
       this->resultBytes() > this->Limits.HeldBytes)
     return std::nullopt;
   // Chunks take turns, so that one job's chunk does not hold up another's.
@@ -230,29 +246,31 @@
       Found = this->Chunks.begin();
     this->LastServed = Found->first;
     Held &Chunk = *Found->second;
-    const JobRecord &Job = Chunk.Run.job().Record;
-    if (Chunk.Suspect || this->Stops.contains(Job.Id) ||
-        this->Time.wallMillis() >= Job.DueMs)
+    if (Skip.contains(Chunk.Run.job().Record.Id) || !this->mayStartOf(Chunk))
       continue;
     const std::optional<std::uint32_t> Index =
         Chunk.Run.start(this->Time.now());
-    if (!Index)
-      continue;
-    const ItemId Id = this->NextItem++;
-    this->Items[Id] = {Found->first, *Index};
-    Chunk.Running[*Index] = Id;
-    return WorkItem{Id,
-                    Job.Id,
-                    Job.Customer,
-                    Job.Class,
-                    Job.Id + "/" + std::to_string(Chunk.Run.row().Piece) + "/" +
-                        std::to_string(*Index),
-                    Chunk.Run.line(*Index),
-                    Job.DueMs};
+    if (Index)
+      return this->handOut(Found->first, Chunk, *Index);
   }
   return std::nullopt;
 }
 
+WorkItem BatchWorker::handOut(ChunkId Of, Held &Chunk, std::uint32_t Index) {
+  const JobRecord &Job = Chunk.Run.job().Record;
+  const ItemId Id = this->NextItem++;
+  this->Items[Id] = {Of, Index};
+  Chunk.Running[Index] = Id;
+  return {Id,
+          Job.Id,
+          Job.Customer,
+          Job.Class,
+          Job.Id + "/" + std::to_string(Chunk.Run.row().Piece) + "/" +
+              std::to_string(Index),
+          Chunk.Run.line(Index),
+          Job.DueMs};
+}
+
 void BatchWorker::finish(ItemId Id, ItemOutcome Outcome) {
   const auto Found = this->Items.find(Id);
   if (Found == this->Items.end())
--- a/Source/Jobs/BatchWorker.h
+++ b/Source/Jobs/BatchWorker.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace turmericpass {
@@ -53,8 +54,13 @@
   /// Does what is due; call it every 100 ms.
   void tick();
 
-  /// Returns the next item to submit, if one may start now.
-  std::optional<WorkItem> next();
+  /// Returns the next item to submit, if one may start now that belongs to
+  /// none of the jobs \p Skip.
+  std::optional<WorkItem> next(const std::set<std::string> &Skip = {});
+
+  /// True if item \p Id may be sent to a server now: its job is not known to
+  /// stop, and what is known of that and of the chunk's holder is recent.
+  bool mayStart(ItemId Id) const;
 
   /// Takes the outcome of an item that next() returned. Ids of items that
   /// were withdrawn are ignored.
@@ -87,7 +93,10 @@
 
   void onClaimed(const JobRow &Job, const std::string &Name,
                  const ChunkRow &Row);
+  bool mayStartAny() const;
+  bool mayStartOf(const Held &Chunk) const;
   bool holds(const std::string &JobId, const std::string &Name) const;
+  WorkItem handOut(ChunkId Of, Held &Chunk, std::uint32_t Index);
   std::size_t chunksWanted() const;
   void tend(ChunkId Id, Held &Chunk);
   void load(ChunkId Id, Held &Chunk);
--- a/Source/Jobs/ChunkRun.h
+++ b/Source/Jobs/ChunkRun.h
@@ -57,6 +57,7 @@
   /// Starts nothing more; what is left is dropped or released.
   void stop(Remainder Fate);
   bool stopped() const { return this->Fate != Remainder::None; }
+  bool dropped() const { return this->Fate == Remainder::Drop; }
 
   std::vector<std::uint32_t> running() const;
   std::size_t waiting() const { return this->Waiting; }
--- /dev/null
+++ b/Source/Programs/BatcherMain.cpp
@@ -0,0 +1,63 @@
+#include "Batcher/BatcherDaemon.h"
+#include "Daemon/DaemonContext.h"
+#include "Gateway/AgentFleet.h"
+#include "Jobs/TableIntentLedger.h"
+#include "Platform/HttpObjectStore.h"
+#include "Platform/HttpTable.h"
+
+#include <utility>
+
+using namespace turmericpass;
+
+namespace {
+
+constexpr Duration StoreRetryPeriod = std::chrono::milliseconds(100);
+
+ExitStatus runBatcher(DaemonContext &Context) {
+  if (const Result<void> Opened = Context.open(); !Opened) {
+    Context.Log.log(LogLevel::Error, Opened.error().Message);
+    return ExitStatus::Refused;
+  }
+  const NodeSettings &Node = Context.Options.Node;
+  const PlatformSettings &Platform = Context.Options.Settings.Platform;
+  HttpTable Rows(Context.Client, Platform.Table);
+  HttpObjectStore Objects(Context.Client, Platform.Objects);
+  TableIntentLedger Intents(Rows, Context.Time, Context.Ids);
+  BatchWorker Worker(Rows, Objects, Context.Time, Context.Ids);
+  FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
+                   controllerAddress(Node), "batcher",
+                   Context.Options.Settings);
+  const AgentFleet Fleet(Agent);
+  BatcherDaemon Batcher({Context.Loop, Context.Peers, Context.Time, Context.Ids,
+                         Context.Log, Context.Stats, Context.Spans, Fleet,
+                         Worker, Intents, Node.Zone});
+  Agent.onChange([&] { Batcher.configure(); });
+  Context.Loop.every(StoreRetryPeriod, [&] { Intents.tick(); });
+  Context.Peers.onReceive([&](const std::string &From, const Message &Body) {
+    if (const auto *View = std::get_if<FleetView>(&Body))
+      Agent.handle(*View);
+    else
+      Batcher.received(From, Body);
+  });
+  Context.Peers.onLost(
+      [&](const std::string &Peer) { Batcher.peerLost(Peer); });
+  Batcher.start();
+  return Context.run(
+      [&] {
+        Agent.setDraining();
+        Batcher.drain();
+      },
+      [&] { return Batcher.isIdle() && Intents.kept() == 0; });
+}
+
+} // namespace
+
+int main(int ArgCount, char **Args) {
+  DaemonStart Start = readDaemonOptions(
+      "turmericpass-batcher",
+      "Claims chunks of batch jobs and commits their results.", ArgCount, Args);
+  if (!Start.Options)
+    return static_cast<int>(Start.Status);
+  DaemonContext Context(DaemonRole::Batcher, std::move(*Start.Options));
+  return static_cast<int>(runBatcher(Context));
+}
