--- a/Tests/Support/MemoryTable.h
+++ b/Tests/Support/MemoryTable.h
@@ -25,10 +25,11 @@
 
   void transact(TableTransaction Transaction, TransactDone Done) override {
     ++this->Faults.Writes;
-    const std::string Name =
-        Transaction.Puts.empty()
-            ? (Transaction.Deletes.empty() ? "" : Transaction.Deletes.front())
-            : Transaction.Puts.front().Key;
+    std::string Name;
+    if (!Transaction.Puts.empty())
+      Name = Transaction.Puts[0].Key + ' ' + Transaction.Puts[0].Value;
+    else if (!Transaction.Deletes.empty())
+      Name = Transaction.Deletes[0];
     auto Outcome = std::make_shared<Result<void>>();
     this->Faults.apply(
         "transact " + Name,
--- a/Tests/Support/StoreFault.h
+++ b/Tests/Support/StoreFault.h
@@ -20,6 +20,8 @@
   ReplyLost,
   /// Done and answered only when the test releases it.
   Slow,
+  /// Done at once and answered only when the test releases it.
+  SlowReply,
   /// Answered with Timeout at once; done when the test releases it.
   LateEffect,
   /// The calling process dies before the store gets the call.
@@ -32,7 +34,8 @@
 /// is dead after a crash: no call of it has an effect or gets an answer.
 class StoreFaults {
 public:
-  /// Names a call, such as "transact chunk/j1/00000" or "get job/j1".
+  /// Names a call, such as "get job/j1" or "transact job/j1 VALUE" with the
+  /// first row that is put.
   using Picker = std::function<StoreFault(const std::string &Call)>;
 
   /// The fault of every call until it is changed.
@@ -69,6 +72,13 @@
               Answer(std::nullopt);
           });
       return;
+    case StoreFault::SlowReply:
+      Effect();
+      this->Held.push_back([this, Answer = std::move(Answer)] {
+        if (!this->Dead)
+          Answer(std::nullopt);
+      });
+      return;
     case StoreFault::LateEffect:
       this->Held.push_back(std::move(Effect));
       return Answer(Lost);
