Admission: Test the request life cycle in any order of messages

Cause: the promises to callers hold only if late, crossed, repeated and lost messages cannot break them.

A request that looks for a dispatcher has its own patience from the moment of the loss, so that a stream that began long ago survives a gap; before, its patience counted from its start. An overload no longer ends an answer that has begun.

--- a/Source/Admission/DispatcherChooser.cpp
+++ b/Source/Admission/DispatcherChooser.cpp
@@ -141,12 +141,20 @@
     this->Outstanding.erase(Found);
 }
 
-void DispatcherChooser::peerLost(const std::string &Peer) {
+bool DispatcherChooser::peerLost(const std::string &Peer) {
+  const bool IsOwner = std::any_of(
+      this->Owners.begin(), this->Owners.end(), [&](const auto &Entry) {
+        return std::any_of(
+            Entry.second.begin(), Entry.second.end(),
+            [&](const Owner &Candidate) { return Candidate.Peer == Peer; });
+      });
+  if (!IsOwner)
+    return false;
   this->SuspectUntil[Peer] = this->Time.now() + SuspectTime;
   std::erase_if(this->Hints,
                 [&](const auto &Entry) { return Entry.first.first == Peer; });
-  if (this->Settings)
-    this->assign();
+  this->assign();
+  return true;
 }
 
 std::optional<std::uint32_t>
--- a/Source/Admission/DispatcherChooser.h
+++ b/Source/Admission/DispatcherChooser.h
@@ -40,8 +40,8 @@
   void ended(const std::string &Peer, const std::string &Service);
 
   /// Leaves \p Peer out of the owners for a while; its groups then go to the
-  /// nodes that would own them without it.
-  void peerLost(const std::string &Peer);
+  /// nodes that would own them without it. Returns whether it was an owner.
+  bool peerLost(const std::string &Peer);
 
   /// Returns the shortest wait that the service's owners expect for new online
   /// work, in milliseconds; nothing unless each of them said so lately.
--- a/Source/Admission/RequestLifeCycle.cpp
+++ b/Source/Admission/RequestLifeCycle.cpp
@@ -36,10 +36,7 @@
     : Work(std::move(Work)), Deadline(Deadline), Limits(Limits),
       Ports(std::move(Ports)) {}
 
-void RequestLifeCycle::start(Instant Now) {
-  this->Begun = Now;
-  this->submitNext(Now);
-}
+void RequestLifeCycle::start(Instant Now) { this->submitNext(Now); }
 
 RequestLifeCycle::Attempt *RequestLifeCycle::current() {
   return this->Running ? &this->Attempts.back() : nullptr;
@@ -56,6 +53,8 @@
   this->Waiting.clear();
   this->WholeEnding.reset();
   this->GapSince.reset();
+  if (!this->SearchingSince)
+    this->SearchingSince = Now;
   const std::optional<std::string> Peer = this->Ports.Choose(this->Tried);
   if (Peer)
     this->submitTo(*Peer, Now);
@@ -83,8 +82,10 @@
   const bool Overloaded =
       this->LastRefusal && this->LastRefusal->Code == FinishCode::Overloaded;
   // A lost dispatcher's servers get a new owner within seconds, so that work
-  // is worth a wait; an overload is told to the caller at once.
-  if (!Overloaded && Now < this->Begun + this->Limits.NoServerPatience) {
+  // is worth a wait. An overload is told to the caller at once, unless the
+  // caller already has a part of its answer.
+  if ((!Overloaded || !this->Tokens.empty()) &&
+      Now < *this->SearchingSince + this->Limits.NoServerPatience) {
     this->Tried.clear();
     this->AskAgainAt = Now + this->Limits.RetryPause;
     return;
@@ -97,16 +98,24 @@
 
 void RequestLifeCycle::accepted(const std::string &From,
                                 const Accepted &Answer) {
+  if (Answer.RequestId != this->Work.RequestId)
+    return;
   if (Attempt *Last = this->currentOf(From, Answer.Attempt))
-    Last->Accepted = true;
+    this->markAccepted(*Last);
+}
+
+void RequestLifeCycle::markAccepted(Attempt &Entry) {
+  Entry.Accepted = true;
+  this->SearchingSince.reset();
 }
 
 void RequestLifeCycle::chunk(const std::string &From, Chunk Piece,
                              Instant Now) {
   Attempt *Last = this->currentOf(From, Piece.Attempt);
-  if (this->Over || !Last || Piece.TokenIds.size() != Piece.Texts.size())
+  if (this->Over || !Last || Piece.RequestId != this->Work.RequestId ||
+      Piece.TokenIds.size() != Piece.Texts.size())
     return;
-  Last->Accepted = true;
+  this->markAccepted(*Last);
   if (Piece.Offset > this->Tokens.size()) {
     if (this->Waiting.size() < MaxWaitingPieces)
       this->Waiting.emplace(Piece.Offset, std::move(Piece));
@@ -156,7 +165,7 @@
 
 void RequestLifeCycle::finish(const std::string &From, Finish Answer,
                               Instant Now) {
-  if (this->Over)
+  if (this->Over || Answer.RequestId != this->Work.RequestId)
     return;
   const auto Known = std::find_if(
       this->Attempts.begin(), this->Attempts.end(), [&](const Attempt &Entry) {
@@ -201,6 +210,7 @@
 }
 
 void RequestLifeCycle::repeat(Instant Now, const std::string &Why) {
+  this->LastRefusal.reset();
   if (++this->Repeats > this->Limits.MaxRepeats || !this->Ports.TakeRepeat()) {
     this->giveUp(
         makeEnding(FinishCode::NoServer, "The request was tried " +
--- a/Source/Admission/RequestLifeCycle.h
+++ b/Source/Admission/RequestLifeCycle.h
@@ -114,6 +114,7 @@
   void take(const Chunk &Piece);
   void takeWaiting();
   void checkWhole(Instant Now);
+  void markAccepted(Attempt &Entry);
   void giveUp(Finish Reason, Instant Now);
   void cancelOpenAttempts();
   void checkVerdicts(Instant Now);
@@ -132,7 +133,8 @@
   std::uint32_t Submitted = 0;
   std::uint32_t Repeats = 0;
   std::set<std::string> Tried;
-  Instant Begun;
+  /// Since when no dispatcher has accepted the request.
+  std::optional<Instant> SearchingSince;
   std::optional<Instant> AskAgainAt;
   std::optional<Finish> LastRefusal;
   std::vector<std::uint32_t> Tokens;
--- a/Source/Gateway/BatchApi.cpp
+++ b/Source/Gateway/BatchApi.cpp
@@ -73,6 +73,9 @@
 void BatchApi::refuse(ExchangeId Exchange, const Error &Reason, Execution Ran) {
   Problem Value = toProblem(Reason);
   Value.Ran = Ran;
+  // The store's own words name its row and address.
+  if (Reason.Code == ErrorCode::NotFound)
+    Value.Detail = "The customer has no file or batch with this id.";
   if (Reason.Code == ErrorCode::Unavailable)
     Value.RetryAfterMs = StoreRetryMs;
   this->Online.refuse(Exchange, Value);
--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -59,10 +59,13 @@
 
 void GatewayDaemon::handle(ExchangeId Exchange, HttpRequest Request) {
   if (this->Draining) {
-    this->Online.refuse(Exchange,
-                        {503, "draining", "The gateway is shutting down",
-                         "Send the request again; another gateway takes it.",
-                         Execution::NotRun, 1000});
+    HttpReply Reply =
+        toReply({503, "draining", "The gateway is shutting down",
+                 "Send the request again; another gateway takes it.",
+                 Execution::NotRun, 1000});
+    Reply.Headers.emplace_back("Connection", "close");
+    this->Ports.Stats.add("gateway_refused_total{kind=\"draining\"}");
+    this->Ports.Http.reply(Exchange, std::move(Reply));
     return;
   }
   const std::string &Path = Request.Path;
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -304,8 +304,8 @@
 }
 
 void OnlineCalls::peerLost(const std::string &Peer) {
-  this->Chooser.peerLost(Peer);
-  this->Ports.Stats.add("gateway_peers_lost_total");
+  if (this->Chooser.peerLost(Peer))
+    this->Ports.Stats.add("gateway_dispatchers_lost_total");
   const Instant Now = this->Ports.Time.now();
   std::vector<std::string> Ids;
   for (const auto &[Id, Open] : this->Calls)
@@ -335,7 +335,7 @@
   Ending.Code = FinishCode::Cancelled;
   Ending.TotalTokens = Open->Life.tokenCount();
   this->settle(*Open, Ending);
-  this->drop(Open->Life.work().RequestId);
+  this->drop(std::string(Open->Life.work().RequestId));
 }
 
 void OnlineCalls::tick() {
--- /dev/null
+++ b/Tests/Admission/LifeCycleBench.h
@@ -0,0 +1,142 @@
+#ifndef TURMERICPASS_TESTS_ADMISSION_LIFECYCLEBENCH_H
+#define TURMERICPASS_TESTS_ADMISSION_LIFECYCLEBENCH_H
+
+#include "Admission/RequestLifeCycle.h"
+#include "Core/Clock.h"
+
+#include <criterion/criterion.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericpass {
+
+/// A life cycle with three dispatchers, "a" to "c", and a record of all that
+/// it did.
+class LifeCycleBench {
+public:
+  static constexpr Duration Limit = std::chrono::seconds(30);
+
+  explicit LifeCycleBench(bool Repeatable, bool HasBudget = true)
+      : Life(work(Repeatable), Time.now() + Limit, Limits,
+             {[this](const std::set<std::string> &Tried) {
+                return this->choose(Tried);
+              },
+              [HasBudget] { return HasBudget; }}) {}
+
+  static Submit work(bool Repeatable) {
+    Submit Work;
+    Work.RequestId = "r1";
+    Work.Repeatable = Repeatable;
+    Work.Stream = true;
+    return Work;
+  }
+
+  void start() {
+    this->Life.start(this->Time.now());
+    this->collect();
+  }
+
+  void wait(Duration By) {
+    this->Time.advance(By);
+    this->Life.tick(this->Time.now());
+    this->collect();
+  }
+
+  void accept() {
+    this->Life.accepted(this->lastPeer(), {"r1", this->attempt(), {}});
+    this->collect();
+  }
+
+  /// Delivers right tokens as the attempt \p Attempt of \p Peer sends them.
+  void tokens(const std::string &Peer, std::uint32_t Attempt,
+              std::uint64_t Offset, std::uint64_t Count) {
+    this->Life.chunk(Peer, rightChunk(Attempt, Offset, Count),
+                     this->Time.now());
+    this->collect();
+  }
+
+  static Chunk rightChunk(std::uint32_t Attempt, std::uint64_t Offset,
+                          std::uint64_t Count) {
+    Chunk Piece{"r1", Attempt, Offset, {}, {}};
+    for (std::uint64_t I = Offset; I < Offset + Count; ++I) {
+      Piece.TokenIds.push_back(static_cast<std::uint32_t>(1000 + I));
+      Piece.Texts.push_back(std::to_string(I) + " ");
+    }
+    return Piece;
+  }
+
+  void finish(const std::string &Peer, std::uint32_t Attempt, FinishCode Code,
+              Execution Ran, std::uint64_t Total = 0) {
+    Finish Ending;
+    Ending.RequestId = "r1";
+    Ending.Attempt = Attempt;
+    Ending.Code = Code;
+    Ending.Ran = Ran;
+    Ending.TotalTokens = Total;
+    this->Life.finish(Peer, Ending, this->Time.now());
+    this->collect();
+  }
+
+  void lose(const std::string &Peer) {
+    this->Life.peerLost(Peer, this->Time.now());
+    this->collect();
+  }
+
+  void collect() {
+    for (LifeCycleAction &Action : this->Life.takeActions()) {
+      // Nothing may follow the ending.
+      cr_assert(!this->Ending);
+      if (auto *Last = std::get_if<EndRequest>(&Action))
+        this->Ending = Last->Ending;
+      else if (auto *Fresh = std::get_if<DeliverTokens>(&Action))
+        this->Delivered.insert(this->Delivered.end(), Fresh->Ids.begin(),
+                               Fresh->Ids.end());
+      else if (auto *Out = std::get_if<SendToDispatcher>(&Action))
+        this->Sent.push_back(*Out);
+    }
+  }
+
+  /// Returns whether the caller got the first tokens of the right answer.
+  bool deliveredIsPrefix() const {
+    for (std::size_t I = 0; I < this->Delivered.size(); ++I)
+      if (this->Delivered[I] != 1000 + I)
+        return false;
+    return true;
+  }
+
+  std::vector<Submit> submissions() const {
+    std::vector<Submit> Found;
+    for (const SendToDispatcher &Out : this->Sent)
+      if (const auto *Body = std::get_if<Submit>(&Out.Body))
+        Found.push_back(*Body);
+    return Found;
+  }
+
+  std::size_t cancels() const {
+    return this->Sent.size() - this->submissions().size();
+  }
+
+  std::uint32_t attempt() const { return this->submissions().back().Attempt; }
+
+  const std::string &lastPeer() const { return this->Sent.back().Peer; }
+
+  std::optional<std::string> choose(const std::set<std::string> &Tried) {
+    for (const std::string &Peer : this->Usable)
+      if (!Tried.count(Peer))
+        return Peer;
+    return std::nullopt;
+  }
+
+  ManualClock Time;
+  LifeCycleLimits Limits;
+  std::vector<std::string> Usable = {"a", "b", "c"};
+  RequestLifeCycle Life;
+  std::vector<SendToDispatcher> Sent;
+  std::vector<std::uint32_t> Delivered;
+  std::optional<Finish> Ending;
+};
+
+} // namespace turmericpass
+
+#endif
