--- a/Tests/StandIns/StandInService.cpp
+++ b/Tests/StandIns/StandInService.cpp
@@ -37,6 +37,12 @@
         {200, {{"Content-Type", "application/json"}}, this->stats().dump()});
     return;
   }
+  if (Request.Path == "/load") {
+    this->Server.reply(Id, {200,
+                            {{"Content-Type", "application/json"}},
+                            this->loadReport().dump()});
+    return;
+  }
   ++this->Received;
   if (this->Faults.isOn("crash_before")) {
     this->Crash();
@@ -92,6 +98,13 @@
   return Reply;
 }
 
+Json StandInService::loadReport() const {
+  return {{"running", this->Received - this->Executed},
+          {"waiting", 0},
+          {"kv_used", 0.0},
+          {"age_ms", 0}};
+}
+
 Json StandInService::stats() const {
   return {{"received", this->Received},
           {"executed", this->Executed},
--- a/Tests/StandIns/StandInService.h
+++ b/Tests/StandIns/StandInService.h
@@ -28,6 +28,7 @@
 
   /// Returns what GET /stats gives.
   nlohmann::json stats() const;
+  nlohmann::json loadReport() const;
 
 private:
   void handle(ExchangeId Id, const HttpRequest &Request);
--- a/Utilities/fleet.py
+++ b/Utilities/fleet.py
@@ -100,11 +100,10 @@
 
     def start_daemons(self, *options, nodes=None):
         names = nodes or list(self.settings["nodes"])
-        roles = [r for r in ROLES if (self.bin / f"turmericpass-{r}").exists()]
-        for role in roles:
+        for role in ROLES:
             for node in names:
                 self.start_daemon(node, role, *options)
-        for role in roles:
+        for role in ROLES:
             for node in names:
                 self.wait_for(self.admin(node, role), "/readyz", f"{node}-{role}")
 
--- a/Utilities/quickstart.py
+++ b/Utilities/quickstart.py
@@ -109,7 +109,7 @@
     stats = json.loads(
         call(fleet.settings["servers"]["orders-1"]["address"], "GET", "/stats")[2]
     )
-    runs = stats["executions"].get("order-1017", 0)
+    runs = stats["by_key"].get("order-1017", 0)
     print(f"the service ran it {runs} time(s)")
     if runs != 1 or len({text for _, _, text in answers}) != 1:
         raise RuntimeError("the confirmation did not run exactly once")
