--- a/Source/Scheduling/FailurePolicy.cpp
+++ b/Source/Scheduling/FailurePolicy.cpp
@@ -88,13 +88,30 @@
   this->Fleet.Prefixes.forget(Server.Name);
   this->Fleet.service(Server.Service).Latency.forget(Server.Name);
   const std::string Blamed = this->Fleet.Suspects.serverLost(Keys, Now);
-  if (Blamed.empty())
+  if (Blamed.empty()) {
+    this->separateCopies(Server);
     return;
+  }
   if (!Quarantine::namesOneRequest(Blamed))
     this->Fleet.Actions.emplace_back(AnnounceQuarantine{Blamed});
   this->endQuarantined(Blamed);
 }
 
+void FailurePolicy::separateCopies(const ServerState &Lost) {
+  std::vector<SchedulerAttemptId> Copies;
+  for (const SchedulerAttemptId Id : Lost.Attempts)
+    for (const SchedulerAttemptId Other :
+         this->Fleet.Items.at(this->Fleet.Attempts.at(Id).Item).Attempts)
+      if (this->Fleet.Attempts.at(Other).Server != Lost.Name)
+        Copies.push_back(Other);
+  for (const SchedulerAttemptId Id : Copies) {
+    const RunningAttempt &Run = this->Fleet.Attempts.at(Id);
+    if (this->Fleet.Suspects.hasOtherSuspect(
+            Run.Server, this->Fleet.Items.at(Run.Item).SuspectKey))
+      this->Fleet.cancelAttempt(Id);
+  }
+}
+
 void FailurePolicy::endQuarantined(const std::string &Key) {
   std::vector<ItemId> Ended;
   for (const auto &[Id, Item] : this->Fleet.Items)
--- a/Source/Scheduling/FailurePolicy.h
+++ b/Source/Scheduling/FailurePolicy.h
@@ -25,6 +25,9 @@
 
 private:
   void serverLost(ServerState &Server, const std::string &Reason);
+  /// Ends copies of suspects that share a server with another suspect, where
+  /// a second loss would not tell them apart.
+  void separateCopies(const ServerState &Lost);
   void notSent(WorkItem &Item, ServerState &Server, const Error &Reason);
   void retry(WorkItem &Item, const Error &Reason);
 
--- a/Source/Scheduling/FairLane.cpp
+++ b/Source/Scheduling/FairLane.cpp
@@ -8,8 +8,8 @@
 
 // One round grants a customer this many tokens or milliseconds. The largest
 // price bounds the rounds that are needed to find the next item.
-constexpr double Quantum = 256;
-constexpr double LargestPrice = 4096;
+constexpr double Quantum = 64;
+constexpr double LargestPrice = 2048;
 
 } // namespace
 
--- a/Source/Scheduling/FleetScheduler.cpp
+++ b/Source/Scheduling/FleetScheduler.cpp
@@ -132,6 +132,7 @@
   Item.SuspectKey = Quarantine::keyFor(Work.Fingerprint, Work.RequestId);
   Item.Arrived = this->Fleet.now();
   Item.Deadline = Item.Arrived + std::chrono::milliseconds(Work.RemainingMs);
+  Item.AnswerTokens = State.IsModel ? State.Sizes.expect(Work) : 0;
   Item.Cost = State.Sizes.cost(Work);
   Item.Level = State.Sizes.levelOf(Item.IsBatch, State.Sizes.expect(Work));
   Item.LevelBound = State.Sizes.bound(Item.IsBatch, Item.Level);
--- a/Source/Scheduling/FleetState.cpp
+++ b/Source/Scheduling/FleetState.cpp
@@ -93,8 +93,7 @@
   Run.Server = Server.Name;
   Run.Started = Now;
   Run.LastToken = Now;
-  Run.TokenLoad = Item.Work.PromptTokens + Item.Work.ResumeTokenIds.size() +
-                  (Item.IsModel ? static_cast<std::uint64_t>(Item.Cost) : 0);
+  Run.TokenLoad = Item.tokenLoad();
   Run.IsHedge = Kind == StartKind::Hedge;
   Run.IsProbe = Server.Health.probeDue(Now);
   if (Run.IsProbe)
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -45,8 +45,11 @@
 
 bool Placement::isAllowed(const ServerState &Server,
                           const WorkItem &Item) const {
+  const Quarantine &Rules = this->Fleet.Suspects;
+  // A second copy of running work is under other rules than a start.
   return Server.isUsable() &&
-         this->Fleet.Suspects.mayStart(Item.SuspectKey, Server.Name);
+         (Item.Attempts.empty() ? Rules.mayStart(Item.SuspectKey, Server.Name)
+                                : Rules.mayCopy(Item.SuspectKey, Server.Name));
 }
 
 bool Placement::isAboveShare(const ServerState &Server, const WorkItem &Item,
@@ -75,12 +78,8 @@
   const std::uint32_t Running = Server.running();
   if (Running >= Server.limit(Now))
     return false;
-  const double Tokens =
-      Item.IsModel ? static_cast<double>(Item.Work.PromptTokens) + Item.Cost +
-                         static_cast<double>(Item.Work.ResumeTokenIds.size())
-                   : 0;
-  if (Running != 0 && static_cast<double>(Server.TokensInFlight) + Tokens >
-                          static_cast<double>(Server.Window.tokens()))
+  if (Running != 0 &&
+      Server.TokensInFlight + Item.tokenLoad() > Server.Window.tokens())
     return false;
   return Item.IsBatch || !Item.isLong() || !this->isAboveShare(Server, Item, 1);
 }
--- a/Source/Scheduling/Quarantine.cpp
+++ b/Source/Scheduling/Quarantine.cpp
@@ -77,6 +77,17 @@
          std::find(Used.begin(), Used.end(), Server) != Used.end();
 }
 
+bool Quarantine::mayCopy(const std::string &Key,
+                         const std::string &Server) const {
+  const auto Found = this->Entries.find(Key);
+  if (Found == this->Entries.end())
+    return true;
+  const std::vector<std::string> &Used = Found->second.Servers;
+  return Found->second.Crash == 0 &&
+         (this->Proven.count(Key) != 0 || Used.size() < 2 ||
+          std::find(Used.begin(), Used.end(), Server) != Used.end());
+}
+
 std::string Quarantine::serverLost(const std::set<std::string> &Keys,
                                    Instant Now) {
   std::vector<std::string> Before;
--- a/Source/Scheduling/Quarantine.h
+++ b/Source/Scheduling/Quarantine.h
@@ -36,6 +36,10 @@
   /// one request would.
   bool mayStart(const std::string &Key, const std::string &Server) const;
 
+  /// Returns whether a second copy of a running \p Key may start at \p Server.
+  /// Requests that no server has proven are at two servers at most.
+  bool mayCopy(const std::string &Key, const std::string &Server) const;
+
   /// Returns whether another suspect runs at \p Server.
   bool hasOtherSuspect(const std::string &Server, const std::string &Key) const;
 
--- a/Source/Scheduling/SizeEstimator.cpp
+++ b/Source/Scheduling/SizeEstimator.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr double Weight = 0.1;
+constexpr double Weight = 0.05;
 constexpr double UnknownTokens = 256;
 constexpr double UnknownMillis = 200;
 // Half of the requested maximum, until a customer's history says better.
@@ -24,6 +24,12 @@
 // A bound on memory; beyond it the histories start again.
 constexpr std::size_t MostHistories = 50000;
 
+/// Moves \p Mean towards \p Sample by ratio. The geometric mean stays with the
+/// bulk of the work, where stragglers would pull up an arithmetic one.
+double towards(double Mean, double Sample) {
+  return Mean * std::pow(Sample / Mean, Weight);
+}
+
 } // namespace
 
 SizeEstimator::SizeEstimator(bool Model) : IsModel(Model) {}
@@ -45,17 +51,17 @@
   return Prompt + this->expect(Work);
 }
 
-void SizeEstimator::observe(const Submit &Work, bool IsBatch, double Size) {
+void SizeEstimator::observe(const Submit &Work, bool IsBatch, double Observed) {
+  const double Size = std::max(1.0, Observed);
   if (this->Histories.size() >= MostHistories)
     this->Histories.clear();
   const auto [Place, IsNew] =
       this->Histories.try_emplace({Work.Customer, Work.Class});
   History &Past = Place->second;
-  Past.Size = IsNew ? Size : Past.Size + Weight * (Size - Past.Size);
+  Past.Size = IsNew ? Size : towards(Past.Size, Size);
   if (this->IsModel && Work.MaxTokens != 0) {
     const double Share = Size / Work.MaxTokens;
-    Past.Share =
-        Past.HasShare ? Past.Share + Weight * (Share - Past.Share) : Share;
+    Past.Share = Past.HasShare ? towards(Past.Share, Share) : Share;
     Past.HasShare = true;
   }
   Median &Mid = this->Medians[IsBatch ? 1 : 0];
--- a/Source/Scheduling/SizeEstimator.h
+++ b/Source/Scheduling/SizeEstimator.h
@@ -25,7 +25,7 @@
   double cost(const Submit &Work) const;
 
   /// Takes the size that an answer turned out to have.
-  void observe(const Submit &Work, bool IsBatch, double Size);
+  void observe(const Submit &Work, bool IsBatch, double Observed);
 
   /// Returns the size above which work leaves \p Level; level 0 is short.
   double bound(bool IsBatch, std::uint32_t Level) const;
--- a/Source/Scheduling/WorkItem.h
+++ b/Source/Scheduling/WorkItem.h
@@ -4,6 +4,7 @@
 #include "Core/Clock.h"
 #include "Scheduling/SchedulingTypes.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -46,7 +47,9 @@
   ItemPlace Place = ItemPlace::Running;
   /// Its place in the queue: arrival plus a penalty for its size.
   Instant QueueKey;
-  /// Expected tokens or, for plain services, milliseconds.
+  /// The expected size of its answer in tokens; 0 for plain services.
+  double AnswerTokens = 0;
+  /// What it costs a server: tokens, prompt included, or milliseconds.
   double Cost = 1;
   /// 0 for short work.
   std::uint32_t Level = 0;
@@ -68,6 +71,15 @@
 
   bool isLong() const { return this->Level > 0; }
 
+  /// Returns the tokens that an attempt adds at its server.
+  std::uint64_t tokenLoad() const {
+    if (!this->IsModel)
+      return 0;
+    return this->Work.PromptTokens +
+           std::max(static_cast<std::uint64_t>(this->AnswerTokens),
+                    std::uint64_t{this->Work.ResumeTokenIds.size()});
+  }
+
   /// Returns what is known of all attempts: NotRun only if none was sent.
   Execution verdict() const {
     if (this->Answered)
--- /dev/null
+++ b/Tests/Scheduling/CrashTest.cpp
@@ -0,0 +1,139 @@
+#include "Support/SchedulerRig.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+int crashes(SchedulerRig &Rig) {
+  int Sum = 0;
+  for (const auto &[Name, Engine] : Rig.Fleet.Engines)
+    Sum += Engine.Crashes;
+  return Sum;
+}
+
+void submitPoison(SchedulerRig &Rig, int Index) {
+  Submit Work =
+      Rig.Fleet.request("poison" + std::to_string(Index), "check", 50);
+  Work.Fingerprint = "666";
+  Rig.Fleet.Poison = "666";
+  Rig.Fleet.submit(Work);
+}
+
+int innocentsFailed(SchedulerRig &Rig) {
+  int Failed = 0;
+  for (const auto &[Id, Answer] : Rig.Fleet.Answers)
+    if (!Id.starts_with("poison"))
+      Failed += Answer.Finishes.size() == 1 &&
+                        Answer.Finishes[0].Code == FinishCode::Ok &&
+                        Answer.Tokens.size() == Rig.Fleet.Lengths[Id] &&
+                        !Answer.HasBadOffset
+                    ? 0
+                    : 1;
+  return Failed;
+}
+
+void submitInnocents(SchedulerRig &Rig, int From, int Count) {
+  for (int I = From; I < From + Count; ++I)
+    Rig.Fleet.submit(Rig.Fleet.request("r" + std::to_string(I), "check", 50));
+}
+
+} // namespace
+
+// Guards against a request that takes down server after server as its caller
+// resends it one after the other, and against innocents that fail with it.
+Test(Crashes, ResentPoisonCostsTwoServers) {
+  SchedulerRig Rig(8, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 40);
+  for (int I = 0; I < 50; ++I) {
+    submitPoison(Rig, I);
+    submitInnocents(Rig, 40 + I * 4, 4);
+    Rig.Fleet.advance(60);
+  }
+  Rig.Fleet.advance(20000);
+  cr_assert(crashes(Rig) <= 2);
+  cr_assert(innocentsFailed(Rig) == 0);
+  cr_assert(Rig.Fleet.Announced == std::vector<std::string>{"666"});
+  cr_assert(Rig.Fleet.Answers["poison49"].Starts == 0);
+  cr_assert(Rig.Fleet.Answers["poison49"].Finishes[0].Ran == Execution::NotRun);
+  cr_assert(Rig.Fleet.Answers["poison0"].Finishes[0].Code ==
+            FinishCode::Quarantined);
+  cr_assert(Rig.Fleet.Answers["poison0"].Finishes[0].Ran != Execution::NotRun);
+}
+
+// As above, with all copies sent before the first one has crashed anything.
+Test(Crashes, PoisonSentAtOnceCostsTwoServers) {
+  SchedulerRig Rig(8, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 20);
+  for (int I = 0; I < 50; ++I)
+    submitPoison(Rig, I);
+  Rig.Fleet.advance(20000);
+  cr_assert(crashes(Rig) <= 2);
+  cr_assert(innocentsFailed(Rig) == 0);
+  for (int I = 0; I < 50; ++I)
+    cr_assert(Rig.Fleet.Answers["poison" + std::to_string(I)].Finishes.size() ==
+              1);
+}
+
+// Guards against suspects that share a server, where a second crash would not
+// tell them apart, and against innocents that stay suspects.
+Test(Crashes, SuspectsAreRetriedApart) {
+  SchedulerRig Rig(4, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 32);
+  Rig.Fleet.advance(100);
+  std::set<std::string> Suspects;
+  for (const auto &[Id, Each] : Rig.Fleet.Engines["e00"].Streams)
+    Suspects.insert(Each.Work.RequestId);
+  cr_assert(Suspects.size() == 8);
+  std::set<std::string> Cleared;
+  Rig.Fleet.OnStart = [&](const StartAttempt &Order) {
+    if (Suspects.count(Order.Work.RequestId) == 0)
+      return;
+    for (const auto &[Id, Each] : Rig.Fleet.Engines[Order.Server].Streams)
+      cr_assert(Suspects.count(Each.Work.RequestId) == 0 ||
+                Each.Next - Each.Work.ResumeTokenIds.size() >= 16);
+  };
+  Rig.Fleet.crash("e00");
+  Rig.Fleet.advance(5000);
+  cr_assert(innocentsFailed(Rig) == 0);
+  cr_assert(Rig.Fleet.Announced.empty());
+}
+
+// Guards against a lost server that is used again before it answers, and one
+// that is never used again.
+Test(Crashes, LostServerComesBack) {
+  SchedulerRig Rig(2, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 8);
+  Rig.Fleet.advance(100);
+  Rig.Fleet.crash("e00", 100000);
+  const int Before = Rig.Fleet.Engines["e00"].Starts;
+  submitInnocents(Rig, 8, 20);
+  Rig.Fleet.advance(5000);
+  cr_assert(Rig.Fleet.Engines["e00"].Starts == Before);
+  cr_assert(innocentsFailed(Rig) == 0);
+  Rig.Fleet.Engines["e00"].DownUntil = Rig.Now.now();
+  Rig.Sut.loadReported("e00", {0, 0, 0, 5000});
+  submitInnocents(Rig, 28, 8);
+  Rig.Fleet.advance(1000);
+  cr_assert(Rig.Fleet.Engines["e00"].Starts > Before);
+}
+
+// Guards against a fingerprint that another node found and this one runs.
+Test(Crashes, QuarantineOfOtherNodesHolds) {
+  SchedulerRig Rig(1, 1);
+  submitInnocents(Rig, 0, 2);
+  Rig.Sut.setQuarantined({"fr1", "fr2"});
+  Rig.Fleet.pump();
+  submitInnocents(Rig, 2, 1);
+  Rig.Fleet.advance(1000);
+  cr_assert(Rig.Fleet.Answers["r1"].Finishes[0].Code ==
+            FinishCode::Quarantined);
+  cr_assert(Rig.Fleet.Answers["r1"].Finishes[0].Ran == Execution::NotRun);
+  cr_assert(Rig.Fleet.Answers["r2"].Starts == 0);
+  cr_assert(Rig.Fleet.Announced.empty());
+}
--- /dev/null
+++ b/Tests/Scheduling/MeasureTest.cpp
@@ -0,0 +1,140 @@
+// The bounds of section 11 of docs/design.md, on fake engines in virtual
+// time, beside a baseline policy under the same load.
+#include "Support/BaselineScheduler.h"
+#include "Support/FakeWorkload.h"
+#include "Support/SchedulerRig.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+constexpr int Engines = 12;
+constexpr std::uint32_t Slots = 8;
+constexpr int Millis = 30000;
+
+struct BaselineRig {
+  BaselineRig() : Fleet(Sut, Now) {
+    const FleetSettings Settings = fakeSettings(Engines, Slots);
+    this->Sut.configure(Settings, allServers(Settings));
+  }
+  void warmUp() {}
+
+  ManualClock Now;
+  BaselineScheduler Sut;
+  FakeFleet Fleet;
+};
+
+struct Measured {
+  double P50 = 0;
+  double P99 = 0;
+  /// Batch tokens over what the slots that online left idle could make.
+  double BatchShare = 0;
+  /// Attempts beyond the first that cost work again, over all requests.
+  double Extra = 0;
+};
+
+using Setup = std::function<void(FakeWorkload &)>;
+
+template <typename Rig>
+Measured measure(Rig &&Made, const Setup &Prepare, bool Moving = false) {
+  Made.warmUp();
+  FakeFleet &Fleet = Made.Fleet;
+  FakeWorkload Load(Fleet);
+  Prepare(Load);
+  double OnlineSlotMillis = 0;
+  int Passed = 0;
+  Fleet.EachMilli = [&] {
+    for (auto &[Name, Engine] : Fleet.Engines)
+      for (auto &[Id, Each] : Engine.Streams)
+        OnlineSlotMillis += Each.Work.Class == "batch" ? 0 : 1;
+    if (Moving && Passed++ % 3000 == 0) {
+      const int First = Passed / 3000 * 5 % Engines;
+      int Index = 0;
+      for (auto &[Name, Engine] : Fleet.Engines) {
+        Engine.Slowness =
+            Index == First || Index == (First + 1) % Engines ? 10 : 1;
+        ++Index;
+      }
+    }
+  };
+  Load.run(Millis);
+  Measured Got;
+  Got.P50 = Fleet.quantile("short", 0.5);
+  Got.P99 = Fleet.quantile("short", 0.99);
+  double BatchTokens = 0;
+  for (const auto &[Id, Answer] : Fleet.Answers)
+    if (Id.starts_with("batch"))
+      BatchTokens += static_cast<double>(Answer.Tokens.size());
+  const double Idle = double{Engines} * Slots * Millis - OnlineSlotMillis;
+  Got.BatchShare = BatchTokens * Fleet.StepMillis / Idle;
+  Got.Extra = (Fleet.count("hedged") + Fleet.count("retried")) /
+              static_cast<double>(Fleet.Answers.size());
+  return Got;
+}
+
+} // namespace
+
+// Guards against online work that waits behind batch work, and against slots
+// that batch work could use and does not.
+Test(Measures, BatchFillsWhatOnlineLeavesIdle) {
+  const auto Online = [](FakeWorkload &Load) { Load.OnlinePerMilli = 0.1; };
+  const auto Both = [](FakeWorkload &Load) {
+    Load.OnlinePerMilli = 0.1;
+    Load.BatchBacklog = 200;
+  };
+  const Measured Alone = measure(SchedulerRig(Engines, Slots), Online);
+  const Measured Beside = measure(SchedulerRig(Engines, Slots), Both);
+  const Measured Baseline = measure(BaselineRig(), Both);
+  cr_assert(Beside.P99 <= 1.10 * Alone.P99);
+  cr_assert(Beside.BatchShare >= 0.90);
+  cr_assert(Baseline.P99 > 1.10 * Alone.P99);
+}
+
+// Guards against short requests that wait behind long ones.
+Test(Measures, ShortWorkBesideLongWork) {
+  const auto Short = [](FakeWorkload &Load) { Load.OnlinePerMilli = 0.1; };
+  const auto Mixed = [](FakeWorkload &Load) {
+    Load.OnlinePerMilli = 0.1;
+    Load.LongShare = 0.1;
+    Load.LongLength = 1000;
+  };
+  const Measured Alone = measure(SchedulerRig(Engines, Slots), Short);
+  const Measured Beside = measure(SchedulerRig(Engines, Slots), Mixed);
+  const Measured Baseline = measure(BaselineRig(), Mixed);
+  cr_assert(Beside.P99 <= 1.25 * Alone.P99);
+  cr_assert(Baseline.P99 > 1.25 * Alone.P99);
+}
+
+// As above, with sizes that no estimate can know beforehand.
+Test(Measures, ShortWorkBesideStragglers) {
+  const auto Short = [](FakeWorkload &Load) {
+    Load.OnlinePerMilli = 0.07;
+    Load.MaxTokens = 2000;
+  };
+  const auto Mixed = [](FakeWorkload &Load) {
+    Load.OnlinePerMilli = 0.07;
+    Load.MaxTokens = 2000;
+    Load.LongShare = 0.1;
+    Load.LongLength = 1000;
+  };
+  const Measured Alone = measure(SchedulerRig(Engines, Slots), Short);
+  const Measured Beside = measure(SchedulerRig(Engines, Slots), Mixed);
+  const Measured Baseline = measure(BaselineRig(), Mixed);
+  cr_assert(Beside.P99 <= 1.25 * Alone.P99);
+  cr_assert(Baseline.P99 > 1.25 * Alone.P99);
+}
+
+// Guards against a tail that is as long as the slowest servers make it, also
+// when the slowness moves to other servers every 3 seconds, and against
+// copies beyond the budget.
+Test(Measures, SlowServers) {
+  const auto Online = [](FakeWorkload &Load) { Load.OnlinePerMilli = 0.1; };
+  const Measured Alone = measure(SchedulerRig(Engines, Slots), Online);
+  const Measured Slowed = measure(SchedulerRig(Engines, Slots), Online, true);
+  const Measured Baseline = measure(BaselineRig(), Online, true);
+  cr_assert(Slowed.P99 <= 1.5 * Alone.P99);
+  cr_assert(Slowed.Extra <= 0.05);
+  cr_assert(Baseline.P99 > 1.5 * Alone.P99);
+}
--- /dev/null
+++ b/Tests/Scheduling/PartsTest.cpp
@@ -0,0 +1,90 @@
+#include "Scheduling/ConcurrencyWindow.h"
+#include "Scheduling/PrefixIndex.h"
+#include "Support/SchedulerRig.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+// Guards against a new owner that gives a server its full slots while the old
+// owner's work still runs there.
+Test(Window, StartsSmallAndGrows) {
+  ConcurrencyWindow Window(32);
+  cr_assert(Window.requests() == 8);
+  for (int I = 0; I < 60; ++I)
+    Window.firstTokenAfter(20ms);
+  cr_assert(Window.requests() == 32);
+}
+
+// Guards against work that waits inside the server, where online work cannot
+// pass it.
+Test(Window, ShrinksAsFirstTokensTakeLonger) {
+  ConcurrencyWindow Window(32);
+  for (int I = 0; I < 100; ++I)
+    Window.firstTokenAfter(20ms);
+  for (int I = 0; I < 20; ++I)
+    Window.firstTokenAfter(200ms);
+  cr_assert(Window.requests() <= 16);
+  for (int I = 0; I < 200; ++I)
+    Window.firstTokenAfter(20ms);
+  cr_assert(Window.requests() == 32);
+}
+
+// Guards against a KV cache that overflows, and against repeated cuts for one
+// overflow that late reports go on telling of.
+Test(Window, TokensFollowTheKvCache) {
+  ConcurrencyWindow Window(8);
+  const Instant Start(100s);
+  Window.loadReported(0.99, 5s, 10000, Start);
+  cr_assert(Window.tokens() == 8500);
+  Window.loadReported(0.99, 5s, 8000, Start + 1s);
+  cr_assert(Window.tokens() == 8500);
+  Window.loadReported(0.99, 5s, 8000, Start + 6s);
+  cr_assert(Window.tokens() == 6800);
+  Window.loadReported(0.5, 5s, 5000, Start + 7s);
+  cr_assert(Window.tokens() > 6800);
+}
+
+// Guards against token-heavy work that is started beyond the token window.
+Test(Window, BoundsTokensInFlight) {
+  SchedulerRig Rig(1, 8);
+  Rig.warmUp();
+  Rig.Sut.loadReported("e00", {0, 0, 0.99, 0});
+  for (int I = 0; I < 8; ++I)
+    Rig.Fleet.submit(Rig.Fleet.request(std::to_string(I), "check", 20, 300));
+  // The least window is 1024 tokens, and each request is 300 and its answer.
+  cr_assert(Rig.Fleet.Engines["e00"].Streams.size() == 3);
+}
+
+// Guards against prompts that are taken in anew at a server without their
+// prefix, and against a crowd at the one server that has it.
+Test(Prefix, HolderIsPreferredWithBoundedLoad) {
+  SchedulerRig Rig(4, 8);
+  Rig.warmUp();
+  Rig.Sut.cacheChanged("e02", {{1, 100, true}, {2, 101, true}});
+  const auto Send = [&](const std::string &Id) {
+    Submit Work = Rig.Fleet.request(Id, "check", 400);
+    Work.PrefixHashes = {100, 101, 102};
+    Rig.Fleet.submit(Work);
+    return Rig.Fleet.Starts.back().Server;
+  };
+  cr_assert(Send("first") == "e02");
+  int AtHolder = 1;
+  for (int I = 0; I < 11; ++I)
+    AtHolder += Send(std::to_string(I)) == "e02" ? 1 : 0;
+  cr_assert(AtHolder >= 2 && AtHolder <= 5);
+}
+
+// Guards against stale beliefs after lost events, and against late events
+// that undo newer ones.
+Test(Prefix, LateAndMissingEvents) {
+  PrefixIndex Index;
+  Index.apply("e", {{1, 7, true}, {2, 7, false}, {1, 7, true}});
+  cr_assert(Index.depth("e", {7}) == 0);
+  Index.apply("e", {{3, 7, true}, {10, 8, true}});
+  cr_assert(Index.depth("e", {7}) == 1);
+  Index.apply("e", {{20, 9, true}});
+  cr_assert(Index.depth("e", {7}) == 0);
+  cr_assert(Index.depth("e", {9, 8, 7}) == 2);
+}
--- /dev/null
+++ b/Tests/Scheduling/PriorityTest.cpp
@@ -0,0 +1,162 @@
+#include "Support/SchedulerRig.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+std::string classOfStart(SchedulerRig &Rig, std::size_t Index) {
+  return Rig.Fleet.Starts.at(Index).Work.Class;
+}
+
+void submitMany(SchedulerRig &Rig, const std::string &Prefix,
+                const std::string &Class, int Count, std::uint32_t Length,
+                const std::string &Customer = "c") {
+  for (int I = 0; I < Count; ++I) {
+    Submit Work = Rig.Fleet.request(Prefix + std::to_string(I), Class, Length);
+    Work.Customer = Customer;
+    Rig.Fleet.submit(Work);
+  }
+}
+
+} // namespace
+
+// Guards against work that waits for a class that may wait for it.
+Test(Priority, ClassesAreServedByRank) {
+  SchedulerRig Rig(1, 1);
+  submitMany(Rig, "first", "check", 1, 20);
+  submitMany(Rig, "b", "batch", 1, 20);
+  submitMany(Rig, "q", "quote", 1, 20);
+  submitMany(Rig, "c", "check", 1, 20);
+  Rig.Fleet.advance(2000);
+  cr_assert(classOfStart(Rig, 1) == "check");
+  cr_assert(classOfStart(Rig, 2) == "quote");
+  cr_assert(classOfStart(Rig, 3) == "batch");
+}
+
+// Guards against online work that waits while batch work holds all slots, and
+// against batch work that loses what it has done.
+Test(Priority, BurstPreemptsBatchAtOnce) {
+  SchedulerRig Rig(4, 4);
+  Rig.warmUp();
+  submitMany(Rig, "b", "batch", 40, 300);
+  Rig.Fleet.advance(1500);
+  submitMany(Rig, "burst", "check", 16, 20);
+  for (int I = 0; I < 16; ++I)
+    cr_assert(Rig.Fleet.Answers["burst" + std::to_string(I)].Starts == 1);
+  Rig.Fleet.advance(40000);
+  for (int I = 0; I < 40; ++I) {
+    const FakeAnswer &Answer = Rig.Fleet.Answers["b" + std::to_string(I)];
+    cr_assert(Answer.Finishes.size() == 1);
+    cr_assert(Answer.Tokens.size() == 300 && !Answer.HasBadOffset);
+    cr_assert(Answer.Tokens.back() == 299);
+  }
+  // Nothing was generated twice.
+  cr_assert(Rig.Fleet.TokensMade == 12 * 16 * 20 + 40 * 300 + 16 * 20);
+}
+
+// Guards against preemption of the stream that costs most to resume.
+Test(Priority, PreemptsTheStreamWithLeastWorkLost) {
+  SchedulerRig Rig(1, 2);
+  Rig.warmUp();
+  Rig.Fleet.submit(Rig.Fleet.request("much", "batch", 300, 3000));
+  Rig.Fleet.submit(Rig.Fleet.request("little", "batch", 300, 10));
+  Rig.Fleet.advance(500);
+  Rig.Fleet.submit(Rig.Fleet.request("now", "check", 20));
+  const auto Lost =
+      std::find_if(Rig.Fleet.Decisions.begin(), Rig.Fleet.Decisions.end(),
+                   [](const auto &Each) { return Each.What == "preempted"; });
+  cr_assert(Lost != Rig.Fleet.Decisions.end());
+  cr_assert(Lost->RequestId == "little");
+}
+
+// Guards against bursts that find no free slot right after other bursts, and
+// against a reserve that keeps more than a tenth of the idle slots.
+Test(Priority, RecentBurstsSizeTheReserve) {
+  SchedulerRig Rig(10, 8);
+  Rig.warmUp();
+  submitMany(Rig, "burst", "check", 30, 20);
+  Rig.Fleet.advance(400);
+  submitMany(Rig, "b", "batch", 100, 6000);
+  std::size_t Batch = 0;
+  for (auto &[Name, Engine] : Rig.Fleet.Engines)
+    Batch += Engine.Streams.size();
+  cr_assert(Batch < 80 && Batch >= 72);
+  const auto Before = Rig.Fleet.count("preempted");
+  submitMany(Rig, "next", "check", static_cast<int>(80 - Batch), 20);
+  cr_assert(Rig.Fleet.count("preempted") == Before);
+  // Without bursts the whole fleet goes to batch.
+  Rig.Fleet.advance(40000);
+  Batch = 0;
+  for (auto &[Name, Engine] : Rig.Fleet.Engines)
+    Batch += Engine.Streams.size();
+  cr_assert(Batch >= 79);
+}
+
+// Guards against a customer whose many requests push the others aside.
+Test(Priority, CustomersOfAClassTakeTurns) {
+  SchedulerRig Rig(1, 1);
+  submitMany(Rig, "many", "check", 30, 20, "large");
+  submitMany(Rig, "few", "check", 5, 20, "small");
+  Rig.Fleet.advance(14 * 250);
+  int Small = 0;
+  for (int I = 0; I < 5; ++I)
+    Small += Rig.Fleet.Answers["few" + std::to_string(I)].isDone() ? 1 : 0;
+  cr_assert(Small >= 1);
+  Rig.Fleet.advance(14 * 250);
+  for (int I = 0; I < 5; ++I)
+    cr_assert(Rig.Fleet.Answers["few" + std::to_string(I)].isDone());
+}
+
+// Guards against long work that takes all slots of its class.
+Test(Priority, LongWorkHoldsItsShareOnly) {
+  SchedulerRig Rig(2, 8);
+  Rig.warmUp();
+  submitMany(Rig, "long", "check", 30, 2000);
+  std::size_t Long = 0;
+  for (auto &[Name, Engine] : Rig.Fleet.Engines) {
+    cr_assert(Engine.Streams.size() == 4);
+    Long += Engine.Streams.size();
+  }
+  submitMany(Rig, "short", "check", 8, 20);
+  for (int I = 0; I < 8; ++I)
+    cr_assert(Rig.Fleet.Answers["short" + std::to_string(I)].Starts == 1);
+}
+
+// Guards against long work that short work keeps from ever starting.
+Test(Priority, LongWorkAges) {
+  SchedulerRig Rig(1, 1);
+  Rig.warmUp();
+  Rig.Fleet.submit(Rig.Fleet.request("long", "check", 500));
+  Rig.Fleet.Answers["long"].Starts = 0;
+  Rig.Sut.cancel("gw", {"long", 0});
+  submitMany(Rig, "first", "check", 1, 20);
+  Rig.Fleet.submit(Rig.Fleet.request("aged", "check", 500));
+  for (int I = 0; I < 60; ++I) {
+    submitMany(Rig, "s" + std::to_string(I), "check", 1, 20);
+    Rig.Fleet.advance(200);
+  }
+  cr_assert(Rig.Fleet.Answers["aged"].Starts >= 1);
+}
+
+// Guards against answers of unknown length that keep short work waiting.
+Test(Priority, StragglersAreDemotedAndYield) {
+  SchedulerRig Rig(1, 8);
+  Rig.warmUp();
+  for (int I = 0; I < 8; ++I) {
+    Submit Work = Rig.Fleet.request("s" + std::to_string(I), "check", 1000);
+    Work.MaxTokens = 0;
+    Rig.Fleet.submit(Work);
+  }
+  Rig.Fleet.advance(1500);
+  cr_assert(Rig.Fleet.count("demoted") == 8);
+  submitMany(Rig, "short", "check", 4, 20);
+  for (int I = 0; I < 4; ++I)
+    cr_assert(Rig.Fleet.Answers["short" + std::to_string(I)].Starts == 1);
+  Rig.Fleet.advance(30000);
+  for (int I = 0; I < 8; ++I) {
+    const FakeAnswer &Answer = Rig.Fleet.Answers["s" + std::to_string(I)];
+    cr_assert(Answer.Tokens.size() == 1000 && !Answer.HasBadOffset);
+  }
+}
--- a/Tests/Support/FakeFleet.h
+++ b/Tests/Support/FakeFleet.h
@@ -190,8 +190,8 @@
         static_cast<std::uint32_t>(Order.Work.ResumeTokenIds.size());
     const double Jitter =
         std::uniform_real_distribution<double>(0.9, 1.1)(this->Random);
-    const double Left = Jitter * this->FirstMillis +
-                        0.01 * (Order.Work.PromptTokens + Known);
+    const double Left =
+        Jitter * this->FirstMillis + 0.01 * (Order.Work.PromptTokens + Known);
     Target.Streams[Order.Id] = {Order.Work, Left, Known};
     Target.Most = std::max(Target.Most, Target.Streams.size());
     ++Target.Starts;
--- a/Tests/Support/SchedulerRig.h
+++ b/Tests/Support/SchedulerRig.h
@@ -21,13 +21,12 @@
   /// Runs enough small requests for every window to reach its slots.
   void warmUp() {
     const auto Slots = this->Settings.Servers.begin()->second.Slots;
-    const auto Each =
-        static_cast<int>(Slots * this->Settings.Servers.size());
+    const auto Each = static_cast<int>(Slots * this->Settings.Servers.size());
     for (int Round = 0; Round < 12; ++Round) {
       for (int I = 0; I < Each; ++I)
-        this->Fleet.submit(this->Fleet.request(
-            "w" + std::to_string(Round) + "-" + std::to_string(I), "check",
-            20));
+        this->Fleet.submit(this->Fleet.request("w" + std::to_string(Round) +
+                                                   "-" + std::to_string(I),
+                                               "check", 20));
       this->Fleet.advance(400);
     }
     // Slow enough for the reserve of this burst to pass.
