Backends: End an answer at its limit of tokens

The adapter wrote the service's limit into requests that name none, so an engine that takes max_tokens as the wanted length would answer with thousands of tokens. The body now goes out as the caller wrote it, and the adapter ends the answer with reason "length" after Submit::MaxTokens. The test of an endless engine expects that answer in place of a failure, and still that the engine's work is cancelled.

Adds checks of the stand-ins themselves: order of arrival, freeze, fencing, crash before and after an execution.

--- a/Source/Backends/EngineProtocol.cpp
+++ b/Source/Backends/EngineProtocol.cpp
@@ -107,8 +107,6 @@
     return failure(ErrorCode::InvalidArgument,
                    "The request's body is not a JSON object.");
   Body["stream"] = true;
-  if (Work.MaxTokens > 0)
-    Body["max_tokens"] = Work.MaxTokens;
   if (!Work.ResumeTokenIds.empty())
     Body["resume_token_ids"] = Work.ResumeTokenIds;
   return Body.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/Source/Backends/EngineProtocol.h
+++ b/Source/Backends/EngineProtocol.h
@@ -24,9 +24,8 @@
 /// which the answer could not be resumed.
 Result<EngineEvent> parseEngineEvent(std::string_view Data);
 
-/// Returns the body of \p Work with streaming switched on, the tokens to
-/// resume after, and the limit of tokens, which counts resumed ones. Errors:
-/// InvalidArgument if the body is not a JSON object.
+/// Returns the body of \p Work with streaming switched on and the tokens to
+/// resume after. Errors: InvalidArgument if the body is not a JSON object.
 Result<std::string> buildEngineBody(const Submit &Work);
 
 /// Reads the answer of GET /load. Errors: Malformed.
--- a/Source/Backends/HttpBackendPort.cpp
+++ b/Source/Backends/HttpBackendPort.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t MaxEventBytes = std::size_t{1} << 20U;
 
 constexpr int Refused = 503;
+/// The finish reason of an answer that its limit of tokens ended.
+constexpr const char *LengthReason = "length";
+
 constexpr std::string_view EventStreamType = "text/event-stream";
 
 AttemptProgress toAttemptProgress(HttpProgress Progress) {
@@ -88,6 +91,8 @@
   std::string Body;
   std::string Reason;
   bool SawEnd = false;
+  /// The engine went on after the last token that the caller wants.
+  bool AtLimit = false;
 };
 
 HttpBackendPort::HttpBackendPort(EventLoop &Loop, HttpClient &Client)
@@ -208,7 +213,10 @@
     this->fail(Id, Read.error(), AttemptProgress::Admitted);
     return;
   }
-  this->scheduleFlush(*Open);
+  if (Open->AtLimit)
+    this->endAtLimit(Id);
+  else
+    this->scheduleFlush(*Open);
 }
 
 Result<void> HttpBackendPort::readEvents(Attempt &Open,
@@ -227,17 +235,28 @@
     Result<EngineEvent> Event = parseEngineEvent(Data);
     if (!Event)
       return tl::make_unexpected(Event.error());
-    Open.TokenCount += Event->Tokens.Ids.size();
-    if (Open.MaxTokens > 0 && Open.TokenCount > Open.MaxTokens)
-      return failure(ErrorCode::Malformed,
-                     "The engine's answer exceeds the requested tokens.");
-    append(Open.Pending, std::move(Event->Tokens));
     if (!Event->Reason.empty())
       Open.Reason = std::move(Event->Reason);
+    addTokens(Open, std::move(Event->Tokens));
+    if (Open.AtLimit)
+      return {};
   }
   return {};
 }
 
+void HttpBackendPort::addTokens(Attempt &Open, TokenBatch Tokens) {
+  const std::uint64_t Left =
+      Open.MaxTokens - std::min(Open.MaxTokens, Open.TokenCount);
+  if (Open.MaxTokens > 0 && Tokens.Ids.size() > Left) {
+    Tokens.Ids.resize(Left);
+    Tokens.Texts.resize(Left);
+    Open.Reason = LengthReason;
+    Open.AtLimit = true;
+  }
+  Open.TokenCount += Tokens.Ids.size();
+  append(Open.Pending, std::move(Tokens));
+}
+
 void HttpBackendPort::scheduleFlush(Attempt &Open) {
   if (Open.Flush != 0 || Open.Pending.Ids.empty())
     return;
@@ -262,6 +281,14 @@
     Tokens(std::move(Batch));
 }
 
+void HttpBackendPort::endAtLimit(AttemptId Id) {
+  Attempt &Open = *this->find(Id);
+  // The caller has all that it asked for, and the engine may never stop.
+  this->Client.cancel(Open.Call);
+  Open.SawEnd = true;
+  this->handleReply(Id, {});
+}
+
 void HttpBackendPort::handleReply(AttemptId Id, HttpReply Reply) {
   this->flush(Id);
   const Attempt *Open = this->find(Id);
--- a/Source/Backends/HttpBackendPort.h
+++ b/Source/Backends/HttpBackendPort.h
@@ -14,7 +14,8 @@
 class EventLoop;
 
 /// BackendPort over HTTP. All handlers are called from the loop, never from
-/// start() or cancel().
+/// start() or cancel(). An engine's answer ends with reason "length" after
+/// Submit::MaxTokens, resumed tokens counted, even if the engine goes on.
 class HttpBackendPort : public BackendPort {
 public:
   HttpBackendPort(EventLoop &Loop, HttpClient &Client);
@@ -45,6 +46,8 @@
   void handleReply(AttemptId Id, HttpReply Reply);
   void handleFailure(AttemptId Id, Error Reason, HttpProgress Progress);
   Result<void> readEvents(Attempt &Open, std::string_view Bytes);
+  static void addTokens(Attempt &Open, TokenBatch Tokens);
+  void endAtLimit(AttemptId Id);
   void scheduleFlush(Attempt &Open);
   void flush(AttemptId Id);
   void fail(AttemptId Id, Error Reason, AttemptProgress Progress);
--- a/Tests/Backends/HttpBackendPortTest.cpp
+++ b/Tests/Backends/HttpBackendPortTest.cpp
@@ -230,8 +230,10 @@
   Given.fault(Given.EngineAddress, R"({"kind":"endless"})");
   Submit Work = question("[[tokens=5]]");
   Work.MaxTokens = 5;
+  Work.ResumeTokenIds = answer("[[tokens=5]]", 2);
   const Outcome &Got = Given.run(Given.EngineAddress, Work, true);
-  cr_assert(Got.failedWith(ErrorCode::Malformed, AttemptProgress::Admitted));
+  cr_assert(Got.Reply && Got.Reply->Reason == "length");
+  cr_assert(Got.Ids.size() == 3);
   cr_assert(
       runUntil(Given.Loop, [&] { return Given.count("cancelled") == 1; }));
 }
--- /dev/null
+++ b/Tests/Backends/StandInEngineTest.cpp
@@ -0,0 +1,125 @@
+#include "StandIns/StandInEngine.h"
+#include "Http/EvhttpClient.h"
+#include "StandIns/EngineOrders.h"
+#include "StandIns/StandInService.h"
+#include "Support/RunUntil.h"
+#include "Telemetry/Logger.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sends requests to one stand-in and keeps the bodies in order of arrival.
+struct Caller {
+  BootClock Time;
+  EventLoop Loop{Time};
+  NullLogger Log;
+  EvhttpClient Client{Loop, std::size_t{1} << 20U};
+  std::string Address;
+  std::vector<std::string> Replies;
+  int Failures = 0;
+
+  void send(const std::string &Path, const std::string &Body,
+            const std::string &Tag = "") {
+    HttpCallHandlers Handlers;
+    Handlers.Done = [this, Tag](const HttpReply &Reply) {
+      this->Replies.push_back(Tag.empty() ? Reply.Body : Tag);
+    };
+    Handlers.Failed = [this](const Error &, HttpProgress) { ++this->Failures; };
+    this->Client.call(this->Address,
+                      {"POST", Path, "", {{"X-Request-Id", Tag}}, Body}, 20s,
+                      Handlers);
+  }
+
+  bool waitFor(std::size_t Count) {
+    return runUntil(this->Loop, [&] { return this->Replies.size() == Count; });
+  }
+};
+
+std::string order(int Fencing) {
+  return R"({"fencing":)" + std::to_string(Fencing) +
+         R"(,"deadline_ms":9,"kind":"load","name":"m"})";
+}
+
+EngineOptions fastOptions() {
+  EngineOptions Options;
+  Options.Slots = 1;
+  Options.TokenMs = 1;
+  return Options;
+}
+
+} // namespace
+
+// Guards against a stand-in that hides head-of-line blocking.
+Test(StandInEngine, OneSlotServesInOrderOfArrival) {
+  Caller From;
+  StandInEngine Engine(From.Loop, From.Log, fastOptions(), [] {});
+  From.Address = "127.0.0.1:" + std::to_string(*Engine.listen("127.0.0.1", 0));
+  From.send("/v1/completions", R"({"prompt":"[[tokens=30]]"})", "long");
+  cr_assert(
+      runUntil(From.Loop, [&] { return Engine.stats()["running"] == 1; }));
+  From.send("/v1/completions", R"({"prompt":"[[tokens=1]]"})", "short");
+  cr_assert(From.waitFor(2));
+  cr_assert(From.Replies == std::vector<std::string>({"long", "short"}));
+}
+
+Test(StandInEngine, FrozenEngineAnswersAfterTheFreeze) {
+  Caller From;
+  StandInEngine Engine(From.Loop, From.Log, fastOptions(), [] {});
+  From.Address = "127.0.0.1:" + std::to_string(*Engine.listen("127.0.0.1", 0));
+  From.send("/fault", R"({"kind":"freeze"})");
+  cr_assert(From.waitFor(1));
+  From.send("/v1/completions", R"({"prompt":"a"})", "held");
+  From.Loop.runOnce(20ms);
+  From.Loop.runOnce(20ms);
+  cr_assert(From.Replies.size() == 1);
+  From.send("/fault", R"({"kind":"none"})");
+  cr_assert(From.waitFor(3));
+  cr_assert(From.Replies.back() == "held");
+}
+
+Test(StandInEngine, MarkedPromptCrashesIt) {
+  Caller From;
+  int Crashes = 0;
+  StandInEngine Engine(From.Loop, From.Log, fastOptions(), [&] { ++Crashes; });
+  From.Address = "127.0.0.1:" + std::to_string(*Engine.listen("127.0.0.1", 0));
+  From.send("/v1/completions", R"({"prompt":"a [[crash]]"})");
+  cr_assert(runUntil(From.Loop, [&] { return Crashes == 1; }));
+  From.send("/fault", R"({"kind":"no such fault"})");
+  cr_assert(From.waitFor(1));
+  cr_assert(From.Replies[0].find("wrong_tag") != std::string::npos);
+}
+
+// Guards against a test of old fencing numbers that proves nothing.
+Test(StandInEngine, OldFencingNumberIsRefusedOnlyIfChecked) {
+  EngineOrders Checking("m", true);
+  cr_assert(Checking.handle(order(3)).Status == 200);
+  cr_assert(Checking.handle(order(3)).Status == 200);
+  cr_assert(Checking.handle(order(2)).Status == 409);
+  EngineOrders Ignoring("m", false);
+  cr_assert(Ignoring.handle(order(3)).Status == 200);
+  cr_assert(Ignoring.handle(order(2)).Status == 200);
+  cr_assert(Ignoring.handle("{}").Status == 400);
+}
+
+// Guards against an execution that is not counted, or counted without one.
+Test(StandInService, CrashBeforeAndAfterDifferInTheCount) {
+  Caller From;
+  int Crashes = 0;
+  StandInService Service(From.Loop, From.Log, 1ms, [&] { ++Crashes; });
+  From.Address = "127.0.0.1:" + std::to_string(*Service.listen("127.0.0.1", 0));
+  From.send("/fault", R"({"kind":"crash_before"})");
+  cr_assert(From.waitFor(1));
+  From.send("/x", "");
+  cr_assert(runUntil(From.Loop, [&] { return Crashes == 1; }));
+  cr_assert(Service.stats()["executed"] == 0);
+  From.send("/fault", R"({"kind":"none"})");
+  From.send("/fault", R"({"kind":"crash_after"})");
+  cr_assert(From.waitFor(3));
+  From.send("/x", "");
+  cr_assert(runUntil(From.Loop, [&] { return Crashes == 2; }));
+  cr_assert(Service.stats()["executed"] == 1);
+}
