--- a/Tests/FaultMatrix/Process.h
+++ b/Tests/FaultMatrix/Process.h
@@ -55,6 +55,8 @@
   BatcherDaemon Batcher;
   /// The process stands still until then.
   std::optional<Instant> PausedUntil;
+  /// How many queued messages are older than the last pause.
+  std::size_t Leftovers = 0;
   /// Held calls are done and answered then.
   std::optional<Instant> ReleaseAt;
   /// Every call is held until then.
--- a/Tests/FaultMatrix/ProtectionsTest.cpp
+++ b/Tests/FaultMatrix/ProtectionsTest.cpp
@@ -1,8 +1,8 @@
 #include "FaultMatrix/Cells.h"
 #include "Support/ProtectionsForTest.h"
 
-#include <cstdio>
 #include <criterion/criterion.h>
+#include <cstdio>
 
 using namespace turmericpass;
 
--- a/Tests/FaultMatrix/Service.h
+++ b/Tests/FaultMatrix/Service.h
@@ -15,13 +15,17 @@
 public:
   struct Execution {
     std::string Key;
+    std::string RequestId;
     Instant At;
+    /// The request lay in the sender's queue while the sender stood still.
+    bool Leftover = false;
   };
 
   explicit Service(const Clock &Time) : Time(Time) {}
 
-  std::string execute(const std::string &Key) {
-    this->Log.push_back({Key, this->Time.now()});
+  std::string execute(const std::string &Key, const std::string &RequestId,
+                      bool Leftover) {
+    this->Log.push_back({Key, RequestId, this->Time.now(), Leftover});
     return "execution " + std::to_string(++this->Counts[Key]) + " of " + Key;
   }
 
--- a/Tests/FaultMatrix/World.cpp
+++ b/Tests/FaultMatrix/World.cpp
@@ -44,7 +44,7 @@
 World::World(std::vector<PlannedFault> Faults, Protections Rules)
     : Fleet(fleetSettings()), Rules(Rules), Backend(Shared.Time),
       Reader(Shared.Rows, Shared.Objects, Shared.Time, Ids),
-      Faults(std::move(Faults)) {
+      Faults(std::move(Faults)), Begun(Shared.Time.now()) {
   this->Alive.push_back(this->make());
   this->Alive.push_back(this->make());
 }
@@ -240,19 +240,22 @@
 void World::exchange(Process &Of) {
   std::vector<FakePeerPort::Sent> Out;
   Out.swap(Of.Peers.Out);
+  const std::size_t Leftovers = std::exchange(Of.Leftovers, 0);
   for (std::size_t I = 0; I < Out.size(); ++I) {
     if (Of.PausedUntil || Of.dead()) {
       Of.Peers.Out.insert(Of.Peers.Out.end(), Out.begin() + I, Out.end());
+      Of.Leftovers = Of.Peers.Out.size();
       return;
     }
     if (const auto *Work = std::get_if<Submit>(&Out[I].Body))
-      this->run(Of, Out[I].Peer, *Work);
+      this->run(Of, Out[I].Peer, *Work, I < Leftovers);
     else if (const auto *Order = std::get_if<Cancel>(&Out[I].Body))
       this->withdraw(Of, Out[I].Peer, *Order);
   }
 }
 
-void World::run(Process &Of, const std::string &Peer, const Submit &Work) {
+void World::run(Process &Of, const std::string &Peer, const Submit &Work,
+                bool Leftover) {
   const Instant Now = this->Shared.Time.now();
   const std::optional<Fault> Struck = this->strike(Step::Run);
   if (Struck == Fault::CrashBefore || Struck == Fault::CrashAfter)
@@ -261,19 +264,22 @@
     return Of.crash();
   if (Struck == Fault::PauseBefore || Struck == Fault::PauseAfter)
     this->pauseUntil(Of, Now + PauseTime);
-  if (Struck == Fault::PauseBefore)
-    return Of.Peers.Out.push_back({Peer, Work});
+  if (Struck == Fault::PauseBefore) {
+    Of.Peers.Out.push_back({Peer, Work});
+    Of.Leftovers = Of.Peers.Out.size();
+    return;
+  }
   if (Struck == Fault::StoreDown)
     this->storeDown(DownTime);
   if (Struck == Fault::StoreSlow)
     Of.SlowUntil = Now + SlowTime;
-  this->answer(Of, Peer, Work, Struck);
+  this->answer(Of, Peer, Work, Struck, Leftover);
   if (Struck == Fault::CrashAfter)
     Of.crash();
 }
 
 void World::answer(Process &Of, const std::string &Peer, const Submit &Work,
-                   std::optional<Fault> Struck) {
+                   std::optional<Fault> Struck, bool Leftover) {
   Instant Due = this->Shared.Time.now() + Tick;
   this->Answers.push_back(
       {Due, &Of, Peer, Accepted{Work.RequestId, Work.Attempt, {}}});
@@ -283,7 +289,8 @@
   Ending.Ran = Execution::Ran;
   Ending.Status = 200;
   const std::string Text = this->Backend.execute(
-      (Work.Repeatable ? "" : "once/") + Work.IdempotencyKey);
+      (Work.Repeatable ? "" : "once/") + Work.IdempotencyKey, Work.RequestId,
+      Leftover);
   if (isWord(Work, "bad")) {
     Ending.Code = FinishCode::ServerError;
     Ending.Status = 500;
@@ -319,6 +326,7 @@
 
 void World::withdraw(Process &Of, const std::string &Peer,
                      const Cancel &Order) {
+  this->Withdrawals.emplace(Order.RequestId, this->Shared.Time.now());
   Finish Ending;
   Ending.RequestId = Order.RequestId;
   Ending.Attempt = Order.Attempt;
--- a/Tests/FaultMatrix/World.h
+++ b/Tests/FaultMatrix/World.h
@@ -104,9 +104,10 @@
   void tend(Process &Of);
   void deliver();
   void exchange(Process &Of);
-  void run(Process &Of, const std::string &Peer, const Submit &Work);
+  void run(Process &Of, const std::string &Peer, const Submit &Work,
+           bool Leftover);
   void answer(Process &Of, const std::string &Peer, const Submit &Work,
-              std::optional<Fault> Struck);
+              std::optional<Fault> Struck, bool Leftover);
   void withdraw(Process &Of, const std::string &Peer, const Cancel &Order);
   void submitFrom(Process &Of, KnownJob &Job, const std::string &Lines,
                   std::uint64_t WindowMs, ClientCall &Call);
@@ -115,6 +116,7 @@
   void observe();
   void read(KnownJob &Job);
   bool atRest() const;
+  bool startedInTime(const Service::Execution &Entry, Instant Bound) const;
   void checkEnd();
   void checkJob(const KnownJob &Job);
   void problem(const std::string &Text);
@@ -134,6 +136,9 @@
   std::list<KnownCall> OnceCalls;
   std::uint64_t NextSeed = 1;
   std::uint64_t NextAttempt = 1;
+  /// When a request was withdrawn, by its id.
+  std::map<std::string, Instant> Withdrawals;
+  Instant Begun;
   Instant DownUntil{};
   Instant NextRead{};
   /// Some store call failed or some process stood still.
--- a/Tests/FaultMatrix/WorldClients.cpp
+++ b/Tests/FaultMatrix/WorldClients.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration ReadPeriod = 3s;
+/// Garbage of old epochs is collected after the job has ended.
+constexpr Duration GarbagePatience = 150s;
 /// After that time a call in progress counts as unknown.
 constexpr std::int64_t OncePatienceMs = 90000;
 
@@ -113,7 +115,8 @@
           return Tell("");
         if (Got->Verdict != IntentVerdict::Proceed)
           return;
-        const std::string Text = this->Backend.execute(Known.Key);
+        const std::string Text =
+            this->Backend.execute(Known.Key, Attempt, false);
         Of.Intents.finish({"c", Known.Key}, Attempt,
                           {Execution::Ran, 200, "text/plain", Text},
                           [Tell, Text](const Result<void> &Stored) {
@@ -167,7 +170,8 @@
 
 bool World::atRest() const {
   for (const PlannedFault &Planned : this->Faults)
-    if (!Planned.Fired && Planned.At == Step::CollectGarbage)
+    if (!Planned.Fired && Planned.At == Step::CollectGarbage &&
+        this->Shared.Time.now() < this->Begun + GarbagePatience)
       return false;
   for (const ClientCall &Call : this->Calls)
     if (!Call.Answered)
@@ -213,6 +217,17 @@
   }
 }
 
+// A request that lay in the queue of a process that stood still cannot be
+// called back; the process withdraws it as soon as it runs again.
+bool World::startedInTime(const Service::Execution &Entry,
+                          Instant Bound) const {
+  if (Entry.At <= Bound)
+    return true;
+  const auto Withdrawn = this->Withdrawals.find(Entry.RequestId);
+  return Entry.Leftover && Withdrawn != this->Withdrawals.end() &&
+         Withdrawn->second <= Entry.At + 1s;
+}
+
 void World::checkJob(const KnownJob &Job) {
   if (Job.Id.empty() || !Job.Final)
     return;
@@ -233,7 +248,7 @@
       (this->Disturbed ? StopListMaxAge : Duration(1s)) + Tick;
   for (const Service::Execution &Entry : this->Backend.log())
     if (Entry.Key.find(Job.Id) != std::string::npos &&
-        Entry.At > *Job.CancelAcknowledged + Bound)
+        !this->startedInTime(Entry, *Job.CancelAcknowledged + Bound))
       this->problem("a cancelled job started " + Entry.Key);
 }
 
