--- /dev/null
+++ b/Tests/Admission/CustomerQuotasTest.cpp
@@ -0,0 +1,85 @@
+#include "Admission/CustomerQuotas.h"
+#include "Admission/PromptShape.h"
+#include "Settings/FleetSettings.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Quota {
+  ManualClock Time;
+  FleetSettings Settings;
+  CustomerQuotas Quotas{Time};
+
+  Quota(double Requests, double Tokens, std::size_t Gateways) {
+    CustomerSettings Customer;
+    Customer.Name = "c";
+    Customer.RequestsPerSecond = Requests;
+    Customer.TokensPerSecond = Tokens;
+    this->Settings.Customers["c"] = Customer;
+    this->Quotas.configure(this->Settings, Gateways);
+  }
+
+  /// Counts the requests admitted in \p Seconds at ten tries a second.
+  int admitted(int Seconds, double Tokens) {
+    int Count = 0;
+    for (int I = 0; I < Seconds * 10; ++I) {
+      this->Time.advance(100ms);
+      Count += this->Quotas.take("c", Tokens) == Duration{0} ? 1 : 0;
+    }
+    return Count;
+  }
+};
+
+} // namespace
+
+Test(CustomerQuotas, RequestsPerSecondHoldOverTime) {
+  Quota World(2, 1e9, 1);
+  const int Count = World.admitted(60, 1);
+  cr_assert(Count >= 120 && Count <= 125, "%d", Count);
+}
+
+// Guards against twelve gateways that each grant the whole quota.
+Test(CustomerQuotas, GatewaysShareTheQuota) {
+  Quota World(12, 1e9, 12);
+  const int Count = World.admitted(60, 1);
+  cr_assert(Count * 12 <= 12 * 60 * CustomerQuotas::ShareSlack + 12 * 4, "%d",
+            Count);
+  cr_assert(Count * 12 >= 12 * 60, "%d", Count);
+}
+
+// Guards against a quota that is spent by the longest answers that callers
+// allow and not by the answers that they get.
+Test(CustomerQuotas, UnusedTokensAreGivenBack) {
+  Quota World(1e6, 100, 1);
+  cr_assert(World.Quotas.take("c", 1000) == Duration{0});
+  const Duration Wait = World.Quotas.take("c", 1);
+  cr_assert(Wait >= 8s && Wait < 9s);
+  World.Quotas.settle("c", 1000, 50);
+  cr_assert(World.Quotas.take("c", 1) == Duration{0});
+  World.Quotas.settle("c", 1, 5000);
+  cr_assert(World.Quotas.take("c", 1) > 40s);
+}
+
+// Guards against a large request that no wait would ever admit.
+Test(CustomerQuotas, RequestLargerThanTheBucketIsServed) {
+  Quota World(10, 10, 1);
+  cr_assert(World.Quotas.take("c", 4096) == Duration{0});
+  World.Time.advance(World.Quotas.take("c", 4096));
+  cr_assert(World.Quotas.take("c", 4096) == Duration{0});
+}
+
+// Guards against estimates that count Korean text by its bytes.
+Test(PromptShape, KoreanCharactersCountOnceEach) {
+  cr_assert(estimateTokens("\xEB\xA0\x88\xEC\x9D\xB4") == 2);
+  cr_assert(estimateTokens("eight ch") == 2);
+}
+
+Test(PromptShape, FingerprintsTellPartsApart) {
+  cr_assert(fingerprintOf("a", "bc", "/", "x") !=
+            fingerprintOf("ab", "c", "/", "x"));
+  cr_assert(hashPrefixBlocks(std::string(100'000, 'x')).size() == 64);
+}
--- /dev/null
+++ b/Tests/Gateway/AdmissionTest.cpp
@@ -0,0 +1,130 @@
+#include "Support/GatewayBench.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+std::string executionOf(const HttpReply &Reply) {
+  return json::parse(Reply.Body)["execution"];
+}
+
+} // namespace
+
+Test(GatewayAdmission, QuotaIsRefusedWithTheTimeToWait) {
+  FleetSettings Settings = benchSettings();
+  Settings.Customers["hanbit"].TokensPerSecond = 100;
+  GatewayBench Bench(Settings);
+  Bench.call(chat(false));
+  Bench.submission(1);
+  const HttpReply Reply = Bench.replyOf(Bench.call(chat(false)));
+  cr_assert(Reply.Status == 429 && executionOf(Reply) == "not_run");
+  // 514 reserved tokens, less a burst of 150, at 75 tokens a second here.
+  cr_assert(findHeader(Reply.Headers, "Retry-After") == "5", "%s",
+            findHeader(Reply.Headers, "Retry-After").c_str());
+  cr_assert(Bench.Peers.all<Submit>().size() == 1);
+}
+
+// Guards against work that waits in a queue past its deadline.
+Test(GatewayAdmission, LoadIsShedWhenNoQueueMeetsTheDeadline) {
+  GatewayBench Bench;
+  const auto First = Bench.call(chat(false));
+  const Submit Work = Bench.submission(1);
+  for (const char *Peer : {GatewayBench::PeerA, GatewayBench::PeerB})
+    Bench.Peers.deliver(
+        Peer, Accepted{Work.RequestId, 1, {"assistant", 0, 90, 0, 3000}});
+  HttpRequest Urgent = chat(false);
+  Urgent.Headers.emplace_back("Turmericpass-Deadline", "2000");
+  const HttpReply Reply = Bench.replyOf(Bench.call(Urgent));
+  cr_assert(Reply.Status == 503 && executionOf(Reply) == "not_run");
+  cr_assert(findHeader(Reply.Headers, "Retry-After") == "3");
+  Bench.call(chat(false));
+  Bench.submission(2);
+}
+
+Test(GatewayAdmission, QuarantinedRequestIsRefusedAtOnce) {
+  GatewayBench Bench;
+  Bench.call(chat(false));
+  Bench.Fleet.Quarantine.insert(Bench.submission(1).Fingerprint);
+  const HttpReply Reply = Bench.replyOf(Bench.call(chat(false)));
+  cr_assert(Reply.Status == 422 && executionOf(Reply) == "not_run");
+  cr_assert(Bench.Peers.all<Submit>().size() == 1);
+}
+
+// Guards against a refusal after the first byte that looks like an answer:
+// nothing ran, so that the status still tells it.
+Test(GatewayAdmission, StreamThatWasRefusedGetsAProblemDocument) {
+  GatewayBench Bench;
+  const auto Caller = Bench.call(chat(true));
+  for (const char *Peer : {GatewayBench::PeerA, GatewayBench::PeerB}) {
+    const Submit Work = Bench.submission(Peer == GatewayBench::PeerA ? 1 : 2);
+    Finish Refusal = finishOf(Work, FinishCode::Overloaded, Execution::NotRun);
+    Refusal.RetryAfterMs = 1500;
+    Bench.Peers.deliver(Peer, Refusal);
+  }
+  const HttpReply Reply = Bench.replyOf(Caller);
+  cr_assert(Reply.Status == 503 && executionOf(Reply) == "not_run");
+  cr_assert(findHeader(Reply.Headers, "Retry-After") == "2");
+}
+
+// Guards against memory that a caller takes by not reading.
+Test(GatewayAdmission, SlowReaderIsCutOffAndItsWorkCancelled) {
+  GatewayBench Bench;
+  bool Begun = false;
+  HttpCallHandlers Handlers;
+  Handlers.Piece = [&](std::string_view) { Begun = true; };
+  Handlers.Failed = [](const Error &, HttpProgress) {};
+  Bench.Client.call("127.0.0.1:" + std::to_string(Bench.Port), chat(true), 20s,
+                    Handlers);
+  const Submit Work = Bench.submission(1);
+  Chunk Piece = chunkOf(Work, 0, std::string(64'000, 'x'));
+  // The loop does not turn, so that nothing is read meanwhile.
+  for (int I = 0; I < 100; ++I) {
+    Piece.Offset = static_cast<std::uint64_t>(I);
+    Bench.Peers.deliver(GatewayBench::PeerA, Piece);
+  }
+  cr_assert(Bench.Stats.value("gateway_slow_readers_total") == 1);
+  cr_assert(Bench.Peers.all<Cancel>().size() == 1);
+  cr_assert(Bench.until([&] { return Bench.Gateway.isIdle(); }));
+}
+
+// Guards against a shutdown that cuts off a stream or takes new work.
+Test(GatewayAdmission, DrainFinishesStreamsAndRefusesNewCallers) {
+  GatewayBench Bench;
+  const auto Caller = Bench.callStream(chat(true));
+  const Submit Work = Bench.submission(1);
+  Bench.Peers.deliver(GatewayBench::PeerA, chunkOf(Work, 0, "good"));
+  Bench.Gateway.drain();
+  const auto Late = Bench.call(chat(false));
+  cr_assert(Bench.until([&] { return Late->isOver(); }));
+  cr_assert(Late->Failed);
+  cr_assert(!Bench.Gateway.isIdle());
+  Finish Ending = finishOf(Work, FinishCode::Ok, Execution::Ran);
+  Ending.TotalTokens = 1;
+  Bench.Peers.deliver(GatewayBench::PeerA, Ending);
+  cr_assert(!Bench.Gateway.isIdle());
+  cr_assert(Bench.until([&] { return Bench.Gateway.isIdle(); }));
+  cr_assert(Bench.until([&] { return Caller->isOver(); }));
+  cr_assert(Caller->Got.ends_with("data: [DONE]\n\n"));
+}
+
+// Guards against a caller that waits for a dispatcher that is gone.
+Test(GatewayAdmission, LostDispatcherIsReplacedWithinTheStream) {
+  GatewayBench Bench;
+  const auto Caller = Bench.callStream(chat(true));
+  const Submit First = Bench.submission(1);
+  Bench.Peers.deliver(GatewayBench::PeerA, chunkOf(First, 0, "good "));
+  Bench.Peers.lose(GatewayBench::PeerA);
+  const Submit Next = Bench.submission(2);
+  cr_assert(Bench.Peers.lastPeer() == GatewayBench::PeerB);
+  cr_assert(Next.ResumeTokenIds.size() == 1 && Next.Attempt == 2);
+  Bench.Peers.deliver(GatewayBench::PeerB, chunkOf(Next, 1, "day"));
+  Finish Ending = finishOf(Next, FinishCode::Ok, Execution::Ran);
+  Ending.TotalTokens = 2;
+  Bench.Peers.deliver(GatewayBench::PeerB, Ending);
+  cr_assert(Bench.until([&] { return Caller->isOver(); }));
+  cr_assert(Caller->Done && Caller->Got.ends_with("data: [DONE]\n\n"));
+}
--- a/Tests/Support/GatewayBench.h
+++ b/Tests/Support/GatewayBench.h
@@ -15,6 +15,7 @@
 #include "Telemetry/Tracer.h"
 
 #include <criterion/criterion.h>
+#include <csignal>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -79,6 +80,8 @@
         Client(Loop, std::size_t{64} << 20U),
         Gateway({Loop, Http, Peers, Time, Ids, Log, Stats, Spans, Fleet,
                  &Intents, Jobs, "a"}) {
+    // As in DaemonContext: a write to a broken connection is an error value.
+    std::signal(SIGPIPE, SIG_IGN);
     this->Port = *this->Http.listen("127.0.0.1", 0);
     this->Peers.onReceive([this](const std::string &From, const Message &Body) {
       this->Gateway.received(From, Body);
