Gateway: Replace silent dispatchers of vanished nodes

Cause: a lost VM closes no connection, so that a request would wait for its dispatcher until the deadline.

Change: repeatable work leaves a dispatcher that has been silent for 2 s and whose node the controller no longer lists as live; other work goes on, because unknown is not dead. Ending such work as unknown at once was ruled out, since a live dispatcher behind a partition still answers.

--- a/Source/Admission/DispatcherChooser.cpp
+++ b/Source/Admission/DispatcherChooser.cpp
@@ -59,6 +59,10 @@
         !this->SuspectUntil.count(dispatcherAddress(Node->second)))
       Usable.insert(Name);
   }
+  this->Doubtful.clear();
+  for (const auto &[Name, Node] : this->Settings->Nodes)
+    if (!this->LiveNodes.count(Name))
+      this->Doubtful.insert(dispatcherAddress(Node));
   this->Owners.clear();
   for (const ServerGroup &Group :
        assignGroups(*this->Settings, Usable, this->AdoptedZones)) {
--- a/Source/Admission/DispatcherChooser.h
+++ b/Source/Admission/DispatcherChooser.h
@@ -43,6 +43,9 @@
   /// nodes that would own them without it. Returns whether it was an owner.
   bool peerLost(const std::string &Peer);
 
+  /// Returns the dispatchers of nodes that are not known to be live.
+  const std::set<std::string> &doubtful() const { return this->Doubtful; }
+
   /// Returns the shortest wait that the service's owners expect for new online
   /// work, in milliseconds; nothing unless each of them said so lately.
   std::optional<std::uint32_t>
@@ -73,6 +76,7 @@
   /// Until when a lost peer is left out.
   std::map<std::string, Instant> SuspectUntil;
   std::set<std::string> AdoptedZones;
+  std::set<std::string> Doubtful;
   std::map<std::string, std::vector<Owner>> Owners;
   std::map<PeerAndService, Heard> Hints;
   std::map<PeerAndService, std::uint32_t> Outstanding;
--- a/Source/Admission/RequestLifeCycle.cpp
+++ b/Source/Admission/RequestLifeCycle.cpp
@@ -72,6 +72,7 @@
   Next.Peer = Peer;
   Next.Number = this->Work.Attempt;
   Next.Since = Now;
+  Next.Heard = Now;
   this->Attempts.push_back(std::move(Next));
   this->Running = true;
   ++this->Submitted;
@@ -96,16 +97,17 @@
       Now);
 }
 
-void RequestLifeCycle::accepted(const std::string &From,
-                                const Accepted &Answer) {
+void RequestLifeCycle::accepted(const std::string &From, const Accepted &Answer,
+                                Instant Now) {
   if (Answer.RequestId != this->Work.RequestId)
     return;
   if (Attempt *Last = this->currentOf(From, Answer.Attempt))
-    this->markAccepted(*Last);
+    this->markAccepted(*Last, Now);
 }
 
-void RequestLifeCycle::markAccepted(Attempt &Entry) {
+void RequestLifeCycle::markAccepted(Attempt &Entry, Instant Now) {
   Entry.Accepted = true;
+  Entry.Heard = Now;
   this->SearchingSince.reset();
 }
 
@@ -115,7 +117,7 @@
   if (this->Over || !Last || Piece.RequestId != this->Work.RequestId ||
       Piece.TokenIds.size() != Piece.Texts.size())
     return;
-  this->markAccepted(*Last);
+  this->markAccepted(*Last, Now);
   if (Piece.Offset > this->Tokens.size()) {
     if (this->Waiting.size() < MaxWaitingPieces)
       this->Waiting.emplace(Piece.Offset, std::move(Piece));
@@ -242,6 +244,15 @@
   }
 }
 
+void RequestLifeCycle::doubt(const std::set<std::string> &Peers, Instant Now) {
+  const Attempt *Last = this->current();
+  if (this->Over || this->Reason || !Last || !this->Work.Repeatable ||
+      !Peers.count(Last->Peer) || Now < Last->Heard + this->Limits.DoubtLimit)
+    return;
+  this->cancelOpenAttempts();
+  this->repeat(Now, "the dispatcher's node is not among the live ones");
+}
+
 void RequestLifeCycle::sendFailed(std::uint32_t Number, Instant Now) {
   Attempt *Last = this->current();
   if (this->Over || this->Reason || !Last || Last->Number != Number)
--- a/Source/Admission/RequestLifeCycle.h
+++ b/Source/Admission/RequestLifeCycle.h
@@ -26,6 +26,9 @@
   /// How long a request waits while no dispatcher serves its service. It is
   /// longer than the 5 s after which another zone adopts a lost one.
   Duration NoServerPatience = std::chrono::seconds(8);
+  /// How long a dispatcher whose node is not among the live ones may be silent.
+  /// A lost VM closes no connection.
+  Duration DoubtLimit = std::chrono::seconds(2);
   /// Submissions after a loss, a silence or a cut answer.
   std::uint32_t MaxRepeats = 4;
 };
@@ -72,11 +75,16 @@
                    LifeCyclePorts Ports);
 
   void start(Instant Now);
-  void accepted(const std::string &From, const Accepted &Answer);
+  void accepted(const std::string &From, const Accepted &Answer, Instant Now);
   void chunk(const std::string &From, Chunk Piece, Instant Now);
   void finish(const std::string &From, Finish Answer, Instant Now);
   void peerLost(const std::string &Peer, Instant Now);
 
+  /// Repeatable work leaves its dispatcher if that is among \p Peers, which
+  /// are not known to be live, and is silent. Other work goes on, because
+  /// unknown is not dead.
+  void doubt(const std::set<std::string> &Peers, Instant Now);
+
   /// A Submit could not be queued, so that it never leaves this process.
   void sendFailed(std::uint32_t Attempt, Instant Now);
 
@@ -101,6 +109,7 @@
     bool Accepted = false;
     bool Cancelled = false;
     Instant Since;
+    Instant Heard;
     std::optional<Execution> Verdict;
   };
 
@@ -114,7 +123,7 @@
   void take(const Chunk &Piece);
   void takeWaiting();
   void checkWhole(Instant Now);
-  void markAccepted(Attempt &Entry);
+  void markAccepted(Attempt &Entry, Instant Now);
   void giveUp(Finish Reason, Instant Now);
   void cancelOpenAttempts();
   void checkVerdicts(Instant Now);
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -295,7 +295,7 @@
     return;
   }
   if (const auto *Answer = std::get_if<Accepted>(&Body))
-    Open->Life.accepted(From, *Answer);
+    Open->Life.accepted(From, *Answer, Now);
   else if (const auto *Piece = std::get_if<Chunk>(&Body))
     Open->Life.chunk(From, *Piece, Now);
   else if (const auto *Ending = std::get_if<Finish>(&Body))
@@ -354,6 +354,8 @@
       continue;
     }
     Open->Life.tick(Now);
+    if (!this->Chooser.doubtful().empty())
+      Open->Life.doubt(this->Chooser.doubtful(), Now);
     this->perform(*Open);
   }
   this->Ports.Stats.set("gateway_open_requests",
--- a/Tests/Admission/LifeCycleBench.h
+++ b/Tests/Admission/LifeCycleBench.h
@@ -44,7 +44,8 @@
   }
 
   void accept() {
-    this->Life.accepted(this->lastPeer(), {"r1", this->attempt(), {}});
+    this->Life.accepted(this->lastPeer(), {"r1", this->attempt(), {}},
+                        this->Time.now());
     this->collect();
   }
 
--- a/Tests/Admission/LifeCycleProperty.cpp
+++ b/Tests/Admission/LifeCycleProperty.cpp
@@ -49,7 +49,7 @@
       this->drop(Pick);
       break;
     case 8:
-      this->losePeer(this->Bench.Usable[Pick % 3]);
+      this->losePeer(this->Bench.Usable[Pick % 3], Pick % 5 != 0);
       break;
     case 9:
       this->Bench.wait(std::chrono::milliseconds(50 * (Pick % 40)));
@@ -164,7 +164,7 @@
                           static_cast<std::ptrdiff_t>(Index));
     const Instant Now = this->Bench.Time.now();
     if (const auto *Answer = std::get_if<Accepted>(&Arriving.Body))
-      this->Bench.Life.accepted(Arriving.Peer, *Answer);
+      this->Bench.Life.accepted(Arriving.Peer, *Answer, Now);
     else if (const auto *Piece = std::get_if<Chunk>(&Arriving.Body))
       this->Bench.Life.chunk(Arriving.Peer, *Piece, Now);
     else if (const auto *Ending = std::get_if<Finish>(&Arriving.Body))
@@ -179,7 +179,13 @@
           static_cast<std::ptrdiff_t>(Pick % this->Network.size()));
   }
 
-  void losePeer(const std::string &Peer) { this->Bench.lose(Peer); }
+  /// A peer's connection breaks, or its node is no longer known to be live.
+  void losePeer(const std::string &Peer, bool Broken) {
+    if (Broken)
+      return this->Bench.lose(Peer);
+    this->Bench.Life.doubt({Peer}, this->Bench.Time.now());
+    this->Bench.collect();
+  }
 
   LifeCycleBench Bench;
   std::vector<Run> Runs;
--- a/Tests/Admission/RequestLifeCycleTest.cpp
+++ b/Tests/Admission/RequestLifeCycleTest.cpp
@@ -92,6 +92,31 @@
   cr_assert(Bench.lastPeer() == "b");
 }
 
+// Guards against a caller that waits for a lost VM, which closes no
+// connection, and against a takeover of a dispatcher that still speaks or of
+// work that runs once.
+Test(LifeCycle, SilentDispatcherOfANodeThatIsNotLiveIsReplaced) {
+  for (const bool Repeatable : {true, false}) {
+    LifeCycleBench Bench(Repeatable);
+    Bench.start();
+    Bench.accept();
+    Bench.wait(1s);
+    Bench.tokens("a", 1, 0, 1);
+    Bench.wait(1500ms);
+    Bench.Life.doubt({"a"}, Bench.Time.now());
+    Bench.collect();
+    cr_assert(Bench.submissions().size() == 1);
+    Bench.wait(500ms);
+    Bench.Life.doubt({"b"}, Bench.Time.now());
+    Bench.collect();
+    cr_assert(Bench.submissions().size() == 1);
+    Bench.Life.doubt({"a"}, Bench.Time.now());
+    Bench.collect();
+    cr_assert(!Bench.Ending);
+    cr_assert(Bench.submissions().size() == (Repeatable ? 2 : 1));
+  }
+}
+
 // Guards against `not_run` while a verdict is open, and against a caller that
 // waits for a verdict that never comes.
 Test(LifeCycle, GivingUpWaitsForTheVerdictAndThenSaysUnknown) {
--- a/Tests/Gateway/AdmissionTest.cpp
+++ b/Tests/Gateway/AdmissionTest.cpp
@@ -111,6 +111,19 @@
   cr_assert(Caller->Got.ends_with("data: [DONE]\n\n"));
 }
 
+// Guards against a caller that waits for a VM that vanished.
+Test(GatewayAdmission, VanishedNodeIsReplacedWithinTheStream) {
+  GatewayBench Bench;
+  Bench.call(chat(true));
+  Bench.Peers.deliver(GatewayBench::PeerA,
+                      chunkOf(Bench.submission(1), 0, "good "));
+  Bench.Fleet.Live.erase("a1");
+  Bench.Gateway.configure();
+  Bench.Time.advance(2s);
+  cr_assert(Bench.submission(2).ResumeTokenIds.size() == 1);
+  cr_assert(Bench.Peers.lastPeer() == GatewayBench::PeerB);
+}
+
 // Guards against a caller that waits for a dispatcher that is gone.
 Test(GatewayAdmission, LostDispatcherIsReplacedWithinTheStream) {
   GatewayBench Bench;
