--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -228,7 +228,7 @@
   if (!Call || Call->Life.isOver())
     return;
   if (Answer) {
-    Call->Life.accepted(From, *Answer);
+    Call->Life.accepted(From, *Answer, Now);
   } else if (Piece) {
     Call->Life.chunk(From, *Piece, Now);
   } else {
--- a/Utilities/bench_fleet.py
+++ b/Utilities/bench_fleet.py
@@ -104,11 +104,13 @@
                     total[key] = total.get(key, 0) + value
         return total
 
-    def load(self, streams, seed, events=(), nodes=None, warmup_ms=1500, grace_ms=15000):
+    def load(self, streams, seed, events=(), nodes=None, warmup_ms=1500,
+             grace_ms=15000, targets=None):
         """Runs a load plan; events are (seconds, function) pairs."""
         plan = {
             "seed": seed,
-            "targets": [self.gateway(n) for n in (nodes or self.settings["nodes"])],
+            "targets": targets
+            or [self.gateway(n) for n in (nodes or self.settings["nodes"])],
             "key": KEY,
             "warmup_ms": warmup_ms,
             "grace_ms": grace_ms,
--- a/Utilities/bench_scenarios.py
+++ b/Utilities/bench_scenarios.py
@@ -39,6 +39,26 @@
     return round(value / base, 3) if base else float("inf")
 
 
+def added_latency(seed):
+    """Latency that gateway and dispatcher add to a direct call, idle."""
+    stream = online(60, 6000, max_tokens=1, prompt_words=4)
+
+    def action(fleet):
+        through = fleet.load([stream], seed)
+        engines = [s["address"] for s in fleet.settings["servers"].values()]
+        direct = fleet.load([stream], seed, targets=engines)
+        return through, direct
+
+    through, direct = run_fleet(action, token_ms=1)
+    medians = [r["streams"]["online"]["total_ms"]["p50"] for r in (through, direct)]
+    return [
+        Row("idle fleet", "median added by gateway and dispatcher, ms",
+            round(medians[0] - medians[1], 3), "<= 1.0", {},
+            {"through_ms": medians[0], "direct_ms": medians[1],
+             "failures": failures(through)})
+    ]
+
+
 def failures(report, name="online"):
     stream = report["streams"][name]
     return stream["count"] - stream["ok"] + stream["cut"] + report["unanswered"]
@@ -286,6 +306,7 @@
 
 
 SCENARIOS = {
+    "latency": added_latency,
     "batch": batch_beside_online,
     "short": short_beside_long,
     "slowed": slowed_for_good,
