Scheduling: Take back the loss of a server that still answers

Cause: HttpBackendPort reports a truncated answer as Unavailable, like the loss of the server. Two truncations of one request put an innocent fingerprint in quarantine.

Change: an attempt from before the loss that still answers 100 ms after it shows that the server lives, and nobody is suspected of its loss any more. The margin leaves out what the server sent before it was lost. A lost server comes back by an answer or a load report only, not by good samples. A request that is cut at a server where nothing else runs is still suspected.

--- a/Source/Scheduling/AnswerCollector.cpp
+++ b/Source/Scheduling/AnswerCollector.cpp
@@ -12,6 +12,8 @@
 // A first token shows both the prompt's and the first step's speed.
 constexpr std::uint32_t FirstTokenWeight = 3;
 constexpr double MeanWeight = 0.1;
+// What a server sent before its loss may still be read shortly after it.
+constexpr std::chrono::milliseconds AliveMargin{100};
 constexpr int FirstServerError = 500;
 
 } // namespace
@@ -54,6 +56,19 @@
                      "Its times are like those of its peers again.");
 }
 
+void AnswerCollector::noteAlive(const RunningAttempt &Run,
+                                ServerState &Server) {
+  const Instant Now = this->Fleet.now();
+  if (Now - Server.LostAt < AliveMargin)
+    return;
+  // An attempt from before the loss goes on, so one connection broke and the
+  // server did not.
+  if (Run.Started <= Server.LostAt)
+    this->Fleet.Suspects.retract(Server.Name);
+  if (Server.Health.state() == HealthState::Down)
+    Server.Health.startReturn(Now);
+}
+
 void AnswerCollector::learnFirst(const RunningAttempt &Run, ServiceState &State,
                                  ServerState &Server) {
   const Instant Now = this->Fleet.now();
@@ -77,12 +92,7 @@
   ServiceState &State = this->Fleet.service(Item.Work.Service);
   LatencyTracker &Latency = State.Latency;
   const bool Fit = Server.isFit();
-  if (Server.Health.state() == HealthState::Down) {
-    // It is not dead after all, so what it still runs is not to blame.
-    if (Run.Started <= Server.Health.since())
-      this->Fleet.Suspects.clear(Item.SuspectKey);
-    Server.Health.startReturn(Now);
-  }
+  this->noteAlive(Run, Server);
   if (Run.Received == 0) {
     this->learnFirst(Run, State, Server);
   } else {
@@ -164,6 +174,7 @@
   WorkItem &Item = this->Fleet.Items.at(Run->Item);
   ServerState &Server = *this->Fleet.Pool.find(Run->Server);
   Item.Answered = true;
+  this->noteAlive(*Run, Server);
   const bool IsError = Reply.Status >= FirstServerError;
   if (!IsError) {
     this->cancelLosers(Item, Id);
--- a/Source/Scheduling/AnswerCollector.h
+++ b/Source/Scheduling/AnswerCollector.h
@@ -23,6 +23,8 @@
   /// Cancels all attempts but \p Winner, so that one answer is never made of
   /// two attempts' tokens.
   void cancelLosers(WorkItem &Item, SchedulerAttemptId Winner);
+  /// Takes back the loss of a server that still answers.
+  void noteAlive(const RunningAttempt &Run, ServerState &Server);
   void learnFirst(const RunningAttempt &Run, ServiceState &State,
                   ServerState &Server);
   void learnTokens(RunningAttempt &Run, WorkItem &Item, ServerState &Server,
--- a/Source/Scheduling/FailurePolicy.cpp
+++ b/Source/Scheduling/FailurePolicy.cpp
@@ -85,9 +85,11 @@
         this->Fleet.Items.at(this->Fleet.Attempts.at(Id).Item).SuspectKey);
   this->Fleet.record("", Server.Name, "server_lost", Reason);
   Server.Health.markDown(Now);
+  Server.LostAt = Now;
   this->Fleet.Prefixes.forget(Server.Name);
   this->Fleet.service(Server.Service).Latency.forget(Server.Name);
-  const std::string Blamed = this->Fleet.Suspects.serverLost(Keys, Now);
+  const std::string Blamed =
+      this->Fleet.Suspects.serverLost(Server.Name, Keys, Now);
   if (Blamed.empty()) {
     this->separateCopies(Server);
     return;
--- a/Source/Scheduling/Quarantine.cpp
+++ b/Source/Scheduling/Quarantine.cpp
@@ -88,7 +88,8 @@
           std::find(Used.begin(), Used.end(), Server) != Used.end());
 }
 
-std::string Quarantine::serverLost(const std::set<std::string> &Keys,
+std::string Quarantine::serverLost(const std::string &Server,
+                                   const std::set<std::string> &Keys,
                                    Instant Now) {
   std::vector<std::string> Before;
   for (const std::string &Key : Keys)
@@ -102,7 +103,7 @@
   }
   if (!Before.empty())
     return "";
-  ++this->LastCrash;
+  this->CrashOf[Server] = ++this->LastCrash;
   for (const std::string &Key : Keys) {
     Entry &Record = this->Entries[Key];
     Record.Crash = this->LastCrash;
@@ -113,6 +114,14 @@
   return "";
 }
 
+void Quarantine::retract(const std::string &Server) {
+  const auto Found = this->CrashOf.find(Server);
+  if (Found == this->CrashOf.end())
+    return;
+  this->clearCrash(Found->second);
+  this->CrashOf.erase(Found);
+}
+
 void Quarantine::clear(const std::string &Key) {
   if (this->Suspects.erase(Key) == 0)
     return;
--- a/Source/Scheduling/Quarantine.h
+++ b/Source/Scheduling/Quarantine.h
@@ -48,7 +48,11 @@
 
   /// A server was lost while it ran \p Keys. Returns the key that is to blame
   /// and is now in quarantine, or "" if that is not known yet.
-  std::string serverLost(const std::set<std::string> &Keys, Instant Now);
+  std::string serverLost(const std::string &Server,
+                         const std::set<std::string> &Keys, Instant Now);
+
+  /// The server was not lost after all; nobody is suspected of its loss.
+  void retract(const std::string &Server);
 
   /// The key is innocent of the crash it was suspected of.
   void clear(const std::string &Key);
@@ -75,6 +79,8 @@
   std::unordered_set<std::string> Proven;
   std::deque<std::string> ProvenOrder;
   std::uint64_t LastCrash = 0;
+  /// The last crash of each server that made suspects.
+  std::map<std::string, std::uint64_t> CrashOf;
 };
 
 } // namespace turmericpass
--- a/Source/Scheduling/ServerHealth.cpp
+++ b/Source/Scheduling/ServerHealth.cpp
@@ -50,7 +50,8 @@
     this->Losses = 0;
     return;
   }
-  if (this->State == HealthState::Returning)
+  // What a lost server sent before its loss proves nothing.
+  if (this->State != HealthState::Slow)
     return;
   if (this->Good == 0)
     this->GoodSince = Now;
--- a/Source/Scheduling/ServerState.h
+++ b/Source/Scheduling/ServerState.h
@@ -26,6 +26,8 @@
   /// Long attempts by class.
   std::map<std::string, std::uint32_t> LongByClass;
   Instant LastStart;
+  /// When it was last taken for lost.
+  Instant LostAt;
   /// When any of its streams last gave a token.
   Instant LastToken;
 
--- a/Tests/Scheduling/CrashTest.cpp
+++ b/Tests/Scheduling/CrashTest.cpp
@@ -123,6 +123,32 @@
   cr_assert(Rig.Fleet.Announced.empty());
 }
 
+// Guards against a truncated answer that is taken for the loss of its server:
+// after a second one, an innocent request would be in quarantine.
+Test(Crashes, TruncatedAnswersMakeNoSuspects) {
+  SchedulerRig Rig(3, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 6);
+  Rig.Fleet.advance(100);
+  for (int Round = 0; Round < 3; ++Round) {
+    for (auto &[Name, Engine] : Rig.Fleet.Engines)
+      for (const auto &[Id, Each] : Engine.Streams) {
+        if (Each.Work.RequestId != "r0")
+          continue;
+        const SchedulerAttemptId Cut = Id;
+        Engine.Streams.erase(Cut);
+        Rig.Sut.attemptFailed(Cut, {ErrorCode::Unavailable, "It was cut."},
+                              AttemptProgress::Admitted);
+        break;
+      }
+    Rig.Fleet.advance(130);
+  }
+  cr_assert(Rig.Fleet.Answers["r0"].Starts >= 3);
+  Rig.Fleet.advance(3000);
+  cr_assert(innocentsFailed(Rig) == 0);
+  cr_assert(Rig.Fleet.Announced.empty());
+}
+
 // Guards against a lost server that is used again before it answers, and one
 // that is never used again.
 Test(Crashes, LostServerComesBack) {
