--- a/Source/Scheduling/AnswerCollector.cpp
+++ b/Source/Scheduling/AnswerCollector.cpp
@@ -12,20 +12,27 @@
 // A first token shows both the prompt's and the first step's speed.
 constexpr std::uint32_t FirstTokenWeight = 3;
 constexpr double MeanWeight = 0.1;
+// What a server sent before its loss may still be read shortly after it.
+constexpr std::chrono::milliseconds AliveMargin{100};
 constexpr int FirstServerError = 500;
 
 } // namespace
 
 void AnswerCollector::cancelLosers(WorkItem &Item, SchedulerAttemptId Winner) {
   const Instant Now = this->Fleet.now();
+  if (Item.Attempts.size() == 1)
+    return;
+  ServiceState &State = this->Fleet.service(Item.Work.Service);
   const std::vector<SchedulerAttemptId> All = Item.Attempts;
   for (const SchedulerAttemptId Id : All) {
     if (Id == Winner)
       continue;
     const RunningAttempt &Loser = this->Fleet.Attempts.at(Id);
     if (!Loser.IsHedge)
-      this->Fleet.service(Item.Work.Service)
-          .Latency.overdue(Loser.Server, Now - Loser.Started, Now);
+      State.Latency.overdue(
+          Loser.Server,
+          State.Prompts.normalise(Loser.PromptTokens, Now - Loser.Started),
+          Now);
     this->Fleet.record(Item.Work.RequestId, Loser.Server, "hedge_cancelled",
                        "Another attempt answered first.");
     this->Fleet.cancelAttempt(Id);
@@ -49,23 +56,45 @@
                      "Its times are like those of its peers again.");
 }
 
+void AnswerCollector::noteAlive(const RunningAttempt &Run,
+                                ServerState &Server) {
+  const Instant Now = this->Fleet.now();
+  if (Now - Server.LostAt < AliveMargin)
+    return;
+  // An attempt from before the loss goes on, so one connection broke and the
+  // server did not.
+  if (Run.Started <= Server.LostAt)
+    this->Fleet.Suspects.retract(Server.Name);
+  if (Server.Health.state() == HealthState::Down)
+    Server.Health.startReturn(Now);
+}
+
+void AnswerCollector::learnFirst(const RunningAttempt &Run, ServiceState &State,
+                                 ServerState &Server) {
+  const Instant Now = this->Fleet.now();
+  const bool Fit = Server.isFit();
+  if (Fit)
+    State.Prompts.observe(Run.PromptTokens, Now - Run.Started);
+  if (!State.Prompts.knows(Run.PromptTokens))
+    return;
+  const Duration Elapsed =
+      State.Prompts.normalise(Run.PromptTokens, Now - Run.Started);
+  State.Latency.firstToken(Server.Name, Elapsed, Fit, Now);
+  if (Fit)
+    Server.Window.firstTokenAfter(Elapsed);
+  this->noteSample(Server, State.Latency.isGoodFirst(Elapsed),
+                   FirstTokenWeight);
+}
+
 void AnswerCollector::learnTokens(RunningAttempt &Run, WorkItem &Item,
                                   ServerState &Server, std::size_t Count) {
   const Instant Now = this->Fleet.now();
-  LatencyTracker &Latency = this->Fleet.service(Item.Work.Service).Latency;
+  ServiceState &State = this->Fleet.service(Item.Work.Service);
+  LatencyTracker &Latency = State.Latency;
   const bool Fit = Server.isFit();
-  if (Server.Health.state() == HealthState::Down) {
-    // It is not dead after all, so what it still runs is not to blame.
-    if (Run.Started <= Server.Health.since())
-      this->Fleet.Suspects.clear(Item.SuspectKey);
-    Server.Health.startReturn(Now);
-  }
+  this->noteAlive(Run, Server);
   if (Run.Received == 0) {
-    const Duration Elapsed = Now - Run.Started;
-    Latency.firstToken(Server.Name, Elapsed, Fit, Now);
-    if (Fit)
-      Server.Window.firstTokenAfter(Elapsed);
-    this->noteSample(Server, Latency.isGoodFirst(Elapsed), FirstTokenWeight);
+    this->learnFirst(Run, State, Server);
   } else {
     const Duration Elapsed = Now - Run.LastToken;
     Latency.gap(Server.Name, Elapsed, Fit, Now);
@@ -145,6 +174,7 @@
   WorkItem &Item = this->Fleet.Items.at(Run->Item);
   ServerState &Server = *this->Fleet.Pool.find(Run->Server);
   Item.Answered = true;
+  this->noteAlive(*Run, Server);
   const bool IsError = Reply.Status >= FirstServerError;
   if (!IsError) {
     this->cancelLosers(Item, Id);
