--- a/Source/Backends/HttpBackendPort.cpp
+++ b/Source/Backends/HttpBackendPort.cpp
@@ -99,8 +99,10 @@
     : Loop(Loop), Client(Client) {}
 
 HttpBackendPort::~HttpBackendPort() {
-  while (!this->Attempts.empty())
-    this->cancel(this->Attempts.begin()->first);
+  for (const auto &[Id, Open] : this->Attempts) {
+    this->Loop.cancel(Open->Flush);
+    this->Client.cancel(Open->Call);
+  }
   for (const HttpCallId Call : this->Fetches)
     this->Client.cancel(Call);
 }
@@ -336,9 +338,9 @@
     Ended->Handlers.Failed(std::move(Reason), Progress);
 }
 
-void HttpBackendPort::fetch(const std::string &Address, std::string Path,
-                            std::string Query,
-                            std::function<void(Result<std::string>)> Done) {
+void HttpBackendPort::fetch(
+    const std::string &Address, std::string Path, std::string Query,
+    const std::function<void(Result<std::string>)> &Done) {
   HttpRequest Request;
   Request.Method = "GET";
   Request.Path = std::move(Path);
--- a/Source/Backends/HttpBackendPort.h
+++ b/Source/Backends/HttpBackendPort.h
@@ -52,7 +52,7 @@
   void flush(AttemptId Id);
   void fail(AttemptId Id, Error Reason, AttemptProgress Progress);
   void fetch(const std::string &Address, std::string Path, std::string Query,
-             std::function<void(Result<std::string>)> Done);
+             const std::function<void(Result<std::string>)> &Done);
 
   EventLoop &Loop;
   HttpClient &Client;
--- a/Source/Platform/PlatformCall.cpp
+++ b/Source/Platform/PlatformCall.cpp
@@ -31,7 +31,7 @@
 
 void callPlatform(HttpClient &Client, const std::string &Address,
                   HttpRequest Request,
-                  std::function<void(Result<std::string>)> Done,
+                  const std::function<void(Result<std::string>)> &Done,
                   ErrorCode TooMany) {
   const std::string What =
       Request.Method + " " + Request.Path + " at " + Address;
--- a/Source/Platform/PlatformCall.h
+++ b/Source/Platform/PlatformCall.h
@@ -16,7 +16,7 @@
 /// has no effect), InvalidArgument (other statuses from 400 to 499).
 void callPlatform(HttpClient &Client, const std::string &Address,
                   HttpRequest Request,
-                  std::function<void(Result<std::string>)> Done,
+                  const std::function<void(Result<std::string>)> &Done,
                   ErrorCode TooMany = ErrorCode::Unavailable);
 
 } // namespace turmericpass
--- a/Tests/Backends/EventStreamParserTest.cpp
+++ b/Tests/Backends/EventStreamParserTest.cpp
@@ -26,7 +26,7 @@
   EventStreamParser Parser(Limit);
   std::vector<std::uint32_t> Ids;
   bool SawEnd = false;
-  const auto feed = [&](std::string_view Piece) {
+  const auto Feed = [&](std::string_view Piece) {
     const auto Events = Parser.feed(Piece);
     RC_ASSERT(Events.has_value());
     for (const std::string &Data : *Events) {
@@ -39,10 +39,10 @@
     }
   };
   for (const std::uint8_t Cut : Cuts) {
-    feed(Stream.substr(0, Cut));
+    Feed(Stream.substr(0, Cut));
     Stream.remove_prefix(std::min<std::size_t>(Cut, Stream.size()));
   }
-  feed(Stream);
+  Feed(Stream);
   RC_ASSERT(SawEnd);
   RC_ASSERT(!Parser.insideEvent());
   return Ids;
--- a/Tests/Platform/PlatformAdaptersTest.cpp
+++ b/Tests/Platform/PlatformAdaptersTest.cpp
@@ -164,16 +164,16 @@
   Bench Given;
   cr_assert(rc::check([&](const std::string &Bytes) {
     const std::string Name = "results/" + *rc::gen::nonEmpty<std::string>();
-    const auto put = [&](auto Done) {
+    const auto Put = [&](auto Done) {
       Given.Objects.put(Name, Bytes, std::move(Done));
     };
-    RC_ASSERT(Given.wait<void>(put).has_value());
-    RC_ASSERT(Given.wait<void>(put).has_value());
+    RC_ASSERT(Given.wait<void>(Put).has_value());
+    RC_ASSERT(Given.wait<void>(Put).has_value());
     RC_ASSERT(Given.getObject(Name) == Bytes);
-    const auto remove = [&](auto Done) {
+    const auto Remove = [&](auto Done) {
       Given.Objects.remove(Name, std::move(Done));
     };
-    RC_ASSERT(Given.wait<void>(remove).has_value());
+    RC_ASSERT(Given.wait<void>(Remove).has_value());
     RC_ASSERT(Given.getObject(Name).error().Code == ErrorCode::NotFound);
   }));
 }
--- a/Tests/StandIns/FaultSwitches.cpp
+++ b/Tests/StandIns/FaultSwitches.cpp
@@ -23,13 +23,13 @@
   if (std::find(this->Kinds.begin(), this->Kinds.end(), Name) ==
       this->Kinds.end())
     return {400, {}, Json{{"allowed", this->Kinds}}.dump()};
-  const auto number = [&Fault](const char *Key, double Otherwise) {
+  const auto ReadNumber = [&Fault](const char *Key, double Otherwise) {
     const Json Value = Fault.value(Key, Json(Otherwise));
     return Value.is_number() ? Value.get<double>() : Otherwise;
   };
   Switch Added;
-  Added.Factor = number("factor", 1);
-  const double ForMs = number("for_ms", 0);
+  Added.Factor = ReadNumber("factor", 1);
+  const double ForMs = ReadNumber("for_ms", 0);
   Added.Until = ForMs > 0
                     ? this->Time.now() + Duration(std::int64_t(ForMs * 1000))
                     : Instant::max();
--- a/Tests/StandIns/ServerProgram.cpp
+++ b/Tests/StandIns/ServerProgram.cpp
@@ -12,7 +12,7 @@
 
 std::optional<int> parseArguments(int ArgumentCount, char **Arguments,
                                   const char *Title,
-                                  options::options_description Options,
+                                  const options::options_description &Options,
                                   ServerArguments &Common) {
   options::options_description All(Title);
   All.add_options()("help", "print this text")(
--- a/Tests/StandIns/ServerProgram.h
+++ b/Tests/StandIns/ServerProgram.h
@@ -27,7 +27,7 @@
 /// arguments that are not valid.
 std::optional<int>
 parseArguments(int ArgumentCount, char **Arguments, const char *Title,
-               boost::program_options::options_description Options,
+               const boost::program_options::options_description &Options,
                ServerArguments &Common);
 
 /// Serves until SIGTERM or SIGINT and returns the status to exit with. \p
--- a/Tests/StandIns/StandInEngine.cpp
+++ b/Tests/StandIns/StandInEngine.cpp
@@ -49,7 +49,8 @@
 } // namespace
 
 StandInEngine::StandInEngine(EventLoop &Loop, Logger &Log,
-                             EngineOptions Options, std::function<void()> Crash)
+                             const EngineOptions &Options,
+                             std::function<void()> Crash)
     : Loop(Loop), Log(Log), Options(Options), Crash(std::move(Crash)),
       Faults(Loop.clock(), {"crash", "freeze", "slow", "cut", "garbage",
                             "endless", "wrong_tag", "refuse"}),
@@ -216,7 +217,8 @@
   Open.Answer.push_back(Token);
   if (Open.Prompt.Stream)
     this->sendToken(Open, Token);
-  if (this->Faults.isOn("cut") && Open.Sent >= this->Faults.factor("cut", 1)) {
+  if (this->Faults.isOn("cut") &&
+      static_cast<double>(Open.Sent) >= this->Faults.factor("cut", 1)) {
     this->drop(Id, "Cut.");
     return false;
   }
@@ -232,7 +234,7 @@
                              {{"Content-Type", "text/event-stream"},
                               {"X-Request-Id", this->replyTag(Open)}});
   if (this->Faults.isOn("garbage") &&
-      Open.Sent >= this->Faults.factor("garbage", 1))
+      static_cast<double>(Open.Sent) >= this->Faults.factor("garbage", 1))
     this->Server.sendPiece(Open.Id, GarbageEvent);
   else
     this->Server.sendPiece(Open.Id,
--- a/Tests/StandIns/StandInEngine.h
+++ b/Tests/StandIns/StandInEngine.h
@@ -27,7 +27,7 @@
 class StandInEngine {
 public:
   /// \p Crash ends the process, or does what a test wants instead.
-  StandInEngine(EventLoop &Loop, Logger &Log, EngineOptions Options,
+  StandInEngine(EventLoop &Loop, Logger &Log, const EngineOptions &Options,
                 std::function<void()> Crash);
   ~StandInEngine();
   StandInEngine(const StandInEngine &) = delete;
