--- a/Source/Platform/HttpObjectStore.cpp
+++ b/Source/Platform/HttpObjectStore.cpp
@@ -39,8 +39,7 @@
 }
 
 void HttpObjectStore::get(std::string Name, GetDone Done) {
-  callPlatform(this->Client, this->Address, buildRequest("GET", Name),
-               std::move(Done));
+  callPlatform(this->Client, this->Address, buildRequest("GET", Name), Done);
 }
 
 void HttpObjectStore::remove(std::string Name, PutDone Done) {
--- a/Source/Platform/HttpWeightStore.cpp
+++ b/Source/Platform/HttpWeightStore.cpp
@@ -14,7 +14,7 @@
   HttpRequest Request;
   Request.Method = "GET";
   Request.Path = "/weights/" + percentEncode(Name);
-  callPlatform(this->Client, this->Address, std::move(Request), std::move(Done),
+  callPlatform(this->Client, this->Address, std::move(Request), Done,
                ErrorCode::RateLimited);
 }
 
