Control: Send each digest entry into a zone once; add tests

Digest now has Base, and a receiver that does not have all up to it acknowledges nothing. - A relay that was lost right after it told another zone of this one left a version there that the next relay did not know to exceed. Zones now send each other's aggregate back. - The entry of a node that was taken for a relay by mistake stayed with it. Entries now come from one sender.

--- a/Source/Control/FleetEntries.cpp
+++ b/Source/Control/FleetEntries.cpp
@@ -26,10 +26,9 @@
 FleetEntries::FleetEntries(const Clock &Time, std::uint64_t FirstChange)
     : Time(Time), Change(FirstChange) {}
 
-void FleetEntries::store(const std::string &Key, std::uint64_t Version,
-                         const std::string &Value) {
-  this->Entries[Key] = {Version, Value, ++this->Change, this->Time.now(),
-                        false};
+void FleetEntries::store(const DigestEntry &From, bool Shared) {
+  this->Entries[From.Key] = {From.Version,     From.Value, ++this->Change,
+                             this->Time.now(), Shared,     false};
 }
 
 bool FleetEntries::announce(const std::string &Key, const std::string &Value) {
@@ -47,11 +46,11 @@
       return false;
     Version = std::max(Version, Old.Version + 1);
   }
-  this->store(Key, Version, Value);
+  this->store({Key, Version, Value}, false);
   return true;
 }
 
-bool FleetEntries::merge(const DigestEntry &Entry) {
+bool FleetEntries::merge(const DigestEntry &Entry, bool Shared) {
   if (Entry.Key.empty() || Entry.Key.size() > MaxKeyBytes ||
       Entry.Value.size() > MaxValueBytes)
     return false;
@@ -64,16 +63,21 @@
               Entry.Value <= Known->second.Value)) {
     return false;
   }
-  this->store(Entry.Key, Entry.Version, Entry.Value);
+  this->store(Entry, Shared);
   return true;
 }
 
-std::vector<DigestEntry> FleetEntries::changedSince(
-    std::uint64_t Since,
-    const std::function<bool(const std::string &)> &Wanted) const {
+void FleetEntries::touch(const std::string &Prefix) {
+  for (auto Next = this->Entries.lower_bound(Prefix);
+       Next != this->Entries.end() && Next->first.starts_with(Prefix); ++Next)
+    Next->second.Change = ++this->Change;
+}
+
+std::vector<DigestEntry>
+FleetEntries::changedSince(std::uint64_t Since, const Filter &Wanted) const {
   std::vector<DigestEntry> Changed;
   for (const auto &[Key, Entry] : this->Entries)
-    if (Entry.Change > Since && !Entry.Expired && Wanted(Key))
+    if (Entry.Change > Since && !Entry.Expired && Wanted(Key, Entry.Shared))
       Changed.push_back({Key, Entry.Version, Entry.Value});
   return Changed;
 }
--- a/Source/Control/FleetEntries.h
+++ b/Source/Control/FleetEntries.h
@@ -32,14 +32,20 @@
   /// soon expire. Returns whether something changed.
   bool announce(const std::string &Key, const std::string &Value);
 
+  /// Tells which entries are wanted. \p Shared is true for an entry that came
+  /// from a peer that sends it to the whole zone itself.
+  using Filter = std::function<bool(const std::string &Key, bool Shared)>;
+
   /// Takes a peer's entry and returns whether it was news.
-  bool merge(const DigestEntry &Entry);
+  bool merge(const DigestEntry &Entry, bool Shared);
+
+  /// Counts the entries whose key begins with \p Prefix as changed now.
+  void touch(const std::string &Prefix);
 
   /// Returns the entries changed after number \p Change for which \p Wanted
   /// holds.
-  std::vector<DigestEntry>
-  changedSince(std::uint64_t Change,
-               const std::function<bool(const std::string &)> &Wanted) const;
+  std::vector<DigestEntry> changedSince(std::uint64_t Change,
+                                        const Filter &Wanted) const;
 
   /// Returns the number of the latest change.
   std::uint64_t lastChange() const { return this->Change; }
@@ -62,11 +68,11 @@
     std::string Value;
     std::uint64_t Change = 0;
     Instant Since;
+    bool Shared = false;
     bool Expired = false;
   };
 
-  void store(const std::string &Key, std::uint64_t Version,
-             const std::string &Value);
+  void store(const DigestEntry &From, bool Shared);
 
   const Clock &Time;
   std::uint64_t Change;
--- a/Source/Control/MembershipDigest.cpp
+++ b/Source/Control/MembershipDigest.cpp
@@ -24,6 +24,10 @@
 std::string zoneKey(const std::string &Zone) { return "zone/" + Zone; }
 std::string reachKey(const std::string &Zone) { return "reach/" + Zone; }
 
+bool isMark(const std::string &Key) {
+  return Key.starts_with("leaving/") || Key.starts_with("quarantine/");
+}
+
 std::vector<std::string> words(const std::string &Text) {
   std::istringstream In(Text);
   std::vector<std::string> Found;
@@ -52,10 +56,12 @@
 void MembershipDigest::setSettings(const FleetSettings &Settings) {
   this->SettingsVersion = Settings.Version;
   this->ZoneNodes.clear();
+  this->NodeZones.clear();
   for (const auto &[Name, Each] : Settings.Zones)
     this->ZoneNodes[Name];
   for (const auto &[Name, Each] : Settings.Nodes) {
     this->ZoneNodes[Each.Zone].push_back(Name);
+    this->NodeZones[Name] = Each.Zone;
     if (Name == this->Node)
       this->Zone = Each.Zone;
   }
@@ -136,9 +142,8 @@
   const std::string *Listed = this->Known.find(zoneKey(Name));
   if (!Listed)
     return {Nodes->second.begin(), Nodes->second.end()};
-  std::vector<std::string> Parts = words(*Listed);
-  if (!Parts.empty())
-    Live.insert(Parts.begin() + 1, Parts.end());
+  for (std::string &Each : words(*Listed))
+    Live.insert(std::move(Each));
   return Live;
 }
 
@@ -147,12 +152,8 @@
   Status.Zone = Name;
   Status.Reachable = this->zoneReachable(Name);
   Status.LiveNodes = this->liveInZone(Name);
-  if (Name != this->Zone) {
-    const std::string *Listed = this->Known.find(zoneKey(Name));
-    const auto Parts = Listed ? words(*Listed) : std::vector<std::string>();
-    Status.SettingsVersion = Parts.empty() ? 0 : toNumber(Parts.front());
+  if (Name != this->Zone)
     return Status;
-  }
   bool First = true;
   for (const std::string &Each : Status.LiveNodes) {
     const std::uint64_t Version = this->versionOf(Each);
@@ -234,6 +235,11 @@
   return Names;
 }
 
+std::string MembershipDigest::zoneOf(const std::string &Name) const {
+  const auto Known = this->NodeZones.find(Name);
+  return Known == this->NodeZones.end() ? std::string() : Known->second;
+}
+
 OutgoingDigest MembershipDigest::digestFor(const std::string &Name) const {
   Digest Body;
   Body.Node = this->Node;
@@ -246,16 +252,26 @@
     Body.Acknowledged = Peer->second.Received;
     Has = Peer->second.Acknowledged;
   }
-  const auto &Own = this->ZoneNodes.at(this->Zone);
-  const bool SameZone = std::find(Own.begin(), Own.end(), Name) != Own.end();
+  Body.Base = Has;
+  const bool Relay = this->isRelay();
+  const std::string OtherZone = this->zoneOf(Name);
+  const bool SameZone = OtherZone == this->Zone;
   Body.Entries =
-      this->Known.changedSince(Has, [this, SameZone](const std::string &Key) {
-        if (SameZone)
+      this->Known.changedSince(Has, [&](const std::string &Key, bool Shared) {
+        // Marks go to everyone from everyone, because their author may be lost.
+        if (isMark(Key))
           return true;
-        // Other zones get the aggregate of this zone, not its parts.
-        if (Key.starts_with("zone/"))
-          return Key == zoneKey(this->Zone);
-        return !Key.starts_with("node/") && !Key.starts_with("reach/");
+        // Other zones get the aggregate of this zone, not its parts, and theirs
+        // back: a relay must exceed what a lost relay of its zone said last.
+        if (!SameZone)
+          return Key == zoneKey(this->Zone) || Key == zoneKey(OtherZone);
+        // A peer that has just started gets all. Later an entry comes from
+        // whoever brought it into the zone: a mesh in which all repeat all
+        // would multiply the traffic. Rare news of zones are sent more often,
+        // for the same reason as above.
+        return Has == 0 || !Shared || Key == zoneKey(this->Zone) ||
+               Key == reachKey(this->Zone) ||
+               (Relay && Key.starts_with("zone/"));
       });
   return {Name, std::move(Body)};
 }
@@ -264,15 +280,18 @@
 /// others can be reached.
 void MembershipDigest::publishZone() {
   const bool Relay = this->isRelay();
-  if (Relay && !this->WasRelay)
+  if (Relay && !this->WasRelay) {
     this->RelaySince = this->Time.now();
+    // The earlier relay may have been lost before all had these from it.
+    this->Known.touch("zone/");
+  }
   this->WasRelay = Relay;
   if (!Relay || this->isFresh())
     return;
   const ZoneStatus Own = this->statusOf(this->Zone);
-  std::string Value = std::to_string(Own.SettingsVersion);
+  std::string Value;
   for (const std::string &Each : Own.LiveNodes)
-    Value += " " + Each;
+    Value += (Value.empty() ? "" : " ") + Each;
   this->Known.announce(zoneKey(this->Zone), Value);
   std::string Reach;
   for (const auto &[Name, Nodes] : this->ZoneNodes)
@@ -297,10 +316,9 @@
 }
 
 std::vector<OutgoingDigest> MembershipDigest::urgent() {
-  const auto News =
-      this->Known.changedSince(this->UrgentChange, [](const std::string &Key) {
-        return Key.starts_with("leaving/") || Key.starts_with("quarantine/");
-      });
+  const auto News = this->Known.changedSince(
+      this->UrgentChange,
+      [](const std::string &Key, bool) { return isMark(Key); });
   this->UrgentChange = this->Known.lastChange();
   if (News.empty())
     return {};
@@ -329,8 +347,10 @@
     this->ZoneHeard[Body.Zone] = Now;
   bool News = Silent;
   for (const DigestEntry &Entry : Body.Entries)
-    News |= this->Known.merge(Entry);
-  From.Received = std::max(From.Received, Body.Sequence);
+    News |= this->Known.merge(Entry, Body.Zone == this->Zone);
+  // A digest for an earlier run of this node leaves out what that run had.
+  if (Body.Base <= From.Received)
+    From.Received = std::max(From.Received, Body.Sequence);
   // An acknowledgement beyond the latest change belongs to an earlier run.
   if (Body.Acknowledged <= this->Known.lastChange())
     From.Acknowledged = std::max(From.Acknowledged, Body.Acknowledged);
--- a/Source/Control/MembershipDigest.h
+++ b/Source/Control/MembershipDigest.h
@@ -26,7 +26,9 @@
   std::string Zone;
   /// False if no digest comes from there.
   bool Reachable = false;
-  /// The lowest settings version in force at its live nodes.
+  /// The lowest settings version in force at its live nodes. Known of the own
+  /// zone only; 0 for others, because to tell every node would cost more than
+  /// the whole budget for control traffic.
   std::uint64_t SettingsVersion = 0;
   std::set<std::string> LiveNodes;
 };
@@ -104,6 +106,7 @@
   ZoneStatus statusOf(const std::string &Zone) const;
   std::vector<std::string> receivers() const;
   std::string receiverIn(const std::string &Zone) const;
+  std::string zoneOf(const std::string &Node) const;
   OutgoingDigest digestFor(const std::string &Node) const;
   void publishZone();
 
@@ -116,6 +119,7 @@
   std::uint64_t SettingsVersion = 0;
   /// The nodes of each zone of the settings, in order.
   std::map<std::string, std::vector<std::string>> ZoneNodes;
+  std::map<std::string, std::string> NodeZones;
   std::map<std::string, Peer> Peers;
   std::map<std::string, Instant> ZoneHeard;
   Instant RelaySince;
--- a/Source/Controller/ControllerDaemon.cpp
+++ b/Source/Controller/ControllerDaemon.cpp
@@ -182,7 +182,8 @@
 
 void ControllerDaemon::announceLeaving(const std::string &Name,
                                        const std::string &Reason) {
-  if (this->Members.announceLeaving(Name))
+  const bool Known = this->Members.leavingServers().count(Name) > 0;
+  if (this->Members.announceLeaving(Name) && !Known)
     this->Decisions.record(Name, "leaving", Reason);
 }
 
--- a/Source/Controller/FleetReport.cpp
+++ b/Source/Controller/FleetReport.cpp
@@ -6,11 +6,14 @@
 
 std::string ControllerDaemon::describeFleet() const {
   nlohmann::json Zones = nlohmann::json::array();
-  for (const ZoneStatus &Zone : this->Members.zones())
-    Zones.push_back({{"zone", Zone.Zone},
-                     {"reachable", Zone.Reachable},
-                     {"settings_version", Zone.SettingsVersion},
-                     {"live_nodes", Zone.LiveNodes}});
+  for (const ZoneStatus &Zone : this->Members.zones()) {
+    nlohmann::json Entry = {{"zone", Zone.Zone},
+                            {"reachable", Zone.Reachable},
+                            {"live_nodes", Zone.LiveNodes}};
+    if (Zone.Zone == this->Replica.settings().Nodes.at(this->Node).Zone)
+      Entry["settings_version"] = Zone.SettingsVersion;
+    Zones.push_back(std::move(Entry));
+  }
   nlohmann::json Daemons = nlohmann::json::array();
   for (const auto &[Address, State] : this->Daemons)
     Daemons.push_back({{"role", State.Role},
--- a/Source/Wire/Codec.cpp
+++ b/Source/Wire/Codec.cpp
@@ -39,7 +39,7 @@
   Visit(M.Key, M.Version, M.Value);
 }
 template <typename F> void visitFields(Digest &M, F Visit) {
-  Visit(M.Node, M.Zone, M.Incarnation, M.Sequence, M.Acknowledged,
+  Visit(M.Node, M.Zone, M.Incarnation, M.Sequence, M.Base, M.Acknowledged,
         M.SettingsVersion, M.Entries);
 }
 template <typename F> void visitFields(SettingsRequest &M, F Visit) {
--- a/Source/Wire/Messages.h
+++ b/Source/Wire/Messages.h
@@ -145,6 +145,9 @@
   /// Differs after each start of the sender.
   std::uint64_t Incarnation = 0;
   std::uint64_t Sequence = 0;
+  /// Entries has what changed after this sequence. A receiver that does not
+  /// have all up to it acknowledges nothing.
+  std::uint64_t Base = 0;
   /// The highest sequence of the receiver that the sender has.
   std::uint64_t Acknowledged = 0;
   std::uint64_t SettingsVersion = 0;
--- /dev/null
+++ b/Tests/Control/SettingsStoreTest.cpp
@@ -0,0 +1,173 @@
+#include "Control/SettingsStore.h"
+
+#include "Core/Clock.h"
+#include "Core/IdSource.h"
+#include "Support/ControlFleet.h"
+#include "Support/MemoryTable.h"
+
+#include <criterion/criterion.h>
+#include <optional>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+
+namespace {
+
+/// An operator at a connection of their own to the shared table.
+struct Operator {
+  Operator(std::string Name, const std::shared_ptr<MemoryTable::Content> &Rows,
+           std::uint64_t Seed)
+      : Name(std::move(Name)), Rows(Rows), Ids(Seed),
+        Store(this->Rows, this->Ids, this->Time) {}
+
+  void apply(std::uint64_t From, const std::string &Mark) {
+    this->Outcome.reset();
+    this->Store.apply(From, this->Name, makeFolder(Mark),
+                      [this](Result<SettingsManifest> Done) {
+                        this->Outcome = std::move(Done);
+                      });
+  }
+
+  std::string Name;
+  ManualClock Time;
+  MemoryTable Rows;
+  IdSource Ids;
+  SettingsStore Store;
+  std::optional<Result<SettingsManifest>> Outcome;
+};
+
+std::vector<SettingsManifest> historyOf(Operator &Reader) {
+  std::vector<SettingsManifest> Versions;
+  Reader.Store.history(1000, [&](const auto &Read) { Versions = *Read; });
+  return Versions;
+}
+
+StoredSettings fetchWith(Operator &Reader, std::vector<SettingsFile> Have) {
+  Result<StoredSettings> Stored =
+      failure(ErrorCode::Internal, "No answer came.");
+  Reader.Store.fetch(std::move(Have),
+                     [&](Result<StoredSettings> Read) { Stored = Read; });
+  cr_assert(Stored.has_value(), "%s", Stored.error().Message.c_str());
+  return *Stored;
+}
+
+} // namespace
+
+// Guards against the silent loss of one of two operators' changes.
+Test(SettingsStore, LostRaceNamesWhoAndWhat) {
+  const auto Rows = std::make_shared<MemoryTable::Content>();
+  Operator Anna("anna", Rows, 1);
+  Operator Bruno("bruno", Rows, 2);
+  Anna.apply(0, "a");
+  cr_assert(Anna.Outcome->has_value());
+  // Both start from version 1, and Anna's write arrives after Bruno's.
+  Anna.Rows.Faults.Pick = [](const std::string &Call) {
+    return Call.starts_with("transact") ? StoreFault::Slow : StoreFault::None;
+  };
+  Anna.apply(1, "b");
+  cr_assert(!Anna.Outcome.has_value());
+  Bruno.apply(1, "c");
+  cr_assert(Bruno.Outcome->has_value());
+  Anna.Rows.Faults.release();
+  cr_assert(!Anna.Outcome->has_value());
+  cr_assert(Anna.Outcome->error().Code == ErrorCode::Conflict);
+  const std::string &Message = Anna.Outcome->error().Message;
+  cr_assert(Message.find("bruno") != std::string::npos);
+  cr_assert(Message.find("changed 20-classes.toml") != std::string::npos);
+  cr_assert(historyOf(Bruno).size() == 2);
+}
+
+// Guards against a second version by a retry whose first write arrives late.
+Test(SettingsStore, LateWriteTakesEffectOnce) {
+  const auto Rows = std::make_shared<MemoryTable::Content>();
+  Operator Anna("anna", Rows, 1);
+  Anna.Rows.Faults.Next = {StoreFault::None, StoreFault::LateEffect};
+  Anna.apply(0, "a");
+  cr_assert(Anna.Outcome->has_value());
+  Anna.Rows.Faults.release();
+  cr_assert(historyOf(Anna).size() == 1);
+}
+
+// Guards against an outcome that is guessed when no reply comes at all.
+Test(SettingsStore, UnknownOutcomeIsReportedAsSuch) {
+  const auto Rows = std::make_shared<MemoryTable::Content>();
+  Operator Anna("anna", Rows, 1);
+  Anna.Rows.Faults.Next = {StoreFault::None};
+  Anna.Rows.Faults.Always = StoreFault::ReplyLost;
+  Anna.apply(0, "a");
+  cr_assert(!Anna.Outcome->has_value());
+  cr_assert(Anna.Outcome->error().Code == ErrorCode::Timeout);
+}
+
+// Guards against wrong verdicts under any sequence of store faults.
+Test(SettingsStore, VerdictsAreTrueUnderFaults) {
+  cr_assert(rc::check([](const std::vector<bool> &Turns) {
+    const auto Rows = std::make_shared<MemoryTable::Content>();
+    Operator Anna("anna", Rows, 1);
+    Operator Bruno("bruno", Rows, 2);
+    Operator Reader("reader", Rows, 3);
+    int Mark = 0;
+    for (const bool Turn : Turns) {
+      Operator &Writer = Turn ? Anna : Bruno;
+      Writer.Rows.Faults.Next.clear();
+      for (int I = 0; I < 6; ++I)
+        Writer.Rows.Faults.Next.push_back(*rc::gen::element(
+            StoreFault::None, StoreFault::None, StoreFault::ReplyLost,
+            StoreFault::LateEffect, StoreFault::Unavailable));
+      const auto Before = historyOf(Reader);
+      const std::uint64_t From = Before.size() - *rc::gen::inRange(0, 2);
+      Writer.apply(From, std::to_string(++Mark));
+      RC_ASSERT(Writer.Outcome.has_value());
+      const auto After = historyOf(Reader);
+      if (Writer.Outcome->has_value()) {
+        RC_ASSERT(After.size() == Before.size() + 1);
+        RC_ASSERT(After.front().By == Writer.Name);
+        RC_ASSERT(fetchWith(Reader, {}).Files[1].Text ==
+                  makeFolder(std::to_string(Mark))[1].Text);
+      } else if (Writer.Outcome->error().Code != ErrorCode::Timeout) {
+        RC_ASSERT(After.size() == Before.size());
+      }
+      Writer.Rows.Faults.Next.clear();
+      Writer.Rows.Faults.release();
+    }
+    const auto All = historyOf(Reader);
+    for (std::size_t I = 0; I < All.size(); ++I)
+      RC_ASSERT(All[I].Version == All.size() - I);
+  }));
+}
+
+// Guards against the transfer of the whole fleet for a change to one file.
+Test(SettingsStore, OnlyChangedFilesAreRead) {
+  const auto Rows = std::make_shared<MemoryTable::Content>();
+  Operator Anna("anna", Rows, 1);
+  Anna.apply(0, "a");
+  const StoredSettings First = fetchWith(Anna, {});
+  Anna.apply(1, "b");
+  Anna.Rows.Faults.Reads = 0;
+  const StoredSettings Second = fetchWith(Anna, First.Files);
+  cr_assert(Anna.Rows.Faults.Reads == 2);
+  cr_assert(Second.Files[1].Text == makeFolder("b")[1].Text);
+}
+
+// Guards against a table that grows by every version, and against the deletion
+// of a file that a kept version still has.
+Test(SettingsStore, OldVersionsAreDroppedAndKeptOnesAreWhole) {
+  const auto Rows = std::make_shared<MemoryTable::Content>();
+  Operator Anna("anna", Rows, 1);
+  const std::uint64_t Count = SettingsStore::KeptVersions + 20;
+  for (std::uint64_t V = 0; V < Count; ++V) {
+    Anna.apply(V, V % 3 == 0 ? "a" : "b");
+    cr_assert(Anna.Outcome->has_value());
+  }
+  const auto Versions = historyOf(Anna);
+  cr_assert(Versions.size() == SettingsStore::KeptVersions);
+  std::set<std::string> Needed;
+  for (const SettingsManifest &Version : Versions)
+    for (const ManifestFile &File : Version.Files) {
+      const std::string Key =
+          "settings/file/" + std::to_string(File.Since) + "/" + File.Name;
+      cr_assert(Rows->count(Key) == 1, "%s is missing", Key.c_str());
+      Needed.insert(Key);
+    }
+  cr_assert(Rows->size() == 1 + Versions.size() + Needed.size());
+}
--- a/Tests/Settings/SettingsFolderTest.cpp
+++ b/Tests/Settings/SettingsFolderTest.cpp
@@ -70,37 +70,38 @@
 
 // Guards against a node that cannot read back what another one stored.
 Test(Settings, PackedDocumentIsReadBackWhole) {
-  rc::check([](const std::vector<std::pair<std::string, std::string>> &Parts) {
-    std::vector<SettingsFile> Files;
-    for (const auto &[Name, Text] : Parts)
-      Files.push_back({Name, Text});
-    const std::string Document = packSettings(Files);
-    const auto Read = unpackSettings(Document);
-    RC_ASSERT(Read.has_value());
-    RC_ASSERT(Read->size() == Files.size());
-    for (std::size_t I = 0; I < Files.size(); ++I)
-      RC_ASSERT((*Read)[I].Name == Files[I].Name &&
-                (*Read)[I].Text == Files[I].Text);
-    if (!Files.empty())
-      RC_ASSERT(!unpackSettings(Document.substr(0, Document.size() - 1)) ||
-                Files.back().Text.empty());
-  });
+  cr_assert(rc::check(
+      [](const std::vector<std::pair<std::string, std::string>> &Parts) {
+        std::vector<SettingsFile> Files;
+        for (const auto &[Name, Text] : Parts)
+          Files.push_back({Name, Text});
+        const std::string Document = packSettings(Files);
+        const auto Read = unpackSettings(Document);
+        RC_ASSERT(Read.has_value());
+        RC_ASSERT(Read->size() == Files.size());
+        for (std::size_t I = 0; I < Files.size(); ++I)
+          RC_ASSERT((*Read)[I].Name == Files[I].Name &&
+                    (*Read)[I].Text == Files[I].Text);
+        if (!Files.empty())
+          RC_ASSERT(!unpackSettings(Document.substr(0, Document.size() - 1)) ||
+                    Files.back().Text.empty());
+      }));
 }
 
 // Guards against a damaged document that stops a daemon.
 Test(Settings, RandomBytesNeverCrash) {
-  rc::check([](const std::string &Text) {
+  cr_assert(rc::check([](const std::string &Text) {
     checkSettings({{"a.toml", Text}});
     unpackSettings("turmericpass settings 1\n" + Text);
     unpackSettings(Text);
-  });
+  }));
   const std::string Sound = readText(
       std::filesystem::path(TURMERICPASS_TEST_DATA) / "Base" / "10-base.toml");
-  rc::check([&Sound](char Byte) {
+  cr_assert(rc::check([&Sound](char Byte) {
     std::string Damaged = Sound;
     const auto At = *rc::gen::inRange<std::size_t>(0, Damaged.size());
     const auto Length = *rc::gen::inRange<std::size_t>(0, 40);
     Damaged.replace(At, Length, std::string(Length / 2, Byte));
     checkSettings({{"a.toml", Damaged}});
-  });
+  }));
 }
