--- a/Source/Admission/DispatcherChooser.h
+++ b/Source/Admission/DispatcherChooser.h
@@ -40,8 +40,11 @@
   void ended(const std::string &Peer, const std::string &Service);
 
   /// Leaves \p Peer out of the owners for a while; its groups then go to the
-  /// nodes that would own them without it.
-  void peerLost(const std::string &Peer);
+  /// nodes that would own them without it. Returns whether it was an owner.
+  bool peerLost(const std::string &Peer);
+
+  /// Returns the dispatchers of nodes that are not known to be live.
+  const std::set<std::string> &doubtful() const { return this->Doubtful; }
 
   /// Returns the shortest wait that the service's owners expect for new online
   /// work, in milliseconds; nothing unless each of them said so lately.
@@ -73,6 +76,7 @@
   /// Until when a lost peer is left out.
   std::map<std::string, Instant> SuspectUntil;
   std::set<std::string> AdoptedZones;
+  std::set<std::string> Doubtful;
   std::map<std::string, std::vector<Owner>> Owners;
   std::map<PeerAndService, Heard> Hints;
   std::map<PeerAndService, std::uint32_t> Outstanding;
--- a/Source/Admission/RequestLifeCycle.cpp
+++ b/Source/Admission/RequestLifeCycle.cpp
@@ -36,10 +36,7 @@
     : Work(std::move(Work)), Deadline(Deadline), Limits(Limits),
       Ports(std::move(Ports)) {}
 
-void RequestLifeCycle::start(Instant Now) {
-  this->Begun = Now;
-  this->submitNext(Now);
-}
+void RequestLifeCycle::start(Instant Now) { this->submitNext(Now); }
 
 RequestLifeCycle::Attempt *RequestLifeCycle::current() {
   return this->Running ? &this->Attempts.back() : nullptr;
@@ -56,6 +53,8 @@
   this->Waiting.clear();
   this->WholeEnding.reset();
   this->GapSince.reset();
+  if (!this->SearchingSince)
+    this->SearchingSince = Now;
   const std::optional<std::string> Peer = this->Ports.Choose(this->Tried);
   if (Peer)
     this->submitTo(*Peer, Now);
@@ -73,6 +72,7 @@
   Next.Peer = Peer;
   Next.Number = this->Work.Attempt;
   Next.Since = Now;
+  Next.Heard = Now;
   this->Attempts.push_back(std::move(Next));
   this->Running = true;
   ++this->Submitted;
@@ -83,8 +83,10 @@
   const bool Overloaded =
       this->LastRefusal && this->LastRefusal->Code == FinishCode::Overloaded;
   // A lost dispatcher's servers get a new owner within seconds, so that work
-  // is worth a wait; an overload is told to the caller at once.
-  if (!Overloaded && Now < this->Begun + this->Limits.NoServerPatience) {
+  // is worth a wait. An overload is told to the caller at once, unless the
+  // caller already has a part of its answer.
+  if ((!Overloaded || !this->Tokens.empty()) &&
+      Now < *this->SearchingSince + this->Limits.NoServerPatience) {
     this->Tried.clear();
     this->AskAgainAt = Now + this->Limits.RetryPause;
     return;
@@ -95,18 +97,27 @@
       Now);
 }
 
-void RequestLifeCycle::accepted(const std::string &From,
-                                const Accepted &Answer) {
+void RequestLifeCycle::accepted(const std::string &From, const Accepted &Answer,
+                                Instant Now) {
+  if (Answer.RequestId != this->Work.RequestId)
+    return;
   if (Attempt *Last = this->currentOf(From, Answer.Attempt))
-    Last->Accepted = true;
+    this->markAccepted(*Last, Now);
+}
+
+void RequestLifeCycle::markAccepted(Attempt &Entry, Instant Now) {
+  Entry.Accepted = true;
+  Entry.Heard = Now;
+  this->SearchingSince.reset();
 }
 
 void RequestLifeCycle::chunk(const std::string &From, Chunk Piece,
                              Instant Now) {
   Attempt *Last = this->currentOf(From, Piece.Attempt);
-  if (this->Over || !Last || Piece.TokenIds.size() != Piece.Texts.size())
+  if (this->Over || !Last || Piece.RequestId != this->Work.RequestId ||
+      Piece.TokenIds.size() != Piece.Texts.size())
     return;
-  Last->Accepted = true;
+  this->markAccepted(*Last, Now);
   if (Piece.Offset > this->Tokens.size()) {
     if (this->Waiting.size() < MaxWaitingPieces)
       this->Waiting.emplace(Piece.Offset, std::move(Piece));
@@ -156,7 +167,7 @@
 
 void RequestLifeCycle::finish(const std::string &From, Finish Answer,
                               Instant Now) {
-  if (this->Over)
+  if (this->Over || Answer.RequestId != this->Work.RequestId)
     return;
   const auto Known = std::find_if(
       this->Attempts.begin(), this->Attempts.end(), [&](const Attempt &Entry) {
@@ -201,6 +212,7 @@
 }
 
 void RequestLifeCycle::repeat(Instant Now, const std::string &Why) {
+  this->LastRefusal.reset();
   if (++this->Repeats > this->Limits.MaxRepeats || !this->Ports.TakeRepeat()) {
     this->giveUp(
         makeEnding(FinishCode::NoServer, "The request was tried " +
@@ -232,6 +244,15 @@
   }
 }
 
+void RequestLifeCycle::doubt(const std::set<std::string> &Peers, Instant Now) {
+  const Attempt *Last = this->current();
+  if (this->Over || this->Reason || !Last || !this->Work.Repeatable ||
+      !Peers.count(Last->Peer) || Now < Last->Heard + this->Limits.DoubtLimit)
+    return;
+  this->cancelOpenAttempts();
+  this->repeat(Now, "the dispatcher's node is not among the live ones");
+}
+
 void RequestLifeCycle::sendFailed(std::uint32_t Number, Instant Now) {
   Attempt *Last = this->current();
   if (this->Over || this->Reason || !Last || Last->Number != Number)
