Batcher: Read waiting answers before judging a dispatcher silent

A process that stood still counted its own standstill as the dispatcher's silence, so that an item that must not be repeated lost an answer that was already waiting.

The first tick after a standstill now only takes note of the time. An item that must not be repeated and ran without an answer ends as outcome_unknown whatever was lost on the way.

--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -20,6 +20,7 @@
 /// Bounds the items at dispatchers of one batcher.
 constexpr std::size_t MaxRunning = 1024;
 constexpr Duration TickPeriod = 20ms;
+constexpr Duration StandstillTime = 500ms;
 constexpr Duration StoreTickPeriod = 100ms;
 /// A batch outlasts any loss of dispatchers; its due time ends it.
 constexpr Duration Patience = std::chrono::hours(24);
@@ -75,6 +76,10 @@
 
 void BatcherDaemon::tick() {
   const Instant Now = this->Ports.Time.now();
+  // After a standstill the dispatchers' messages wait to be read; they are no
+  // silence.
+  if (Now - std::exchange(this->LastTick, Now) > StandstillTime)
+    return;
   std::vector<std::string> Ids;
   for (const auto &[Id, Call] : this->Calls)
     if (!Call->Storing)
--- a/Source/Batcher/BatcherDaemon.h
+++ b/Source/Batcher/BatcherDaemon.h
@@ -99,6 +99,7 @@
   std::map<std::string, WorkItem> Blocked;
   std::set<std::string> BlockedJobs;
   bool Feeding = false;
+  Instant LastTick{};
   std::uint64_t TickTimer = 0;
   std::uint64_t StoreTimer = 0;
 };
--- a/Source/Batcher/FinishRule.cpp
+++ b/Source/Batcher/FinishRule.cpp
@@ -32,10 +32,10 @@
     Result.Body = std::move(Answer);
     return Outcome;
   }
-  Result.ErrorCode =
-      Ending.Ran == Execution::Unknown && !Request.Work.Repeatable
-          ? "outcome_unknown"
-          : std::string(toName(Ending.Code));
+  // Without an answer it is not known what the work did, also if it ran.
+  Result.ErrorCode = Outcome.End == ItemEnd::Final
+                         ? "outcome_unknown"
+                         : std::string(toName(Ending.Code));
   Result.ErrorMessage = Ending.Detail;
   return Outcome;
 }
