--- a/Source/Admission/RequestLifeCycle.cpp
+++ b/Source/Admission/RequestLifeCycle.cpp
@@ -107,7 +107,7 @@
 
 void RequestLifeCycle::markAccepted(Attempt &Entry, Instant Now) {
   Entry.Accepted = true;
-  Entry.Heard = Now;
+  Entry.Heard = std::max(Entry.Heard, Now);
   this->SearchingSince.reset();
 }
 
--- a/Source/Admission/RequestLifeCycle.h
+++ b/Source/Admission/RequestLifeCycle.h
@@ -75,7 +75,9 @@
                    LifeCyclePorts Ports);
 
   void start(Instant Now);
-  void accepted(const std::string &From, const Accepted &Answer, Instant Now);
+  /// \p Now may be left out by users that never call doubt().
+  void accepted(const std::string &From, const Accepted &Answer,
+                Instant Now = {});
   void chunk(const std::string &From, Chunk Piece, Instant Now);
   void finish(const std::string &From, Finish Answer, Instant Now);
   void peerLost(const std::string &Peer, Instant Now);
