--- a/Source/Gateway/BatchOrder.cpp
+++ b/Source/Gateway/BatchOrder.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint64_t MillisPerSecond = 1000;
 constexpr std::uint64_t MillisPerHour = 3600 * MillisPerSecond;
 /// Results are kept for longer than any job may run.
-constexpr std::uint64_t MaxWindowMs = 14 * 24 * MillisPerHour;
+constexpr std::uint64_t MaxWindowMs = MillisPerHour * 24 * 14;
 constexpr std::string_view ServicePrefix = "/services/";
 
 tl::unexpected<Error> wrong(const std::string &Field,
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -3,6 +3,7 @@
 #include "Admission/FleetSource.h"
 #include "Core/Hash.h"
 #include "Gateway/CallerAnswer.h"
+#include "Gateway/IntentProblem.h"
 #include "Loop/EventLoop.h"
 #include "Peers/PeerPort.h"
 #include "Telemetry/Logger.h"
@@ -234,27 +235,10 @@
 }
 
 void OnlineCalls::replay(Call &Opened, const IntentDecision &Decision) {
-  if (Decision.Verdict == IntentVerdict::Mismatch) {
-    this->refuseOpened(
-        Opened, keyReused("Header \"Idempotency-Key\" was used with another "
-                          "request; send a new key."));
-    return;
-  }
-  if (Decision.Verdict == IntentVerdict::InProgress) {
+  if (Decision.Verdict != IntentVerdict::Replay) {
     const std::int64_t Age = this->Ports.Time.wallMillis() - Decision.SinceMs;
-    const auto Limit = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Opened.Deadline - Opened.Begun);
-    const bool IsOver = Age > Limit.count();
-    this->refuseOpened(
-        Opened,
-        {409, IsOver ? "outcome-unknown" : "in-progress",
-         IsOver ? "The outcome of the call is unknown"
-                : "The call is in progress",
-         IsOver ? "The gateway that sent this call left no outcome, and the "
-                  "call is never sent again. Find out at the service."
-                : "An earlier request with this idempotency key has no "
-                  "outcome yet.",
-         Execution::Unknown, IsOver ? 0U : 1000U});
+    this->refuseOpened(Opened, intentProblem(Decision.Verdict, Age,
+                                             Opened.Deadline - Opened.Begun));
     return;
   }
   HttpReply Reply;
@@ -304,8 +288,11 @@
 }
 
 void OnlineCalls::peerLost(const std::string &Peer) {
-  if (this->Chooser.peerLost(Peer))
+  if (this->Chooser.peerLost(Peer)) {
     this->Ports.Stats.add("gateway_dispatchers_lost_total");
+    this->Ports.Log.log(LogLevel::Warning, "a dispatcher was lost",
+                        {{"peer", Peer}});
+  }
   const Instant Now = this->Ports.Time.now();
   std::vector<std::string> Ids;
   for (const auto &[Id, Open] : this->Calls)
@@ -399,6 +386,14 @@
     Open.Life.sendFailed(Work->Attempt, this->Ports.Time.now());
     return;
   }
+  if (Work->Attempt > 1)
+    this->Ports.Log.log(LogLevel::Info,
+                        "the request was submitted to another dispatcher",
+                        {{"peer", Action.Peer},
+                         {"previous_peer", Open.OutstandingAt},
+                         {"request_id", Work->RequestId},
+                         {"attempt", Work->Attempt},
+                         {"resumed_tokens", Work->ResumeTokenIds.size()}});
   if (!Open.OutstandingAt.empty())
     this->Chooser.ended(Open.OutstandingAt, Work->Service);
   Open.OutstandingAt = Action.Peer;
