Daemon: Keep each daemon within its part of the platform's budget

Cause: the budgets of the platform's stores existed, but no daemon used them; the dispatcher's decisions were not kept for `explain`.

The dispatcher keeps its decisions in a DecisionLog and serves /explain.

--- /dev/null
+++ b/Source/Daemon/PlatformStores.h
@@ -0,0 +1,36 @@
+#ifndef TURMERICPASS_DAEMON_PLATFORMSTORES_H
+#define TURMERICPASS_DAEMON_PLATFORMSTORES_H
+
+#include "Daemon/DaemonContext.h"
+#include "Platform/BudgetedObjectStore.h"
+#include "Platform/BudgetedTable.h"
+#include "Platform/HttpObjectStore.h"
+#include "Platform/HttpTable.h"
+
+namespace turmericpass {
+
+/// Returns the part of the platform's budget that the daemon \p Role of one
+/// node may use. All nodes have equal parts, and the parts of all daemons add
+/// up to the budget in \p Settings.
+StoreLimits storeShare(const FleetSettings &Settings, DaemonRole Role);
+
+/// A daemon's table and object store, kept within its part of the budget.
+class PlatformStores {
+public:
+  explicit PlatformStores(DaemonContext &Context);
+
+  Table &rows() { return this->Rows; }
+  ObjectStore &objects() { return this->Objects; }
+
+private:
+  void collect(Metrics &Stats) const;
+
+  HttpTable PlainRows;
+  HttpObjectStore PlainObjects;
+  BudgetedTable Rows;
+  BudgetedObjectStore Objects;
+};
+
+} // namespace turmericpass
+
+#endif
--- a/Source/Dispatcher/DispatcherDaemon.cpp
+++ b/Source/Dispatcher/DispatcherDaemon.cpp
@@ -1,6 +1,7 @@
 #include "Dispatcher/DispatcherDaemon.h"
 
 #include "Backends/BackendPort.h"
+#include "Control/DecisionLog.h"
 #include "Control/FleetAgent.h"
 #include "Peers/PeerPort.h"
 #include "Scheduling/Scheduler.h"
@@ -213,11 +214,13 @@
 
 void DispatcherDaemon::perform(const RecordDecision &Decision) {
   this->Parts.Stats.add("decisions_total{what=\"" + Decision.What + "\"}");
-  this->Parts.Log.log(LogLevel::Debug, "decided",
-                      {{"request", Decision.RequestId},
-                       {"server", Decision.Server},
-                       {"what", Decision.What},
-                       {"why", Decision.Why}});
+  // An operator asks about a request or about a server.
+  const std::string Text = Decision.Why + " (request " + Decision.RequestId +
+                           ", server " + Decision.Server + ")";
+  if (!Decision.RequestId.empty())
+    this->Parts.Records.record(Decision.RequestId, Decision.What, Text);
+  if (!Decision.Server.empty())
+    this->Parts.Records.record(Decision.Server, Decision.What, Text);
 }
 
 void DispatcherDaemon::armTick() {
--- a/Source/Dispatcher/DispatcherDaemon.h
+++ b/Source/Dispatcher/DispatcherDaemon.h
@@ -14,6 +14,7 @@
 namespace turmericpass {
 
 class BackendPort;
+class DecisionLog;
 class FleetAgent;
 class Logger;
 class Metrics;
@@ -27,6 +28,7 @@
   BackendPort &Backends;
   Scheduler &Decisions;
   FleetAgent &Fleet;
+  DecisionLog &Records;
   Logger &Log;
   Metrics &Stats;
   Tracer &Spans;
--- a/Source/Programs/BatcherMain.cpp
+++ b/Source/Programs/BatcherMain.cpp
@@ -1,9 +1,8 @@
 #include "Batcher/BatcherDaemon.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/PlatformStores.h"
 #include "Gateway/AgentFleet.h"
 #include "Jobs/TableIntentLedger.h"
-#include "Platform/HttpObjectStore.h"
-#include "Platform/HttpTable.h"
 
 #include <utility>
 
@@ -19,14 +18,17 @@
     return ExitStatus::Refused;
   }
   const NodeSettings &Node = Context.Options.Node;
-  const PlatformSettings &Platform = Context.Options.Settings.Platform;
-  HttpTable Rows(Context.Client, Platform.Table);
-  HttpObjectStore Objects(Context.Client, Platform.Objects);
-  TableIntentLedger Intents(Rows, Context.Time, Context.Ids);
-  BatchWorker Worker(Rows, Objects, Context.Time, Context.Ids);
+  PlatformStores Stores(Context);
+  TableIntentLedger Intents(Stores.rows(), Context.Time, Context.Ids);
+  BatchWorker Worker(Stores.rows(), Stores.objects(), Context.Time,
+                     Context.Ids);
   FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
                    controllerAddress(Node), "batcher",
                    Context.Options.Settings);
+  Context.onCollect([&] {
+    Context.Stats.set("settings_version",
+                      static_cast<double>(Agent.settings().Version));
+  });
   const AgentFleet Fleet(Agent);
   BatcherDaemon Batcher({Context.Loop, Context.Peers, Context.Time, Context.Ids,
                          Context.Log, Context.Stats, Context.Spans, Fleet,
--- a/Source/Programs/ControllerMain.cpp
+++ b/Source/Programs/ControllerMain.cpp
@@ -1,8 +1,8 @@
 #include "Controller/ControllerDaemon.h"
 #include "Controller/HttpOrderPort.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/PlatformStores.h"
 #include "Http/PercentEncoding.h"
-#include "Platform/HttpTable.h"
 #include "Platform/HttpVmList.h"
 
 #include <iostream>
@@ -22,11 +22,11 @@
     return static_cast<int>(ExitStatus::Refused);
   }
   const FleetSettings &Settings = Context.Options.Settings;
-  HttpTable Rows(Context.Client, Settings.Platform.Table);
+  PlatformStores Stores(Context);
   HttpVmList Vms(Context.Client, Settings.Platform.Vms);
   HttpOrderPort Engines(Context.Client);
-  ControllerDaemon Daemon({Context.Loop, Context.Peers, Rows, Vms, Engines,
-                           Context.Ids, Context.Log, Context.Stats},
+  ControllerDaemon Daemon({Context.Loop, Context.Peers, Stores.rows(), Vms,
+                           Engines, Context.Ids, Context.Log, Context.Stats},
                           Context.Options.Node.Name, Settings,
                           Context.Options.Files);
   const HttpHeaders Json = {{"Content-Type", "application/json"}};
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,10 +1,9 @@
 #include "Daemon/DaemonContext.h"
+#include "Daemon/PlatformStores.h"
 #include "Gateway/AgentFleet.h"
 #include "Gateway/GatewayDaemon.h"
 #include "Jobs/TableIntentLedger.h"
 #include "Jobs/TableJobService.h"
-#include "Platform/HttpObjectStore.h"
-#include "Platform/HttpTable.h"
 
 #include <utility>
 
@@ -31,14 +30,17 @@
   }
   const NodeSettings &Node = Context.Options.Node;
   HttpServer Callers(Context.Loop, callerLimits(Context.Options.Settings));
-  const PlatformSettings &Platform = Context.Options.Settings.Platform;
-  HttpTable Rows(Context.Client, Platform.Table);
-  HttpObjectStore Objects(Context.Client, Platform.Objects);
-  TableIntentLedger Intents(Rows, Context.Time, Context.Ids);
-  TableJobService Jobs(Rows, Objects, Context.Time, Context.Ids);
+  PlatformStores Stores(Context);
+  TableIntentLedger Intents(Stores.rows(), Context.Time, Context.Ids);
+  TableJobService Jobs(Stores.rows(), Stores.objects(), Context.Time,
+                       Context.Ids);
   FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
                    controllerAddress(Node), "gateway",
                    Context.Options.Settings);
+  Context.onCollect([&] {
+    Context.Stats.set("settings_version",
+                      static_cast<double>(Agent.settings().Version));
+  });
   const AgentFleet Fleet(Agent);
   GatewayDaemon Gateway({Context.Loop, Callers, Context.Peers, Context.Time,
                          Context.Ids, Context.Log, Context.Stats, Context.Spans,
--- a/Tests/Processes/clients.py
+++ b/Tests/Processes/clients.py
@@ -12,7 +12,7 @@
 KEY = {"Authorization": "Bearer quickstart-key", "Content-Type": "application/json"}
 
 # Bounds each wait; no healthy run comes near it.
-WAIT_SECONDS = 150
+WAIT_SECONDS = 60
 
 
 class FleetTest(unittest.TestCase):
--- a/Utilities/Load/BaselineDispatcherMain.cpp
+++ b/Utilities/Load/BaselineDispatcherMain.cpp
@@ -1,5 +1,6 @@
 #include "Backends/HttpBackendPort.h"
 #include "BaselineScheduler.h"
+#include "Control/DecisionLog.h"
 #include "Control/FleetAgent.h"
 #include "Daemon/DaemonContext.h"
 #include "Dispatcher/DispatcherDaemon.h"
@@ -34,8 +35,9 @@
                    Context.Options.Settings);
   BaselineScheduler Decisions(Policy);
   HttpBackendPort Backends(Context.Loop, Context.Client);
+  DecisionLog Records(Context.Time, 1, 1);
   DispatcherDaemon Daemon({Context.Loop, Context.Peers, Backends, Decisions,
-                           Fleet, Context.Log, Context.Stats, Context.Spans},
+                           Fleet, Records, Context.Log, Context.Stats, Context.Spans},
                           Node.Name);
   Daemon.start();
   return static_cast<int>(Context.run([&Daemon] { Daemon.drain(); },
