Scheduling: Record starts for explain, and test resubmissions

Cause: explain could not tell where and after which wait a request started, and no test resubmitted a request with tokens from another dispatcher.

Change: each start is recorded as started, resumed or probed, with its wait.

--- a/Source/Scheduling/FleetState.cpp
+++ b/Source/Scheduling/FleetState.cpp
@@ -83,7 +83,7 @@
 }
 
 RunningAttempt &FleetState::start(WorkItem &Item, ServerState &Server,
-                                  StartKind Kind) {
+                                  bool IsHedge) {
   const Instant Now = this->now();
   ServiceState &State = this->service(Item.Work.Service);
   State.Queue.remove(Item, true);
@@ -95,7 +95,7 @@
   Run.LastToken = Now;
   Run.PromptTokens = Item.Work.PromptTokens + Item.Work.ResumeTokenIds.size();
   Run.TokenLoad = Item.tokenLoad();
-  Run.IsHedge = Kind == StartKind::Hedge;
+  Run.IsHedge = IsHedge;
   Run.IsProbe = Server.Health.probeDue(Now);
   if (Run.IsProbe)
     Server.Health.probed(Now);
--- a/Source/Scheduling/FleetState.h
+++ b/Source/Scheduling/FleetState.h
@@ -20,9 +20,6 @@
 
 namespace turmericpass {
 
-/// How an attempt is begun.
-enum class StartKind { First, Resume, Hedge };
-
 /// Requests, attempts, servers and queues, with the few operations that keep
 /// them in step. It decides nothing.
 class FleetState {
@@ -45,8 +42,9 @@
   void enqueue(WorkItem &Item);
   void hold(WorkItem &Item);
 
-  /// Starts the item at \p Server and takes it out of its queue.
-  RunningAttempt &start(WorkItem &Item, ServerState &Server, StartKind Kind);
+  /// Starts the item at \p Server and takes it out of its queue. \p IsHedge
+  /// marks a second copy of running work.
+  RunningAttempt &start(WorkItem &Item, ServerState &Server, bool IsHedge);
 
   /// Ends an attempt that the daemon reported the end of.
   void ended(SchedulerAttemptId Id);
--- a/Source/Scheduling/Quarantine.cpp
+++ b/Source/Scheduling/Quarantine.cpp
@@ -96,7 +96,7 @@
     if (this->isSuspect(Key))
       Before.push_back(Key);
   if (Before.size() == 1) {
-    const std::string Blamed = Before.front();
+    std::string Blamed = Before.front();
     this->clearCrash(this->Entries[Blamed].Crash);
     this->add(Blamed);
     return Blamed;
--- a/Source/Scheduling/SizeEstimator.h
+++ b/Source/Scheduling/SizeEstimator.h
@@ -3,6 +3,7 @@
 
 #include "Wire/Messages.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -50,7 +51,8 @@
 
   bool IsModel;
   std::map<std::pair<std::string, std::string>, History> Histories;
-  Median Medians[2];
+  /// Of online work and of batch work.
+  std::array<Median, 2> Medians;
 };
 
 } // namespace turmericpass
--- a/Source/Scheduling/WorkAssigner.cpp
+++ b/Source/Scheduling/WorkAssigner.cpp
@@ -39,8 +39,7 @@
   if (Server == nullptr && !Item.IsBatch && this->makeRoom(Item, ""))
     Server = this->Places.choose(Item);
   if (Server != nullptr) {
-    this->Fleet.start(Item, *Server,
-                      Item.WasStarted ? StartKind::Resume : StartKind::First);
+    this->startAt(Item, *Server);
     return Step::Progress;
   }
   if (this->Places.isRestricted(Item)) {
@@ -50,6 +49,19 @@
   return Item.isLong() && !Item.IsBatch ? Step::Skip : Step::Full;
 }
 
+void WorkAssigner::startAt(WorkItem &Item, ServerState &Server) {
+  const double Waited = toMillis(this->Fleet.now() - Item.Arrived);
+  const bool IsProbe = Server.Health.probeDue(this->Fleet.now());
+  const std::string What = IsProbe           ? "probed"
+                           : Item.WasStarted ? "resumed"
+                                             : "started";
+  this->Fleet.record(Item.Work.RequestId, Server.Name, What,
+                     std::to_string(static_cast<std::int64_t>(Waited)) +
+                         " ms after its arrival, beside " +
+                         std::to_string(Server.running()) + " others.");
+  this->Fleet.start(Item, Server, false);
+}
+
 bool WorkAssigner::makeRoom(const WorkItem &Item, const std::string &Except) {
   for (int I = 0; I < MostVictims; ++I) {
     const auto Victim = this->Places.victimFor(Item, Except);
@@ -115,7 +127,7 @@
     Server = this->Places.chooseOther(Item, Used);
   if (Server == nullptr)
     return false;
-  this->Fleet.start(Item, *Server, StartKind::Hedge);
+  this->Fleet.start(Item, *Server, true);
   return true;
 }
 
--- a/Source/Scheduling/WorkAssigner.h
+++ b/Source/Scheduling/WorkAssigner.h
@@ -9,6 +9,7 @@
 
 class FairLane;
 class FleetState;
+struct ServerState;
 struct ServiceState;
 struct WorkItem;
 
@@ -40,6 +41,7 @@
   };
 
   Step serve(FairLane &Lane);
+  void startAt(WorkItem &Item, ServerState &Server);
   /// Cancels work that yields to \p Item, but none at \p Except. Returns
   /// whether there is room now.
   bool makeRoom(const WorkItem &Item, const std::string &Except);
--- a/Tests/Scheduling/RequestTest.cpp
+++ b/Tests/Scheduling/RequestTest.cpp
@@ -35,6 +35,22 @@
   cr_assert(Rig.Sut.isIdle());
 }
 
+// Guards against an answer that starts over, or is numbered from its middle,
+// when it goes on from what another dispatcher delivered.
+Test(Requests, ResubmissionGoesOnFromItsTokens) {
+  SchedulerRig Rig(2, 4);
+  Submit Work = Rig.Fleet.request("r", "check", 5);
+  Work.Attempt = 1;
+  Work.ResumeTokenIds = {0, 1, 2};
+  Rig.Fleet.Answers["r"].Tokens = {0, 1, 2};
+  Rig.Fleet.submit(Work);
+  Rig.Fleet.advance(200);
+  const FakeAnswer &Answer = Rig.Fleet.Answers["r"];
+  cr_assert(Answer.Tokens == std::vector<std::uint32_t>({0, 1, 2, 3, 4}));
+  cr_assert(!Answer.HasBadOffset);
+  cr_assert(endOf(Rig, "r").TotalTokens == 5);
+}
+
 // Guards against a resent message that runs work a second time.
 Test(Requests, RepeatedAndStaleSubmitsDoNotRun) {
   SchedulerRig Rig(2, 4);
