Scheduling: Test the share of long work on servers of one slot

Cause: no test failed without the bound over all servers.

Change: a test with four servers of one slot each.

--- a/Tests/Scheduling/PriorityTest.cpp
+++ b/Tests/Scheduling/PriorityTest.cpp
@@ -124,6 +124,16 @@
     cr_assert(Rig.Fleet.Answers["short" + std::to_string(I)].Starts == 1);
 }
 
+// As above, where a server has one slot and so no part of a window to keep.
+Test(Priority, LongWorkHoldsItsShareOfSmallServers) {
+  SchedulerRig Rig(4, 1);
+  Rig.warmUp();
+  submitMany(Rig, "long", "check", 6, 2000);
+  submitMany(Rig, "short", "check", 2, 20);
+  for (int I = 0; I < 2; ++I)
+    cr_assert(Rig.Fleet.Answers["short" + std::to_string(I)].Starts == 1);
+}
+
 // Guards against small work that waits behind larger work of its class.
 Test(Priority, SmallerWorkPassesLargerWork) {
   SchedulerRig Rig(1, 1);
--- a/Tests/Scheduling/SlowServerTest.cpp
+++ b/Tests/Scheduling/SlowServerTest.cpp
@@ -122,7 +122,7 @@
   Rig.Fleet.OnStart = [&](const StartAttempt &) { ++Attempts; };
   for (int I = 0; I < 100; ++I) {
     Rig.Fleet.submit(Rig.Fleet.request("r" + std::to_string(I), "check", 100));
-    while (Rig.Fleet.Starts.size() != 0) {
+    while (!Rig.Fleet.Starts.empty()) {
       const SchedulerAttemptId Id = Rig.Fleet.Starts.back().Id;
       Rig.Fleet.Starts.clear();
       Rig.Sut.attemptFailed(Id, Late, AttemptProgress::Sent);
