--- a/Source/Control/MembershipDigest.cpp
+++ b/Source/Control/MembershipDigest.cpp
@@ -65,6 +65,8 @@
     if (Name == this->Node)
       this->Zone = Each.Zone;
   }
+  // The settings may drop this node and its zone while it still runs.
+  this->ZoneNodes[this->Zone];
 }
 
 void MembershipDigest::setOwnState(bool Serving, std::uint64_t InForce,
--- a/Source/Control/MembershipDigest.h
+++ b/Source/Control/MembershipDigest.h
@@ -83,6 +83,9 @@
   std::string relayOf(const std::string &Zone) const;
   bool isRelay() const { return this->relayOf(this->Zone) == this->Node; }
 
+  /// Returns the zone of this node.
+  const std::string &zone() const { return this->Zone; }
+
   const FleetEntries &entries() const { return this->Known; }
 
 private:
--- a/Source/Controller/FleetReport.cpp
+++ b/Source/Controller/FleetReport.cpp
@@ -10,7 +10,7 @@
     nlohmann::json Entry = {{"zone", Zone.Zone},
                             {"reachable", Zone.Reachable},
                             {"live_nodes", Zone.LiveNodes}};
-    if (Zone.Zone == this->Replica.settings().Nodes.at(this->Node).Zone)
+    if (Zone.Zone == this->Members.zone())
       Entry["settings_version"] = Zone.SettingsVersion;
     Zones.push_back(std::move(Entry));
   }
--- a/Source/Programs/CliSupport.cpp
+++ b/Source/Programs/CliSupport.cpp
@@ -83,6 +83,14 @@
       return tl::make_unexpected(ExitStatus::Done);
     }
     options::notify(Values);
+  } catch (const options::required_option &Missing) {
+    // A bare word is an option inside, and is named without its dashes.
+    std::string Name = Missing.get_option_name();
+    if (Name == "--" + Positional)
+      Name = Positional;
+    std::cerr << "turmericpass " << Command << ": " << Name
+              << " is missing; see turmericpass " << Command << " --help\n";
+    return tl::make_unexpected(ExitStatus::Usage);
   } catch (const options::error &Wrong) {
     std::cerr << "turmericpass " << Command << ": " << Wrong.what()
               << "; see turmericpass " << Command << " --help\n";
--- a/Tests/Control/MembershipTest.cpp
+++ b/Tests/Control/MembershipTest.cpp
@@ -188,6 +188,18 @@
   cr_assert(Net.at("z0n0").leavingServers().empty());
 }
 
+// Guards against a controller that ends itself when an operator drops its node
+// or its zone from the settings.
+Test(Membership, NodeThatTheSettingsDropRunsOn) {
+  DigestNetwork Net(makeFleet(2, 2));
+  Net.quiet(5);
+  MembershipDigest &Dropped = Net.at("z1n1");
+  Dropped.setSettings(makeFleet(1, 2));
+  Net.quiet(5);
+  cr_assert(!Dropped.isRelay());
+  cr_assert(Dropped.liveNodes().count("z1n1") == 0);
+}
+
 // Guards against a mark that outlives its cause or comes back from a peer.
 Test(Membership, MarksEndUnlessTheyAreRepeated) {
   DigestNetwork Net(makeFleet(1, 3));
