--- a/Source/Control/FleetOrders.h
+++ b/Source/Control/FleetOrders.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace turmericpass {
@@ -66,12 +67,8 @@
   void startTerm();
 
 private:
-  struct PendingKey {
-    std::string Server;
-    OrderKind Kind;
-    std::string Model;
-    auto operator<=>(const PendingKey &) const = default;
-  };
+  /// Server, kind and model.
+  using PendingKey = std::tuple<std::string, OrderKind, std::string>;
 
   void refill(const FleetSettings &Settings);
   bool isPending(const std::string &Server, OrderKind Kind,
--- a/Source/Control/SettingsStore.cpp
+++ b/Source/Control/SettingsStore.cpp
@@ -176,7 +176,8 @@
   }
   const std::uint64_t Old = State->Next.Version - KeptVersions;
   this->readManifest(
-      versionKey(Old), [this, State, Old](Result<SettingsManifest> Dropped) {
+      versionKey(Old),
+      [this, State, Old](const Result<SettingsManifest> &Dropped) {
         this->readManifest(
             versionKey(Old + 1),
             [this, State, Old, Dropped](const Result<SettingsManifest> &Kept) {
