--- a/Source/Programs/CliBatch.cpp
+++ b/Source/Programs/CliBatch.cpp
@@ -80,7 +80,7 @@
   const Result<std::string> Reply =
       callGateway(Context, Values, std::move(Upload));
   if (!Reply)
-    return Reply;
+    return tl::make_unexpected(Reply.error());
   return readField(*Reply, "id");
 }
 
