--- a/Source/Scheduling/FailurePolicy.cpp
+++ b/Source/Scheduling/FailurePolicy.cpp
@@ -85,16 +85,35 @@
         this->Fleet.Items.at(this->Fleet.Attempts.at(Id).Item).SuspectKey);
   this->Fleet.record("", Server.Name, "server_lost", Reason);
   Server.Health.markDown(Now);
+  Server.LostAt = Now;
   this->Fleet.Prefixes.forget(Server.Name);
   this->Fleet.service(Server.Service).Latency.forget(Server.Name);
-  const std::string Blamed = this->Fleet.Suspects.serverLost(Keys, Now);
-  if (Blamed.empty())
+  const std::string Blamed =
+      this->Fleet.Suspects.serverLost(Server.Name, Keys, Now);
+  if (Blamed.empty()) {
+    this->separateCopies(Server);
     return;
+  }
   if (!Quarantine::namesOneRequest(Blamed))
     this->Fleet.Actions.emplace_back(AnnounceQuarantine{Blamed});
   this->endQuarantined(Blamed);
 }
 
+void FailurePolicy::separateCopies(const ServerState &Lost) {
+  std::vector<SchedulerAttemptId> Copies;
+  for (const SchedulerAttemptId Id : Lost.Attempts)
+    for (const SchedulerAttemptId Other :
+         this->Fleet.Items.at(this->Fleet.Attempts.at(Id).Item).Attempts)
+      if (this->Fleet.Attempts.at(Other).Server != Lost.Name)
+        Copies.push_back(Other);
+  for (const SchedulerAttemptId Id : Copies) {
+    const RunningAttempt &Run = this->Fleet.Attempts.at(Id);
+    if (this->Fleet.Suspects.hasOtherSuspect(
+            Run.Server, this->Fleet.Items.at(Run.Item).SuspectKey))
+      this->Fleet.cancelAttempt(Id);
+  }
+}
+
 void FailurePolicy::endQuarantined(const std::string &Key) {
   std::vector<ItemId> Ended;
   for (const auto &[Id, Item] : this->Fleet.Items)
--- a/Tests/FaultMatrix/WorldClients.cpp
+++ b/Tests/FaultMatrix/WorldClients.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration ReadPeriod = 3s;
+/// Garbage of old epochs is collected after the job has ended.
+constexpr Duration GarbagePatience = 150s;
 /// After that time a call in progress counts as unknown.
 constexpr std::int64_t OncePatienceMs = 90000;
 
@@ -113,7 +115,8 @@
           return Tell("");
         if (Got->Verdict != IntentVerdict::Proceed)
           return;
-        const std::string Text = this->Backend.execute(Known.Key);
+        const std::string Text =
+            this->Backend.execute(Known.Key, Attempt, false);
         Of.Intents.finish({"c", Known.Key}, Attempt,
                           {Execution::Ran, 200, "text/plain", Text},
                           [Tell, Text](const Result<void> &Stored) {
@@ -165,24 +168,26 @@
       });
 }
 
-bool World::atRest() const {
+/// Returns what is not at rest, empty if everything is.
+std::string World::unrest() const {
   for (const PlannedFault &Planned : this->Faults)
-    if (!Planned.Fired && Planned.At == Step::CollectGarbage)
-      return false;
+    if (!Planned.Fired && Planned.At == Step::CollectGarbage &&
+        this->Shared.Time.now() < this->Begun + GarbagePatience)
+      return "garbage is not collected";
   for (const ClientCall &Call : this->Calls)
     if (!Call.Answered)
-      return false;
+      return "a client has no answer";
   for (const KnownJob &Job : this->Jobs)
     if (!Job.Final)
-      return false;
+      return "a job has no end";
   for (const auto &Slot : this->Alive)
     if (Slot->PausedUntil || Slot->ReleaseAt || !Slot->Worker.idle() ||
         Slot->Intents.kept() > 0)
-      return false;
+      return "a process is busy";
   for (const auto &[Key, Row] : *this->Shared.Rows.rows())
     if (Key.starts_with("open/"))
-      return false;
-  return this->Shared.Time.now() >= this->DownUntil;
+      return "the index has " + Key;
+  return this->Shared.Time.now() >= this->DownUntil ? "" : "the store is down";
 }
 
 void World::settle(Duration Limit) {
@@ -190,7 +195,7 @@
   while (!this->atRest() && this->Shared.Time.now() < End)
     this->stepOnce();
   if (!this->atRest())
-    this->problem("it does not come to rest");
+    this->problem("it does not come to rest: " + this->unrest());
   this->pass(2s);
   this->observe();
   this->checkEnd();
@@ -213,6 +218,20 @@
   }
 }
 
+// A request that lay in the queue of a process that stood still cannot be
+// called back. The process withdraws it as soon as it runs again, unless it
+// must not be repeated: its outcome would then be lost.
+bool World::startedInTime(const Service::Execution &Entry,
+                          Instant Bound) const {
+  if (Entry.At <= Bound)
+    return true;
+  if (Entry.Leftover && Entry.Key.starts_with("once"))
+    return true;
+  const auto Withdrawn = this->Withdrawals.find(Entry.RequestId);
+  return Entry.Leftover && Withdrawn != this->Withdrawals.end() &&
+         Withdrawn->second <= Entry.At + 1s;
+}
+
 void World::checkJob(const KnownJob &Job) {
   if (Job.Id.empty() || !Job.Final)
     return;
@@ -233,8 +252,11 @@
       (this->Disturbed ? StopListMaxAge : Duration(1s)) + Tick;
   for (const Service::Execution &Entry : this->Backend.log())
     if (Entry.Key.find(Job.Id) != std::string::npos &&
-        Entry.At > *Job.CancelAcknowledged + Bound)
-      this->problem("a cancelled job started " + Entry.Key);
+        !this->startedInTime(Entry, *Job.CancelAcknowledged + Bound))
+      this->problem(
+          "a cancelled job started " + Entry.Key + " after " +
+          std::to_string(toMillis(Entry.At - *Job.CancelAcknowledged)) + " ms" +
+          (Entry.Leftover ? ", from the queue of a paused process" : ""));
 }
 
 } // namespace turmericpass
