--- a/Source/Gateway/GatewayDaemon.cpp
+++ b/Source/Gateway/GatewayDaemon.cpp
@@ -17,6 +17,10 @@
 /// Well under the 3 s within which settings are in force.
 constexpr Duration ConfigurePeriod = 200ms;
 
+/// The server reads a little more than the limit, so that a body above it
+/// gets a problem document and not evhttp's own page.
+constexpr std::size_t BodySlack = std::size_t{1} << 20U;
+
 constexpr const char *ChatPath = "/v1/chat/completions";
 constexpr const char *TextPath = "/v1/completions";
 constexpr const char *ModelsPath = "/v1/models";
@@ -53,6 +57,7 @@
     this->Configured = &Settings;
     this->Version = Settings.Version;
     this->Index.configure(Settings);
+    this->Ports.Http.setBodyLimit(Settings.Limits.BodyBytes + BodySlack);
   }
   this->Online.configure();
 }
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -56,6 +56,7 @@
   bool IntentPending = false;
   bool CallerGone = false;
   bool FirstToken = false;
+  bool EndedWell = false;
   /// The dispatcher where this call counts as outstanding.
   std::string OutstandingAt;
   /// The ending, while its outcome is being stored.
@@ -425,6 +426,11 @@
         Work.Customer, Open.Reserved,
         Ran ? static_cast<double>(Work.PromptTokens + Open.Life.tokenCount())
             : 0);
+  Open.EndedWell = Ending.Code == FinishCode::Ok;
+  this->Ports.Spans.setAttribute(Open.Span, "outcome",
+                                 std::string(toName(Ending.Code)));
+  this->Ports.Spans.setAttribute(Open.Span, "execution",
+                                 std::string(toName(Ending.Ran)));
   this->Ports.Stats.add("gateway_requests_total{class=\"" + Work.Class +
                         "\",outcome=\"" + std::string(toName(Ending.Code)) +
                         "\",execution=\"" + std::string(toName(Ending.Ran)) +
@@ -477,7 +483,7 @@
   const std::unique_ptr<Call> Ended = std::move(Found->second);
   this->ByExchange.erase(Ended->Answer.exchange());
   this->Calls.erase(Found);
-  this->Ports.Spans.end(Ended->Span, !Ended->CallerGone);
+  this->Ports.Spans.end(Ended->Span, Ended->EndedWell);
 }
 
 } // namespace turmericpass
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -131,6 +131,10 @@
   return ntohs(Name.sin_port);
 }
 
+void HttpServer::setBodyLimit(std::size_t Bytes) {
+  evhttp_set_max_body_size(this->Server, static_cast<ev_ssize_t>(Bytes));
+}
+
 void HttpServer::handleRequest(evhttp_request *Request, void *Context) {
   auto *Self = static_cast<HttpServer *>(Context);
   evhttp_connection *Connection = evhttp_request_get_connection(Request);
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -44,6 +44,9 @@
 
   void onRequest(Handler Action) { this->RequestHandler = std::move(Action); }
 
+  /// Sets the limit of bodies on connections opened from now on, in bytes.
+  void setBodyLimit(std::size_t Bytes);
+
   /// Sets who learns that a caller went away before its answer ended.
   void onDeparted(Departed Action) {
     this->DepartedHandler = std::move(Action);
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -12,25 +12,15 @@
 
 namespace {
 
-/// The server reads a little more than the limit, so that a body above it
-/// gets a problem document and not evhttp's own page.
-constexpr std::size_t BodySlack = std::size_t{1} << 20U;
-
 constexpr Duration StoreRetryPeriod = std::chrono::milliseconds(100);
 
-HttpLimits callerLimits(const FleetSettings &Settings) {
-  HttpLimits Limits;
-  Limits.BodyBytes = Settings.Limits.BodyBytes + BodySlack;
-  return Limits;
-}
-
 ExitStatus runGateway(DaemonContext &Context) {
   if (const Result<void> Opened = Context.open(); !Opened) {
     Context.Log.log(LogLevel::Error, Opened.error().Message);
     return ExitStatus::Refused;
   }
   const NodeSettings &Node = Context.Options.Node;
-  HttpServer Callers(Context.Loop, callerLimits(Context.Options.Settings));
+  HttpServer Callers(Context.Loop, HttpLimits{});
   const PlatformSettings &Platform = Context.Options.Settings.Platform;
   HttpTable Rows(Context.Client, Platform.Table);
   HttpObjectStore Objects(Context.Client, Platform.Objects);
--- a/Tests/Gateway/AdmissionTest.cpp
+++ b/Tests/Gateway/AdmissionTest.cpp
@@ -73,12 +73,7 @@
 // Guards against memory that a caller takes by not reading.
 Test(GatewayAdmission, SlowReaderIsCutOffAndItsWorkCancelled) {
   GatewayBench Bench;
-  bool Begun = false;
-  HttpCallHandlers Handlers;
-  Handlers.Piece = [&](std::string_view) { Begun = true; };
-  Handlers.Failed = [](const Error &, HttpProgress) {};
-  Bench.Client.call("127.0.0.1:" + std::to_string(Bench.Port), chat(true), 20s,
-                    Handlers);
+  Bench.callStream(chat(true));
   const Submit Work = Bench.submission(1);
   Chunk Piece = chunkOf(Work, 0, std::string(64'000, 'x'));
   // The loop does not turn, so that nothing is read meanwhile.
--- a/Tests/Support/GatewayBench.h
+++ b/Tests/Support/GatewayBench.h
@@ -91,31 +91,14 @@
   }
 
   std::shared_ptr<CallerView> call(HttpRequest Request) {
-    auto View = std::make_shared<CallerView>();
-    HttpCallHandlers Handlers;
-    Handlers.Done = [View](HttpReply Reply) { View->Done = std::move(Reply); };
-    Handlers.Failed = [View](const Error &, HttpProgress) {
-      View->Failed = true;
-    };
-    View->Call = this->Client.call("127.0.0.1:" + std::to_string(this->Port),
-                                   std::move(Request), std::chrono::seconds(20),
-                                   std::move(Handlers));
-    return View;
+    return this->start(std::move(Request), {});
   }
 
   /// Like call(), and collects the pieces of a stream.
   std::shared_ptr<CallerView> callStream(HttpRequest Request) {
-    auto View = std::make_shared<CallerView>();
-    HttpCallHandlers Handlers;
-    Handlers.Piece = [View](std::string_view Bytes) { View->Got += Bytes; };
-    Handlers.Done = [View](HttpReply Reply) { View->Done = std::move(Reply); };
-    Handlers.Failed = [View](const Error &, HttpProgress) {
-      View->Failed = true;
-    };
-    View->Call = this->Client.call("127.0.0.1:" + std::to_string(this->Port),
-                                   std::move(Request), std::chrono::seconds(20),
-                                   std::move(Handlers));
-    return View;
+    return this->start(
+        std::move(Request),
+        [](CallerView &View, std::string_view Bytes) { View.Got += Bytes; });
   }
 
   bool until(const std::function<bool()> &Holds) {
@@ -149,6 +132,26 @@
   EvhttpClient Client;
   GatewayDaemon Gateway;
   std::uint16_t Port = 0;
+
+private:
+  std::shared_ptr<CallerView>
+  start(HttpRequest Request,
+        std::function<void(CallerView &, std::string_view)> Piece) {
+    auto View = std::make_shared<CallerView>();
+    HttpCallHandlers Handlers;
+    if (Piece)
+      Handlers.Piece = [View, Piece](std::string_view Bytes) {
+        Piece(*View, Bytes);
+      };
+    Handlers.Done = [View](HttpReply Reply) { View->Done = std::move(Reply); };
+    Handlers.Failed = [View](const Error &, HttpProgress) {
+      View->Failed = true;
+    };
+    View->Call = this->Client.call("127.0.0.1:" + std::to_string(this->Port),
+                                   std::move(Request), std::chrono::seconds(20),
+                                   std::move(Handlers));
+    return View;
+  }
 };
 
 inline HttpRequest post(const std::string &Path, const std::string &Body) {
