--- a/Tests/Support/GatewayBench.h
+++ b/Tests/Support/GatewayBench.h
@@ -136,7 +136,7 @@
 private:
   std::shared_ptr<CallerView>
   start(HttpRequest Request,
-        std::function<void(CallerView &, std::string_view)> Piece) {
+        const std::function<void(CallerView &, std::string_view)> &Piece) {
     auto View = std::make_shared<CallerView>();
     HttpCallHandlers Handlers;
     if (Piece)
