--- a/Source/Jobs/BatchWorker.cpp
+++ b/Source/Jobs/BatchWorker.cpp
@@ -265,6 +265,7 @@
       });
   std::rotate(Order.begin(), Next, Order.end());
   std::vector<ChunkId> Ids;
+  Ids.reserve(Order.size());
   for (const auto &[Job, Id] : Order)
     Ids.push_back(Id);
   return Ids;
--- a/Source/Jobs/ResultAssembly.cpp
+++ b/Source/Jobs/ResultAssembly.cpp
@@ -84,8 +84,8 @@
                                  "The results of chunk " +
                                      State->Chunks[I].Name + " are damaged."));
     for (auto &[Index, Line] : Lines)
-      State->Lines.push_back(
-          {{State->Chunks[I].Row.Piece, Index}, std::move(Line)});
+      State->Lines.emplace_back(Position(State->Chunks[I].Row.Piece, Index),
+                                std::move(Line));
   }
   const JobRecord &Job = State->Job.Record;
   if (!State->Job.final() || State->Lines.size() >= Job.TotalItems)
