--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,10 +1,9 @@
 #include "Daemon/DaemonContext.h"
+#include "Daemon/PlatformStores.h"
 #include "Gateway/AgentFleet.h"
 #include "Gateway/GatewayDaemon.h"
 #include "Jobs/TableIntentLedger.h"
 #include "Jobs/TableJobService.h"
-#include "Platform/HttpObjectStore.h"
-#include "Platform/HttpTable.h"
 
 #include <utility>
 
@@ -12,33 +11,26 @@
 
 namespace {
 
-/// The server reads a little more than the limit, so that a body above it
-/// gets a problem document and not evhttp's own page.
-constexpr std::size_t BodySlack = std::size_t{1} << 20U;
-
 constexpr Duration StoreRetryPeriod = std::chrono::milliseconds(100);
 
-HttpLimits callerLimits(const FleetSettings &Settings) {
-  HttpLimits Limits;
-  Limits.BodyBytes = Settings.Limits.BodyBytes + BodySlack;
-  return Limits;
-}
-
 ExitStatus runGateway(DaemonContext &Context) {
   if (const Result<void> Opened = Context.open(); !Opened) {
     Context.Log.log(LogLevel::Error, Opened.error().Message);
     return ExitStatus::Refused;
   }
   const NodeSettings &Node = Context.Options.Node;
-  HttpServer Callers(Context.Loop, callerLimits(Context.Options.Settings));
-  const PlatformSettings &Platform = Context.Options.Settings.Platform;
-  HttpTable Rows(Context.Client, Platform.Table);
-  HttpObjectStore Objects(Context.Client, Platform.Objects);
-  TableIntentLedger Intents(Rows, Context.Time, Context.Ids);
-  TableJobService Jobs(Rows, Objects, Context.Time, Context.Ids);
+  HttpServer Callers(Context.Loop, HttpLimits{});
+  PlatformStores Stores(Context);
+  TableIntentLedger Intents(Stores.rows(), Context.Time, Context.Ids);
+  TableJobService Jobs(Stores.rows(), Stores.objects(), Context.Time,
+                       Context.Ids);
   FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
                    controllerAddress(Node), "gateway",
                    Context.Options.Settings);
+  Context.onCollect([&] {
+    Context.Stats.set("settings_version",
+                      static_cast<double>(Agent.settings().Version));
+  });
   const AgentFleet Fleet(Agent);
   GatewayDaemon Gateway({Context.Loop, Callers, Context.Peers, Context.Time,
                          Context.Ids, Context.Log, Context.Stats, Context.Spans,
--- a/Source/Scheduling/Quarantine.cpp
+++ b/Source/Scheduling/Quarantine.cpp
@@ -88,21 +88,22 @@
           std::find(Used.begin(), Used.end(), Server) != Used.end());
 }
 
-std::string Quarantine::serverLost(const std::set<std::string> &Keys,
+std::string Quarantine::serverLost(const std::string &Server,
+                                   const std::set<std::string> &Keys,
                                    Instant Now) {
   std::vector<std::string> Before;
   for (const std::string &Key : Keys)
     if (this->isSuspect(Key))
       Before.push_back(Key);
   if (Before.size() == 1) {
-    const std::string Blamed = Before.front();
+    std::string Blamed = Before.front();
     this->clearCrash(this->Entries[Blamed].Crash);
     this->add(Blamed);
     return Blamed;
   }
   if (!Before.empty())
     return "";
-  ++this->LastCrash;
+  this->CrashOf[Server] = ++this->LastCrash;
   for (const std::string &Key : Keys) {
     Entry &Record = this->Entries[Key];
     Record.Crash = this->LastCrash;
@@ -113,6 +114,14 @@
   return "";
 }
 
+void Quarantine::retract(const std::string &Server) {
+  const auto Found = this->CrashOf.find(Server);
+  if (Found == this->CrashOf.end())
+    return;
+  this->clearCrash(Found->second);
+  this->CrashOf.erase(Found);
+}
+
 void Quarantine::clear(const std::string &Key) {
   if (this->Suspects.erase(Key) == 0)
     return;
