--- a/Source/Daemon/DaemonContext.h
+++ b/Source/Daemon/DaemonContext.h
@@ -15,6 +15,8 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace turmericpass {
 
@@ -49,7 +51,9 @@
                std::function<HttpReply(const HttpRequest &)> Action);
 
   /// Adds a callback that sets gauges before /metrics is rendered.
-  void onCollect(Callback Action) { this->Collectors.push_back(Action); }
+  void onCollect(Callback Action) {
+    this->Collectors.push_back(std::move(Action));
+  }
 
   /// Starts the drain as SIGTERM does.
   void beginDrain();
