Scheduling: Make three tests fail without their rules

Cause: with one rule taken out at a time on a scratch copy, nothing failed without the rank of classes, the refusals while draining, or the bound on the load of a prefix's holder.

Change: ranks differ from the order of the names, the drained queue has room, and the prefix test uses short work, which no share of long work bounds.

--- a/Tests/Scheduling/PartsTest.cpp
+++ b/Tests/Scheduling/PartsTest.cpp
@@ -89,7 +89,7 @@
   Rig.warmUp();
   Rig.Sut.cacheChanged("e02", {{1, 100, true}, {2, 101, true}});
   const auto Send = [&](const std::string &Id) {
-    Submit Work = Rig.Fleet.request(Id, "check", 400);
+    Submit Work = Rig.Fleet.request(Id, "check", 60);
     Work.PrefixHashes = {100, 101, 102};
     Rig.Fleet.submit(Work);
     return Rig.Fleet.Starts.back().Server;
--- a/Tests/Scheduling/PriorityTest.cpp
+++ b/Tests/Scheduling/PriorityTest.cpp
@@ -24,14 +24,18 @@
 
 // Guards against work that waits for a class that may wait for it.
 Test(Priority, ClassesAreServedByRank) {
-  SchedulerRig Rig(1, 1);
+  // Not in the order of the names.
+  FleetSettings Settings = fakeSettings(1, 1);
+  Settings.Classes["quote"].Rank = 0;
+  Settings.Classes["check"].Rank = 1;
+  SchedulerRig Rig(Settings);
   submitMany(Rig, "first", "check", 1, 20);
   submitMany(Rig, "b", "batch", 1, 20);
-  submitMany(Rig, "q", "quote", 1, 20);
   submitMany(Rig, "c", "check", 1, 20);
+  submitMany(Rig, "q", "quote", 1, 20);
   Rig.Fleet.advance(2000);
-  cr_assert(classOfStart(Rig, 1) == "check");
-  cr_assert(classOfStart(Rig, 2) == "quote");
+  cr_assert(classOfStart(Rig, 1) == "quote");
+  cr_assert(classOfStart(Rig, 2) == "check");
   cr_assert(classOfStart(Rig, 3) == "batch");
 }
 
--- a/Tests/Scheduling/RequestTest.cpp
+++ b/Tests/Scheduling/RequestTest.cpp
@@ -194,7 +194,8 @@
   Rig.Fleet.submit(Rig.Fleet.request("no-class", "none", 5));
   cr_assert(endOf(Rig, "no-class").Code == FinishCode::InvalidRequest);
   Rig.Sut.drain();
-  Rig.Fleet.submit(Rig.Fleet.request("drained", "check", 5));
+  // The queue of batch work is not full.
+  Rig.Fleet.submit(Rig.Fleet.request("drained", "batch", 5));
   cr_assert(endOf(Rig, "drained").Ran == Execution::NotRun);
   cr_assert(!Rig.Sut.isIdle());
 }
