--- a/Tests/Settings/SettingsFolderTest.cpp
+++ b/Tests/Settings/SettingsFolderTest.cpp
@@ -73,6 +73,7 @@
   cr_assert(rc::check(
       [](const std::vector<std::pair<std::string, std::string>> &Parts) {
         std::vector<SettingsFile> Files;
+        Files.reserve(Parts.size());
         for (const auto &[Name, Text] : Parts)
           Files.push_back({Name, Text});
         const std::string Document = packSettings(Files);
