--- a/Utilities/Load/BaselineDispatcherMain.cpp
+++ b/Utilities/Load/BaselineDispatcherMain.cpp
@@ -37,7 +37,8 @@
   HttpBackendPort Backends(Context.Loop, Context.Client);
   DecisionLog Records(Context.Time, 1, 1);
   DispatcherDaemon Daemon({Context.Loop, Context.Peers, Backends, Decisions,
-                           Fleet, Records, Context.Log, Context.Stats, Context.Spans},
+                           Fleet, Records, Context.Log, Context.Stats,
+                           Context.Spans},
                           Node.Name);
   Daemon.start();
   return static_cast<int>(Context.run([&Daemon] { Daemon.drain(); },
