Scheduling: Give probes only to servers with invalid answers

The log showed that every retry went back to the same engine: it failed so fast that it was always the least loaded.

Change: two invalid answers in a row mark a server for probes, each later than the one before. A retry avoids the server that failed, and a suspect waits for another server if there is one. The dispatcher asks a lost server for its load after 60 ms; an answer within 300 ms takes the loss back. Counting silence as an invalid answer too was ruled out: the test of the retry budget showed that it would take whole fleets out of service.

Two new tests fail without the change and pass with it; SchedulingTests 51 of 51.

--- a/Source/Dispatcher/DispatcherDaemon.cpp
+++ b/Source/Dispatcher/DispatcherDaemon.cpp
@@ -20,6 +20,7 @@
 constexpr Duration BusyTick = 5ms;
 constexpr Duration IdleTick = 50ms;
 constexpr Duration PollPeriod = 1s;
+constexpr Duration LossCheckDelay = 60ms;
 
 std::string classLabel(const std::string &Name, const std::string &Class) {
   return Name + "{class=\"" + Class + "\"}";
@@ -214,6 +215,11 @@
 
 void DispatcherDaemon::perform(const RecordDecision &Decision) {
   this->Parts.Stats.add("decisions_total{what=\"" + Decision.What + "\"}");
+  // A broken connection alone does not tell a crash from a cut.
+  if (Decision.What == "server_lost")
+    this->Parts.Loop.after(LossCheckDelay, [this, Server = Decision.Server] {
+      this->pollLoad(Server);
+    });
   // An operator asks about a request or about a server.
   const std::string Text = Decision.Why + " (request " + Decision.RequestId +
                            ", server " + Decision.Server + ")";
@@ -232,16 +238,24 @@
   });
 }
 
+void DispatcherDaemon::pollLoad(const std::string &Server) {
+  const auto &Servers = this->Parts.Fleet.settings().Servers;
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return;
+  this->Parts.Backends.fetchLoad(
+      Found->second.Address, [this, Server](const Result<LoadReport> &Report) {
+        if (Report)
+          this->Parts.Decisions.loadReported(Server, *Report);
+        this->pump();
+      });
+}
+
 void DispatcherDaemon::pollServers() {
   const FleetSettings &Settings = this->Parts.Fleet.settings();
   for (const std::string &Name : this->Owned) {
+    this->pollLoad(Name);
     const ServerSettings &Server = Settings.Servers.at(Name);
-    this->Parts.Backends.fetchLoad(
-        Server.Address, [this, Name](const Result<LoadReport> &Report) {
-          if (Report)
-            this->Parts.Decisions.loadReported(Name, *Report);
-          this->pump();
-        });
     if (Settings.Services.at(Server.Service).Kind != ServiceKind::Model)
       continue;
     this->Parts.Backends.fetchCacheEvents(
--- a/Source/Dispatcher/DispatcherDaemon.h
+++ b/Source/Dispatcher/DispatcherDaemon.h
@@ -74,6 +74,7 @@
   void endRequestSpan(const Finish &Ended);
   void armTick();
   void pollServers();
+  void pollLoad(const std::string &Server);
 
   DispatcherParts Parts;
   std::string Node;
--- a/Source/Scheduling/AnswerCollector.cpp
+++ b/Source/Scheduling/AnswerCollector.cpp
@@ -177,6 +177,7 @@
   this->noteAlive(*Run, Server);
   const bool IsError = Reply.Status >= FirstServerError;
   if (!IsError) {
+    Server.Health.answeredWell();
     this->cancelLosers(Item, Id);
     this->learnAnswer(*Run, Item, Server);
   }
--- a/Source/Scheduling/FailurePolicy.cpp
+++ b/Source/Scheduling/FailurePolicy.cpp
@@ -12,6 +12,13 @@
 // A request that failed that often will not succeed by another attempt.
 constexpr std::uint32_t MostRetries = 6;
 constexpr std::uint64_t RetryAfterMs = 1000;
+// No server that crashed answers again within this time.
+constexpr std::chrono::milliseconds RestartTime{300};
+
+/// Silence is judged by the times of answers; these codes are not about time.
+bool isInvalidAnswer(ErrorCode Code) {
+  return Code == ErrorCode::Malformed || Code == ErrorCode::TooLarge;
+}
 
 } // namespace
 
@@ -30,6 +37,8 @@
       (Server.Health.state() != HealthState::Down ||
        Started > Server.Health.since()))
     this->serverLost(Server, Reason.Message);
+  else if (isInvalidAnswer(Reason.Code))
+    Server.Health.badAnswer(this->Fleet.now());
   // The request may have ended with its fingerprint in quarantine.
   const auto Found = this->Fleet.Items.find(Key);
   if (Found == this->Fleet.Items.end())
@@ -40,6 +49,7 @@
     Item.MaySent = true;
   if (Progress == AttemptProgress::Admitted)
     Item.Answered = true;
+  Item.Avoid = Server.Name;
   if (Progress == AttemptProgress::NotSent)
     this->notSent(Item, Server, Reason);
   else if (Item.Attempts.empty())
@@ -63,7 +73,6 @@
                      RetryAfterMs);
     return;
   }
-  Item.Avoid = Server.Name;
   this->Fleet.enqueue(Item);
 }
 
@@ -99,6 +108,16 @@
   this->endQuarantined(Blamed);
 }
 
+void FailurePolicy::stillAnswers(ServerState &Server) {
+  if (Server.Health.state() != HealthState::Down ||
+      this->Fleet.now() - Server.LostAt > RestartTime)
+    return;
+  this->Fleet.Suspects.retract(Server.Name);
+  this->Fleet.record("", Server.Name, "loss_retracted",
+                     "It answers, so only connections to it broke.");
+  Server.Health.badAnswer(this->Fleet.now());
+}
+
 void FailurePolicy::separateCopies(const ServerState &Lost) {
   std::vector<SchedulerAttemptId> Copies;
   for (const SchedulerAttemptId Id : Lost.Attempts)
--- a/Source/Scheduling/FailurePolicy.h
+++ b/Source/Scheduling/FailurePolicy.h
@@ -20,6 +20,9 @@
   void attemptFailed(SchedulerAttemptId Id, const Error &Reason,
                      AttemptProgress Progress);
 
+  /// A server that was just lost answers, so it was a connection that broke.
+  void stillAnswers(ServerState &Server);
+
   /// Ends all work with that fingerprint because it is in quarantine.
   void endQuarantined(const std::string &Key);
 
--- a/Source/Scheduling/FleetScheduler.cpp
+++ b/Source/Scheduling/FleetScheduler.cpp
@@ -260,6 +260,7 @@
   State->Window.loadReported(Report.KvUsed,
                              std::chrono::milliseconds(Report.AgeMs),
                              State->TokensInFlight, Now);
+  this->Failures.stillAnswers(*State);
   // What it says may be old, but that it answers is new.
   if (State->Health.state() == HealthState::Down &&
       Now - State->Health.since() > ReportMargin)
--- a/Source/Scheduling/Placement.cpp
+++ b/Source/Scheduling/Placement.cpp
@@ -145,7 +145,20 @@
     return Probed;
   if (ServerState *Found = this->best(Item, Item.Avoid, Now))
     return Found;
-  return Item.Avoid.empty() ? nullptr : this->best(Item, "", Now);
+  if (Item.Avoid.empty() || this->mustMove(Item))
+    return nullptr;
+  return this->best(Item, "", Now);
+}
+
+bool Placement::mustMove(const WorkItem &Item) const {
+  if (!this->Fleet.Suspects.isSuspect(Item.SuspectKey))
+    return false;
+  // A second loss of the same server would not tell whether the request or
+  // the server is at fault.
+  for (const ServerState *Server : this->Fleet.Pool.of(Item.Work.Service))
+    if (Server->Name != Item.Avoid && Server->isUsable() && Server->isFit())
+      return true;
+  return false;
 }
 
 ServerState *Placement::chooseOther(const WorkItem &Item,
--- a/Source/Scheduling/Placement.h
+++ b/Source/Scheduling/Placement.h
@@ -44,6 +44,8 @@
                     std::uint32_t Extra) const;
   bool leavesReserve(const WorkItem &Item, Instant Now) const;
   ServerState *probe(const WorkItem &Item, Instant Now);
+  /// Returns whether a suspect must run at another server than its last one.
+  bool mustMove(const WorkItem &Item) const;
   ServerState *best(const WorkItem &Item, const std::string &Avoid,
                     Instant Now);
 
--- a/Source/Scheduling/ServerHealth.cpp
+++ b/Source/Scheduling/ServerHealth.cpp
@@ -10,6 +10,7 @@
 constexpr std::chrono::milliseconds ProbeInterval{400};
 constexpr std::chrono::milliseconds FirstDownTime{1000};
 constexpr std::uint32_t MostDoublings = 4;
+constexpr std::uint32_t TooManyBadAnswers = 2;
 constexpr std::chrono::milliseconds FirstPause{50};
 constexpr std::uint32_t MostPauseDoublings = 5;
 // Several samples over some time, because all streams of one engine step
@@ -38,6 +39,18 @@
   ++this->Losses;
 }
 
+void ServerHealth::badAnswer(Instant Now) {
+  ++this->BadAnswers;
+  this->Good = 0;
+  if (this->BadAnswers < TooManyBadAnswers)
+    return;
+  if (this->State != HealthState::Down)
+    this->markSlow(Now);
+  const std::uint32_t Doublings =
+      std::min(this->BadAnswers - TooManyBadAnswers, MostDoublings);
+  this->NextProbe = Now + ProbeInterval * (1U << Doublings);
+}
+
 void ServerHealth::refused(Instant Now) {
   const std::uint32_t Doublings = std::min(this->Refusals, MostPauseDoublings);
   this->PausedUntil = Now + FirstPause * (1U << Doublings);
--- a/Source/Scheduling/ServerHealth.h
+++ b/Source/Scheduling/ServerHealth.h
@@ -30,6 +30,12 @@
   /// It refused work or connections; no new work for a moment.
   void refused(Instant Now);
 
+  /// It gave an answer that is not valid. After two in a row it gets probes
+  /// only, each later than the one before: it fails so fast that it would
+  /// otherwise look like the least loaded server.
+  void badAnswer(Instant Now);
+  void answeredWell() { this->BadAnswers = 0; }
+
   /// A sample like the peers' ones; \p Weight tells how much it proves.
   void goodSample(Instant Now, std::uint32_t Weight);
   void badSample() { this->Good = 0; }
@@ -54,6 +60,7 @@
   std::uint32_t Good = 0;
   std::uint32_t Refusals = 0;
   std::uint32_t Losses = 0;
+  std::uint32_t BadAnswers = 0;
 };
 
 } // namespace turmericpass
--- a/Tests/Scheduling/CrashTest.cpp
+++ b/Tests/Scheduling/CrashTest.cpp
@@ -183,3 +183,51 @@
   cr_assert(Rig.Fleet.Answers["r2"].Starts == 0);
   cr_assert(Rig.Fleet.Announced.empty());
 }
+
+// Guards against a server whose invalid answers come so fast that it looks
+// like the least loaded one and takes most of the work.
+Test(Crashes, ServerWithInvalidAnswersGetsProbesOnly) {
+  SchedulerRig Rig(4, 8);
+  Rig.warmUp();
+  const int Before = Rig.Fleet.Engines["e00"].Starts;
+  for (int Round = 0; Round < 40; ++Round) {
+    submitInnocents(Rig, Round * 4, 4);
+    auto &Streams = Rig.Fleet.Engines["e00"].Streams;
+    while (!Streams.empty()) {
+      const SchedulerAttemptId Id = Streams.begin()->first;
+      Streams.erase(Id);
+      Rig.Sut.attemptFailed(Id, {ErrorCode::Malformed, "It is no event."},
+                            AttemptProgress::Admitted);
+      Rig.Fleet.advance(0);
+    }
+    Rig.Fleet.advance(50);
+  }
+  Rig.Fleet.advance(5000);
+  cr_assert(innocentsFailed(Rig) == 0);
+  const int Starts = Rig.Fleet.Engines["e00"].Starts - Before;
+  // One window before the failures are known, and a probe each 400 ms.
+  cr_assert(Starts <= 8 + 2000 / 400, "%d", Starts);
+}
+
+// Guards against innocent requests in quarantine because of a server that
+// cuts connections and lives: its load report says that it did not crash.
+Test(Crashes, ServerThatCutsAndAnswersMakesNoSuspects) {
+  SchedulerRig Rig(1, 8);
+  Rig.warmUp();
+  submitInnocents(Rig, 0, 1);
+  auto &Streams = Rig.Fleet.Engines["e00"].Streams;
+  for (int Round = 0; Round < 4; ++Round) {
+    for (int Turn = 0; Turn < 1000 && Streams.empty(); ++Turn)
+      Rig.Fleet.advance(20);
+    cr_assert(!Streams.empty());
+    const SchedulerAttemptId Id = Streams.begin()->first;
+    Streams.erase(Id);
+    Rig.Sut.attemptFailed(Id, {ErrorCode::Unavailable, "It was cut."},
+                          AttemptProgress::Admitted);
+    Rig.Fleet.advance(60);
+    Rig.Sut.loadReported("e00", {0, 0, 0, 500});
+  }
+  Rig.Fleet.advance(20000);
+  cr_assert(innocentsFailed(Rig) == 0);
+  cr_assert(Rig.Fleet.Announced.empty());
+}
