Scheduling: Double a new window until queueing shows

Cause: a fleet with only batch work ran at 30 to 40% of its slots for the first four seconds and reached all of them after eight. The window grew by 0.2 times its root for each first token, and batch answers of 128 tokens give few.

Change: until the first sign of queueing or a refusal, each first token adds one to the window, which doubles it in each round. Starting with all slots was ruled out: a new owner does not know what the last one still runs there.

--- a/Source/Scheduling/ConcurrencyWindow.cpp
+++ b/Source/Scheduling/ConcurrencyWindow.cpp
@@ -54,12 +54,17 @@
     this->LongMs *= 0.95;
   const double Gradient = std::clamp(Tolerance * this->LongMs / this->ShortMs,
                                      SmallestGradient, 1.0);
+  if (Gradient < 1.0)
+    this->SlowStart = false;
   const double Target = this->Limit * Gradient + std::sqrt(this->Limit);
-  this->Limit += Smoothing * (Target - this->Limit);
+  // Long answers give few samples, so the first growth doubles the window in
+  // each round, as TCP's slow start does, until queueing shows.
+  this->Limit += this->SlowStart ? 1.0 : Smoothing * (Target - this->Limit);
   this->Limit = std::clamp(this->Limit, 1.0, static_cast<double>(this->Slots));
 }
 
 void ConcurrencyWindow::refused() {
+  this->SlowStart = false;
   this->Limit = std::max(1.0, this->Limit * 0.8);
 }
 
--- a/Source/Scheduling/ConcurrencyWindow.h
+++ b/Source/Scheduling/ConcurrencyWindow.h
@@ -38,6 +38,8 @@
 
 private:
   std::uint32_t Slots = 1;
+  /// Whether the window has not met its limit yet.
+  bool SlowStart = true;
   double Limit = 1;
   double TokenLimit = 0;
   double ShortMs = 0;
--- a/Tests/Scheduling/PartsTest.cpp
+++ b/Tests/Scheduling/PartsTest.cpp
@@ -113,3 +113,15 @@
   cr_assert(Index.depth("e", {7}) == 0);
   cr_assert(Index.depth("e", {9, 8, 7}) == 2);
 }
+
+// Guards against a restarted dispatcher that uses a part of its servers for
+// seconds, because batch answers are long and give few samples.
+Test(ConcurrencyWindow, ReachesAllSlotsWithinThreeRounds) {
+  ConcurrencyWindow Window(8);
+  for (int Round = 0; Round < 3; ++Round) {
+    const std::uint32_t Started = Window.requests();
+    for (std::uint32_t I = 0; I < Started; ++I)
+      Window.firstTokenAfter(std::chrono::milliseconds(30));
+  }
+  cr_assert(Window.requests() == 8);
+}
