Dispatcher: End the spans of a lost peer's requests

Requests of a lost gateway get no Finish, so their spans stayed in memory for good; a request without a span made an empty entry. Cache events of a restarted server, which counts from the beginning, were never read again.

--- a/Source/Dispatcher/DispatcherDaemon.cpp
+++ b/Source/Dispatcher/DispatcherDaemon.cpp
@@ -40,10 +40,8 @@
   this->Parts.Peers.onReceive([this](const std::string &From, Message Body) {
     this->receive(From, std::move(Body));
   });
-  this->Parts.Peers.onLost([this](const std::string &Peer) {
-    this->Parts.Decisions.peerLost(Peer);
-    this->pump();
-  });
+  this->Parts.Peers.onLost(
+      [this](const std::string &Peer) { this->peerLost(Peer); });
   this->Parts.Fleet.onChange([this] { this->applyFleet(); });
   this->applyFleet();
   this->armTick();
@@ -71,6 +69,22 @@
   this->pump();
 }
 
+void DispatcherDaemon::peerLost(const std::string &Peer) {
+  this->Parts.Decisions.peerLost(Peer);
+  // No Finish goes to a lost peer, so the spans of its requests end here.
+  for (auto Next = this->RequestSpans.begin();
+       Next != this->RequestSpans.end();) {
+    if (Next->second.Peer != Peer) {
+      ++Next;
+      continue;
+    }
+    this->Parts.Spans.setAttribute(Next->second.Key, "code", "peer_lost");
+    this->Parts.Spans.end(Next->second.Key, false);
+    Next = this->RequestSpans.erase(Next);
+  }
+  this->pump();
+}
+
 void DispatcherDaemon::submit(const std::string &From, Submit Work) {
   this->Parts.Stats.add(classLabel("submitted_total", Work.Class));
   if (!this->RequestSpans.count(Work.RequestId)) {
@@ -79,7 +93,7 @@
     this->Parts.Spans.setAttribute(Span, "request.id", Work.RequestId);
     this->Parts.Spans.setAttribute(Span, "service", Work.Service);
     this->Parts.Spans.setAttribute(Span, "class", Work.Class);
-    this->RequestSpans[Work.RequestId] = Span;
+    this->RequestSpans[Work.RequestId] = {Span, From};
   }
   this->Parts.Decisions.submit(From, std::move(Work));
 }
@@ -129,8 +143,7 @@
   Running.Server = Start.Server;
   Running.RequestId = Start.Work.RequestId;
   Running.Span = this->Parts.Spans.start(
-      "attempt",
-      this->Parts.Spans.contextOf(this->RequestSpans[Start.Work.RequestId]));
+      "attempt", this->requestContext(Start.Work.RequestId));
   this->Parts.Spans.setAttribute(Running.Span, "server", Start.Server);
   const SpanContext Context = this->Parts.Spans.contextOf(Running.Span);
   Start.Work.Trace = {Context.TraceId, Context.SpanId};
@@ -194,15 +207,23 @@
         {{"peer", Sent.Peer}, {"reason", Queued.error().Message}});
 }
 
+SpanContext
+DispatcherDaemon::requestContext(const std::string &RequestId) const {
+  const auto Found = this->RequestSpans.find(RequestId);
+  return Found == this->RequestSpans.end()
+             ? SpanContext{}
+             : this->Parts.Spans.contextOf(Found->second.Key);
+}
+
 void DispatcherDaemon::endRequestSpan(const Finish &Ended) {
   this->Parts.Stats.add("finished_total{code=\"" +
                         std::string(toName(Ended.Code)) + "\"}");
   const auto Found = this->RequestSpans.find(Ended.RequestId);
   if (Found == this->RequestSpans.end())
     return;
-  this->Parts.Spans.setAttribute(Found->second, "code",
-                                 std::string(toName(Ended.Code)));
-  this->Parts.Spans.end(Found->second, Ended.Code == FinishCode::Ok);
+  const Tracer::SpanKey Span = Found->second.Key;
+  this->Parts.Spans.setAttribute(Span, "code", std::string(toName(Ended.Code)));
+  this->Parts.Spans.end(Span, Ended.Code == FinishCode::Ok);
   this->RequestSpans.erase(Found);
 }
 
@@ -216,10 +237,13 @@
 void DispatcherDaemon::perform(const RecordDecision &Decision) {
   this->Parts.Stats.add("decisions_total{what=\"" + Decision.What + "\"}");
   // A broken connection alone does not tell a crash from a cut.
-  if (Decision.What == "server_lost")
+  if (Decision.What == "server_lost") {
+    // A server that starts again numbers its cache events from the beginning.
+    this->CacheEventsSeen.erase(Decision.Server);
     this->Parts.Loop.after(LossCheckDelay, [this, Server = Decision.Server] {
       this->pollLoad(Server);
     });
+  }
   // An operator asks about a request or about a server.
   const std::string Text = Decision.Why + " (request " + Decision.RequestId +
                            ", server " + Decision.Server + ")";
--- a/Source/Dispatcher/DispatcherDaemon.h
+++ b/Source/Dispatcher/DispatcherDaemon.h
@@ -60,7 +60,13 @@
     Tracer::SpanKey Span = 0;
   };
 
+  struct RequestSpan {
+    Tracer::SpanKey Key = 0;
+    std::string Peer;
+  };
+
   void receive(const std::string &From, Message Body);
+  void peerLost(const std::string &Peer);
   void submit(const std::string &From, Submit Work);
   void applyFleet();
   void pump();
@@ -72,6 +78,7 @@
   AttemptHandlers handlersFor(SchedulerAttemptId Id);
   void endAttempt(SchedulerAttemptId Id, bool Ok);
   void endRequestSpan(const Finish &Ended);
+  SpanContext requestContext(const std::string &RequestId) const;
   void armTick();
   void pollServers();
   void pollLoad(const std::string &Server);
@@ -80,7 +87,7 @@
   std::string Node;
   std::set<std::string> Owned;
   std::map<SchedulerAttemptId, RunningAttempt> Attempts;
-  std::map<std::string, Tracer::SpanKey> RequestSpans;
+  std::map<std::string, RequestSpan> RequestSpans;
   std::map<std::string, std::uint64_t> CacheEventsSeen;
   bool Pumping = false;
   WatchId TickTimer = 0;
