Dispatcher: Share one program between the real and the baseline policy

Cause: the two mains had the same thirty lines.

Change: runDispatcher takes the scheduler; the mains only choose it.

--- a/Utilities/Load/BaselineDispatcherMain.cpp
+++ b/Utilities/Load/BaselineDispatcherMain.cpp
@@ -1,12 +1,10 @@
-#include "Backends/HttpBackendPort.h"
 #include "BaselineScheduler.h"
-#include "Control/DecisionLog.h"
-#include "Control/FleetAgent.h"
 #include "Daemon/DaemonContext.h"
-#include "Dispatcher/DispatcherDaemon.h"
+#include "Dispatcher/DispatcherProgram.h"
 
 #include <cstdlib>
 #include <iostream>
+#include <utility>
 
 using namespace turmericpass;
 
@@ -25,22 +23,6 @@
   if (!Start.Options)
     return static_cast<int>(Start.Status);
   DaemonContext Context(DaemonRole::Dispatcher, std::move(*Start.Options));
-  if (const Result<void> Opened = Context.open(); !Opened) {
-    std::cerr << Opened.error().Message << '\n';
-    return static_cast<int>(ExitStatus::Refused);
-  }
-  const NodeSettings &Node = Context.Options.Node;
-  FleetAgent Fleet(Context.Loop, Context.Peers, Context.Log,
-                   peerAddress(Node, DaemonRole::Controller), "dispatcher",
-                   Context.Options.Settings);
   BaselineScheduler Decisions(Policy);
-  HttpBackendPort Backends(Context.Loop, Context.Client);
-  DecisionLog Records(Context.Time, 1, 1);
-  DispatcherDaemon Daemon({Context.Loop, Context.Peers, Backends, Decisions,
-                           Fleet, Records, Context.Log, Context.Stats,
-                           Context.Spans},
-                          Node.Name);
-  Daemon.start();
-  return static_cast<int>(Context.run([&Daemon] { Daemon.drain(); },
-                                      [&Daemon] { return Daemon.isIdle(); }));
+  return static_cast<int>(runDispatcher(Context, Decisions));
 }
