Utilities: Let the linter use fewer workers

Cause: the linter took all cores while benchmarks ran.

Change: LINT_JOBS bounds its workers; without it all cores are used.

--- a/Utilities/lint.py
+++ b/Utilities/lint.py
@@ -11,6 +11,8 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Set lower where other work shares the machine.
+WORKERS = int(os.environ.get("LINT_JOBS", os.cpu_count()))
 CACHE = pathlib.Path(
     os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache"),
     "turmericpass-lint",
@@ -65,7 +67,7 @@
     CACHE.mkdir(parents=True, exist_ok=True)
     entries = json.loads((ROOT / "build/compile_commands.json").read_text())
     entries = [e for e in entries if pathlib.Path(e["file"]).exists()]
-    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
         complaints = [text for text in pool.map(check, entries) if text]
     for text in complaints:
         print(text)
