Utilities: Add the capacity probe

Cause: the size in two years (410 nodes) was met on paper only. No cluster is simulated: each probe stands at the interfaces.

--- /dev/null
+++ b/Utilities/Capacity/StoreProbes.cpp
@@ -0,0 +1,179 @@
+#include "CapacityReport.h"
+#include "Control/DrainMarks.h"
+#include "Control/SettingsFollower.h"
+#include "Control/SettingsReplica.h"
+#include "Control/SettingsStore.h"
+#include "Control/ZoneLease.h"
+#include "Core/IdSource.h"
+#include "Daemon/PlatformStores.h"
+#include "Loop/EventLoop.h"
+#include "Platform/BudgetedTable.h"
+#include "Probes.h"
+#include "Support/ControlFleet.h"
+#include "Support/MemoryTable.h"
+#include "Telemetry/Logger.h"
+
+#include <algorithm>
+#include <memory>
+#include <numeric>
+
+namespace turmericpass {
+
+namespace {
+
+StoreLimits shareAt(std::size_t Nodes, DaemonRole Role) {
+  FleetSettings Settings;
+  for (std::size_t I = 0; I < Nodes; ++I)
+    Settings.Nodes["n" + std::to_string(I)];
+  return storeShare(Settings, Role);
+}
+
+/// What the controller of a zone's relay does with the table, within its part
+/// of the budget among \p Nodes nodes. The table itself answers at once.
+class RelayStores {
+public:
+  RelayStores(EventLoop &Loop, MemoryTable &Rows, std::size_t Nodes)
+      : Nodes(Nodes), Loop(Loop), Ids(Nodes),
+        Budgeted(Loop, Rows, shareAt(Nodes, DaemonRole::Controller), Nodes),
+        Store(Budgeted, Ids, Loop.clock()), Replica({}, makeFolder("0")),
+        Follower(
+            Store, Replica, Loop.clock(), Log, [this] { this->adopted(); },
+            [](const std::string &, const SettingsRequest &) {}),
+        Lease(Budgeted, Ids, Loop.clock(), "z" + std::to_string(Nodes), "n"),
+        Marks(Budgeted, Ids) {}
+
+  /// Called each half second, as the controller's settings timer is.
+  void tick() {
+    this->Follower.tick(true);
+    if (++this->Ticks % 2 != 0)
+      return;
+    this->Lease.tick(true);
+    if (this->MarksOpen)
+      return;
+    this->MarksOpen = true;
+    this->Marks.list([this](const auto &) { this->MarksOpen = false; });
+  }
+
+  void applied(std::uint64_t Version) {
+    this->Applied[Version] = this->Loop.clock().now();
+  }
+
+  /// Versions that were not in force when 3 s had passed.
+  double late() const {
+    const Instant Now = this->Loop.clock().now();
+    double Count = 0;
+    for (const auto &[Version, Since] : this->Applied) {
+      const auto Found = this->Delays.find(Version);
+      const double Millis =
+          Found == this->Delays.end() ? toMillis(Now - Since) : Found->second;
+      Count += Millis > 3000 ? 1 : 0;
+    }
+    return Count;
+  }
+
+  double longest() const {
+    double Most = 0;
+    for (const auto &[Version, Since] : this->Applied) {
+      const auto Found = this->Delays.find(Version);
+      Most = std::max(Most, Found == this->Delays.end()
+                                ? toMillis(this->Loop.clock().now() - Since)
+                                : Found->second);
+    }
+    return Most;
+  }
+
+  const StoreCounts &counts() const { return this->Budgeted.counts(); }
+
+  std::size_t Nodes;
+
+private:
+  /// A later version brings the earlier ones into force too.
+  void adopted() {
+    for (const auto &[Version, Since] : this->Applied)
+      if (Version <= this->Replica.version())
+        this->Delays.emplace(Version,
+                             toMillis(this->Loop.clock().now() - Since));
+  }
+
+  EventLoop &Loop;
+  IdSource Ids;
+  NullLogger Log;
+  BudgetedTable Budgeted;
+  SettingsStore Store;
+  SettingsReplica Replica;
+  SettingsFollower Follower;
+  ZoneLease Lease;
+  DrainMarks Marks;
+  int Ticks = 0;
+  bool MarksOpen = false;
+  std::map<std::uint64_t, Instant> Applied;
+  std::map<std::uint64_t, double> Delays;
+};
+
+/// Applies a version each 1.56 s, which is 55,000 a day, for 14 s.
+void probeAdoption(CapacityReport &Out) {
+  constexpr auto Length = std::chrono::seconds(14);
+  const BootClock Time;
+  EventLoop Loop(Time);
+  MemoryTable Rows;
+  IdSource Ids(99);
+  SettingsStore Operator(Rows, Ids, Time);
+  std::vector<std::unique_ptr<RelayStores>> Relays;
+  for (const std::size_t Nodes : {12, 50, 150, 410})
+    Relays.push_back(std::make_unique<RelayStores>(Loop, Rows, Nodes));
+  std::uint64_t Version = 0;
+  Loop.every(std::chrono::milliseconds(1560), [&] {
+    Operator.apply(Version, "probe", makeFolder(std::to_string(Version + 1)),
+                   [&](const Result<SettingsManifest> &Done) {
+                     if (!Done)
+                       return;
+                     ++Version;
+                     for (auto &Each : Relays)
+                       Each->applied(Version);
+                   });
+  });
+  Loop.every(std::chrono::milliseconds(500), [&] {
+    for (auto &Each : Relays)
+      Each->tick();
+  });
+  const Instant End = Time.now() + Length;
+  while (Time.now() < End)
+    Loop.runOnce(std::chrono::milliseconds(20));
+  const double Seconds = 14;
+  for (const auto &Each : Relays) {
+    const auto Size = static_cast<double>(Each->Nodes);
+    const StoreCounts &Counts = Each->counts();
+    Out.add("adoption.longest_ms", "nodes", Size, Each->longest());
+    Out.add("adoption.later_than_3s", "nodes", Size, Each->late());
+    Out.add("adoption.versions", "nodes", Size, static_cast<double>(Version));
+    Out.add("adoption.reads_s", "nodes", Size,
+            static_cast<double>(Counts.Reads) / Seconds);
+    Out.add("adoption.writes_s", "nodes", Size,
+            static_cast<double>(Counts.Writes) / Seconds);
+    Out.add("adoption.refused_s", "nodes", Size,
+            static_cast<double>(Counts.Refused) / Seconds);
+  }
+}
+
+void probeShares(CapacityReport &Out, std::size_t Nodes) {
+  const auto Size = static_cast<double>(Nodes);
+  const auto Add = [&](const std::string &Name, DaemonRole Role) {
+    const StoreLimits Limits = shareAt(Nodes, Role);
+    Out.add("share." + Name + ".reads_s", "nodes", Size, Limits.ReadsPerSecond);
+    Out.add("share." + Name + ".writes_s", "nodes", Size,
+            Limits.WritesPerSecond);
+  };
+  Add("gateway", DaemonRole::Gateway);
+  Add("batcher", DaemonRole::Batcher);
+  Add("controller", DaemonRole::Controller);
+}
+
+} // namespace
+
+void probeStores(CapacityReport &Out) {
+  for (const std::size_t Nodes : {12, 50, 150, 410})
+    probeShares(Out, Nodes);
+  probeAdoption(Out);
+}
+
+} // namespace turmericpass
