Utilities: Count heap bytes, store budgets and load in the capacity probe

Cause: the resident size does not fall after a probe, so that most memory points were 0; ticks of stalled streams cost more than those of real ones; and the parts of the store budget were not measured. Change: bytes come from the heap's own count; streams get a token each 30 ms; relays and batchers run for 20 s within the parts of their nodes; the two loops of a token's way are timed apart.

--- a/Utilities/Capacity/BatchProbes.cpp
+++ b/Utilities/Capacity/BatchProbes.cpp
@@ -81,7 +81,7 @@
 /// 28 items/s each, from the submission of a job until it is complete.
 void probeItems(CapacityReport &Out, std::size_t Items) {
   BatchFleet Fleet(1, echo);
-  const double Memory = residentBytes();
+  const double Memory = heapBytes();
   const double Begun = cpuMicros();
   const BatchFleet::Counts Before = Fleet.counts();
   const std::string Job = Fleet.submit(itemInput(Items), 1);
@@ -104,7 +104,7 @@
   record(Out, "batch.accept", "items", Size, Before, Accepted, 1);
   record(Out, "batch.job", "items", Size, Accepted, Fleet.counts(), 1);
   Out.add("batch.job.cpu_us", "items", Size, cpuMicros() - Begun);
-  Out.add("batch.job.memory", "items", Size, residentBytes() - Memory);
+  Out.add("batch.job.memory", "items", Size, heapBytes() - Memory);
 }
 
 /// Store calls a second of batchers that find nothing to claim.
@@ -150,14 +150,14 @@
   const auto Axis = "chunks";
   const auto Size = static_cast<double>(Chunks);
   BatchFleet Fleet(1, [](const WorkItem &) { return std::nullopt; });
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   Fleet.submit(itemInput(Chunks * 500), 1);
   Fleet.run(40, Chunks * 500);
   Out.add("batch.chunks.held", Axis, Size,
           static_cast<double>(Fleet.Nodes[0]->Worker.chunks()));
   Out.add("batch.chunks.input_bytes", Axis, Size,
           static_cast<double>(Fleet.Nodes[0]->Worker.inputBytes()));
-  Out.add("batch.chunks.memory", Axis, Size, residentBytes() - Before);
+  Out.add("batch.chunks.memory", Axis, Size, heapBytes() - Before);
 }
 
 } // namespace
--- a/Utilities/Capacity/CapacityReport.cpp
+++ b/Utilities/Capacity/CapacityReport.cpp
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
-#include <fstream>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 namespace turmericpass {
 
@@ -49,19 +48,24 @@
   return Root.dump(1);
 }
 
-double cpuMicros() {
+namespace {
+
+double micros(clockid_t Source) {
   timespec Used{};
-  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Used);
+  clock_gettime(Source, &Used);
   return static_cast<double>(Used.tv_sec) * 1e6 +
          static_cast<double>(Used.tv_nsec) / 1e3;
 }
 
-double residentBytes() {
-  std::ifstream In("/proc/self/statm");
-  double Total = 0;
-  double Resident = 0;
-  In >> Total >> Resident;
-  return Resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+} // namespace
+
+double cpuMicros() { return micros(CLOCK_PROCESS_CPUTIME_ID); }
+
+double threadMicros() { return micros(CLOCK_THREAD_CPUTIME_ID); }
+
+double heapBytes() {
+  const struct mallinfo2 Heap = mallinfo2();
+  return static_cast<double>(Heap.uordblks + Heap.hblkhd);
 }
 
 } // namespace turmericpass
--- a/Utilities/Capacity/CapacityReport.h
+++ b/Utilities/Capacity/CapacityReport.h
@@ -35,8 +35,12 @@
 /// Returns the processor time of all threads of this process, in microseconds.
 double cpuMicros();
 
-/// Returns the resident memory of this process, in bytes.
-double residentBytes();
+/// Returns the processor time of the calling thread, in microseconds.
+double threadMicros();
+
+/// Returns the bytes that the heap has handed out. The resident size does not
+/// fall when a probe ends, so the next one would seem to need nothing.
+double heapBytes();
 
 } // namespace turmericpass
 
--- a/Utilities/Capacity/ControlProbes.cpp
+++ b/Utilities/Capacity/ControlProbes.cpp
@@ -41,13 +41,14 @@
   }
 
   /// Lets one second pass. \p CutOff names a node that nothing reaches.
-  void second(std::uint64_t Version, const std::string &CutOff = "") {
+  void second(std::uint64_t Version, const std::string &CutOff = "",
+              const std::string &Load = "") {
     this->Time.advance(std::chrono::seconds(1));
     std::vector<std::pair<std::string, std::string>> Sent;
     for (auto &[Name, Node] : this->Nodes) {
       NodeCost &Used = this->Costs[Name];
       const double Begun = cpuMicros();
-      Node->setOwnState(true, Version, "");
+      Node->setOwnState(true, Version, Load);
       for (OutgoingDigest &Each : Node->tick()) {
         std::string Bytes = encoded(Each.Body);
         Used.Bytes += static_cast<double>(Bytes.size());
@@ -105,14 +106,22 @@
   return Found;
 }
 
+std::string loadText(std::uint64_t Second) {
+  std::string Text;
+  for (int I = 0; I < 8; ++I)
+    Text += (I == 0 ? "" : " ") + std::string("model") + std::to_string(I) +
+            "=12" + std::to_string(Second) + "/3";
+  return Text;
+}
+
 void recordExchange(CapacityReport &Out, const std::string &Name,
                     const std::string &Axis, double Size, std::size_t Zones,
                     std::size_t PerZone) {
   constexpr int Seconds = 8;
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   DigestFleet Fleet(makeFleet(Zones, PerZone));
   Fleet.seconds(12);
-  const double Memory = residentBytes() - Before;
+  const double Memory = heapBytes() - Before;
   Fleet.Costs.clear();
   Fleet.seconds(Seconds);
   const Spread Bytes = spread(Fleet.Costs, &NodeCost::Bytes, Seconds);
@@ -131,6 +140,14 @@
           spread(Fleet.Costs, &NodeCost::Bytes, Seconds).Most);
   Out.add(Name + ".changing.cpu_us_s_busiest", Axis, Size,
           spread(Fleet.Costs, &NodeCost::Micros, Seconds).Most);
+  // With the load of 8 models, which no daemon states yet.
+  Fleet.Costs.clear();
+  for (std::uint64_t I = 0; I < Seconds; ++I)
+    Fleet.second(20, "", loadText(I));
+  Out.add(Name + ".loaded.bytes_s_busiest", Axis, Size,
+          spread(Fleet.Costs, &NodeCost::Bytes, Seconds).Most);
+  Out.add(Name + ".loaded.cpu_us_s_busiest", Axis, Size,
+          spread(Fleet.Costs, &NodeCost::Micros, Seconds).Most);
 }
 
 FleetView viewOf(const MembershipDigest &Members) {
@@ -176,15 +193,15 @@
     DigestFleet Fleet(makeFleet(3, 4));
     Fleet.seconds(12);
     Fleet.Costs.clear();
-    const double Before = residentBytes();
+    const double Before = heapBytes();
     for (std::size_t I = 0; I < Count; ++I)
       Fleet.at("z0n0").announceQuarantine(fingerprint(I));
-    Fleet.seconds(4);
+    Fleet.seconds(8);
     const auto Size = static_cast<double>(Count);
     Out.add("marks.bytes_busiest", "fingerprints", Size,
             spread(Fleet.Costs, &NodeCost::Bytes, 1).Most);
     Out.add("marks.memory_per_node", "fingerprints", Size,
-            (residentBytes() - Before) / 12);
+            (heapBytes() - Before) / 12);
     Fleet.Costs.clear();
     Fleet.seconds(4);
     Out.add("marks.settled.bytes_s_busiest", "fingerprints", Size,
--- a/Utilities/Capacity/PeerProbes.cpp
+++ b/Utilities/Capacity/PeerProbes.cpp
@@ -30,27 +30,43 @@
   constexpr std::uint32_t Burst = 200;
   const BootClock Time;
   EventLoop Loop(Time);
+  EventLoop GatewayLoop(Time);
   NngPeerPort Dispatcher(Loop);
-  NngPeerPort Gateway(Loop);
+  NngPeerPort Gateway(GatewayLoop);
   if (!Dispatcher.listen("127.0.0.1:0") || !Gateway.listen("127.0.0.1:0"))
     return;
   RequestLifeCycle Life = makeLife(Loop, Dispatcher.address());
   Gateway.onReceive([&](const std::string &From, const Message &Body) {
     if (const auto *Piece = std::get_if<Chunk>(&Body))
-      Life.chunk(From, *Piece, Loop.clock().now());
+      Life.chunk(From, *Piece, Time.now());
     Life.takeActions();
   });
   const double Begun = cpuMicros();
+  const Instant Limit = Time.now() + std::chrono::seconds(8);
+  double Sending = 0;
+  double Receiving = 0;
   for (std::uint32_t Sent = 0; Sent < Count;) {
+    double Mark = threadMicros();
     for (std::uint32_t I = 0; I < Burst; ++I, ++Sent)
       (void)Dispatcher.send(
           Gateway.address(),
           Chunk{Life.work().RequestId, 1, Sent, {40000 + Sent}, {" word"}});
-    if (!runUntil(Loop, [&] { return Life.tokenCount() >= Sent; }))
-      return;
+    Sending += threadMicros() - Mark;
+    while (Life.tokenCount() < Sent) {
+      if (Time.now() > Limit)
+        return;
+      Mark = threadMicros();
+      Loop.runOnce(Duration(0));
+      const double Middle = threadMicros();
+      GatewayLoop.runOnce(Duration(100));
+      Sending += Middle - Mark;
+      Receiving += threadMicros() - Middle;
+    }
   }
   const auto Size = static_cast<double>(Count);
   Out.add("peers.tokens_cpu_us", "tokens", Size, cpuMicros() - Begun);
+  Out.add("peers.tokens_sender_thread_us", "tokens", Size, Sending);
+  Out.add("peers.tokens_receiver_thread_us", "tokens", Size, Receiving);
   Out.add("peers.tokens_bytes", "tokens", Size,
           static_cast<double>(Dispatcher.sentBytes()));
 }
@@ -95,7 +111,7 @@
 void probeLinks(CapacityReport &Out, std::size_t Count) {
   const BootClock Time;
   EventLoop Loop(Time);
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   NngPeerPort Center(Loop);
   if (!Center.listen("127.0.0.1:0"))
     return;
@@ -112,8 +128,7 @@
   if (!runUntil(Loop, [&] { return Heard == Count; }))
     return;
   const auto Size = static_cast<double>(Count);
-  Out.add("peers.links_memory_both_ends", "peers", Size,
-          residentBytes() - Before);
+  Out.add("peers.links_memory_both_ends", "peers", Size, heapBytes() - Before);
   const double Begun = cpuMicros();
   const Instant End = Time.now() + std::chrono::milliseconds(500);
   while (Time.now() < End)
--- a/Utilities/Capacity/ServingProbes.cpp
+++ b/Utilities/Capacity/ServingProbes.cpp
@@ -16,7 +16,7 @@
   std::vector<SchedulerAttemptId> Running;
   for (int I = 0; I < Count; ++I) {
     Rig.Sut.submit("gw",
-                   Rig.Fleet.request("r" + std::to_string(I), "check", 435));
+                   Rig.Fleet.request("r" + std::to_string(I), "quote", 435));
     for (const SchedulerAction &Action : Rig.Sut.takeActions())
       if (const auto *Start = std::get_if<StartAttempt>(&Action))
         Running.push_back(Start->Id);
@@ -24,6 +24,29 @@
   return Running;
 }
 
+/// One second of ticks each 5 ms, in which every stream gets a token each
+/// 30 ms, as streams that are not stalled do.
+void recordSecond(CapacityReport &Out, SchedulerRig &Rig,
+                  const std::vector<SchedulerAttemptId> &Running, double Size) {
+  constexpr std::size_t TicksPerToken = 6;
+  double Ticks = 0;
+  const double Begun = cpuMicros();
+  for (std::size_t I = 0; I < 200; ++I) {
+    for (std::size_t S = I % TicksPerToken; S < Running.size();
+         S += TicksPerToken) {
+      Rig.Sut.attemptTokens(Running[S], {{7}, {"word"}});
+      Rig.Sut.takeActions();
+    }
+    Rig.Now.advance(std::chrono::milliseconds(5));
+    const double Mark = cpuMicros();
+    Rig.Sut.tick();
+    Rig.Sut.takeActions();
+    Ticks += cpuMicros() - Mark;
+  }
+  Out.add("scheduler.ticks_cpu_us_s", "servers", Size, Ticks);
+  Out.add("scheduler.second_cpu_us_s", "servers", Size, cpuMicros() - Begun);
+}
+
 /// A dispatcher with \p Engines servers of 10 streams each.
 void probeScheduler(CapacityReport &Out, int Engines) {
   constexpr int Rounds = 60;
@@ -31,7 +54,7 @@
   const auto Size = static_cast<double>(Engines);
   SchedulerRig Rig(Engines, 10);
   Rig.warmUp();
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   double Begun = cpuMicros();
   const std::vector<SchedulerAttemptId> Running =
       startStreams(Rig, Engines * 10);
@@ -50,14 +73,8 @@
   Out.add("scheduler.streams_running", Axis, Size,
           static_cast<double>(Running.size()));
   Out.add("scheduler.memory_per_stream", Axis, Size,
-          (residentBytes() - Before) / Streams);
-  Begun = cpuMicros();
-  for (int I = 0; I < 200; ++I) {
-    Rig.Now.advance(std::chrono::milliseconds(5));
-    Rig.Sut.tick();
-    Rig.Sut.takeActions();
-  }
-  Out.add("scheduler.ticks_cpu_us_s", Axis, Size, cpuMicros() - Begun);
+          (heapBytes() - Before) / Streams);
+  recordSecond(Out, Rig, Running, Size);
 }
 
 void probeQuotas(CapacityReport &Out, std::size_t Count) {
@@ -70,7 +87,7 @@
     Settings.Customers[Names.back()] = {Names.back(), {}, {}, 20, 9000};
   }
   ManualClock Time;
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   CustomerQuotas Quotas(Time);
   Quotas.configure(Settings, 410);
   double Begun = cpuMicros();
@@ -86,7 +103,7 @@
     Quotas.settle(Name, 1, 1);
   }
   Out.add("quotas.request_cpu_us", Axis, Size, (cpuMicros() - Begun) / Size);
-  Out.add("quotas.memory", Axis, Size, residentBytes() - Before);
+  Out.add("quotas.memory", Axis, Size, heapBytes() - Before);
   Begun = cpuMicros();
   Quotas.configure(Settings, 409);
   Out.add("quotas.configure_cpu_us", Axis, Size, cpuMicros() - Begun);
@@ -124,11 +141,11 @@
     Keys.push_back(std::string(56, 'f') + std::to_string(10000000 + I));
     All.insert(Keys.back());
   }
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   Quarantine Found;
   for (const std::string &Key : Keys)
     Found.add(Key);
-  Out.add("quarantine.memory", Axis, Size, residentBytes() - Before);
+  Out.add("quarantine.memory", Axis, Size, heapBytes() - Before);
   double Begun = cpuMicros();
   std::size_t Hits = 0;
   for (const std::string &Key : Keys)
@@ -149,7 +166,7 @@
   const auto Axis = "requests";
   ManualClock Time;
   const Instant Deadline = Time.now() + std::chrono::seconds(60);
-  const double Before = residentBytes();
+  const double Before = heapBytes();
   std::vector<std::unique_ptr<RequestLifeCycle>> Open;
   double Begun = cpuMicros();
   for (std::size_t I = 0; I < Count; ++I) {
@@ -178,7 +195,7 @@
           (cpuMicros() - Begun) / Size / Tokens);
   Out.add("lifecycle.tokens_taken", Axis, Size,
           static_cast<double>(Open.front()->tokenCount()));
-  Out.add("lifecycle.memory", Axis, Size, residentBytes() - Before);
+  Out.add("lifecycle.memory", Axis, Size, heapBytes() - Before);
   Begun = cpuMicros();
   for (auto &Each : Open)
     Each->tick(Time.now());
@@ -188,7 +205,8 @@
 } // namespace
 
 void probeServing(CapacityReport &Out) {
-  for (const int Engines : {8, 16, 32, 64})
+  // 133 is the most that one node owns of 12,000 servers; see probeGroups.
+  for (const int Engines : {8, 16, 32, 64, 133})
     probeScheduler(Out, Engines);
   for (const std::size_t Count : {1000, 4000, 8000, 14000})
     probeQuotas(Out, Count);
--- a/Utilities/Capacity/SettingsProbes.cpp
+++ b/Utilities/Capacity/SettingsProbes.cpp
@@ -77,11 +77,18 @@
 void recordCheck(CapacityReport &Out, const std::string &Name,
                  const std::string &Axis, double Size,
                  const std::vector<SettingsFile> &Files) {
-  const double Before = residentBytes();
-  const double Begun = cpuMicros();
+  const double Before = heapBytes();
+  double Begun = cpuMicros();
   const SettingsCheck Check = checkSettings(Files);
   Out.add(Name + ".check_cpu_ms", Axis, Size, (cpuMicros() - Begun) / 1e3);
-  Out.add(Name + ".check_memory", Axis, Size, residentBytes() - Before);
+  Out.add(Name + ".daemon_memory", Axis, Size, heapBytes() - Before);
+  SettingsReplica Replica({}, Files);
+  const double Empty = heapBytes();
+  Begun = cpuMicros();
+  const Result<bool> Adopted = Replica.offer(1, packSettings(Files));
+  Out.add(Name + ".offer_cpu_ms", Axis, Size, (cpuMicros() - Begun) / 1e3);
+  Out.add(Name + ".offer_memory", Axis, Size, heapBytes() - Empty);
+  Out.add(Name + ".adopted", Axis, Size, Adopted && *Adopted ? 1 : 0);
   Out.add(Name + ".problems", Axis, Size,
           static_cast<double>(Check.Problems.size()));
   const std::string Document = packSettings(Files);
@@ -173,8 +180,10 @@
   for (const std::size_t Count : {100, 200, 300, 410})
     recordCheck(Out, "settings.nodes", "nodes", static_cast<double>(Count),
                 makeFiles(Count, 19, 19, 1));
-  recordCheck(Out, "settings.whole", "customers", 14000,
-              makeFiles(410, 12000, 14000, 16));
+  // The whole size in four steps.
+  for (const std::size_t Part : {1, 2, 3, 4})
+    recordCheck(Out, "settings.whole", "quarters", static_cast<double>(Part),
+                makeFiles(410 * Part / 4, 3000 * Part, 3500 * Part, 16));
   for (const std::size_t Count : {1000, 4000, 8000, 14000})
     recordDistribution(Out, Count, 16, "distribute.customers", "customers",
                        static_cast<double>(Count));
--- a/Utilities/Capacity/StoreProbes.cpp
+++ b/Utilities/Capacity/StoreProbes.cpp
@@ -7,10 +7,11 @@
 #include "Core/IdSource.h"
 #include "Daemon/PlatformStores.h"
 #include "Loop/EventLoop.h"
+#include "Platform/BudgetedObjectStore.h"
 #include "Platform/BudgetedTable.h"
 #include "Probes.h"
+#include "Support/BatchNode.h"
 #include "Support/ControlFleet.h"
-#include "Support/MemoryTable.h"
 #include "Telemetry/Logger.h"
 
 #include <algorithm>
@@ -48,6 +49,7 @@
     if (++this->Ticks % 2 != 0)
       return;
     this->Lease.tick(true);
+    this->HeldTicks += this->Lease.holds() ? 1 : 0;
     if (this->MarksOpen)
       return;
     this->MarksOpen = true;
@@ -84,6 +86,9 @@
 
   const StoreCounts &counts() const { return this->Budgeted.counts(); }
 
+  /// The share of the seconds in which the zone's lease was held.
+  double heldShare() const { return 2.0 * this->HeldTicks / this->Ticks; }
+
   std::size_t Nodes;
 
 private:
@@ -105,14 +110,76 @@
   ZoneLease Lease;
   DrainMarks Marks;
   int Ticks = 0;
+  int HeldTicks = 0;
   bool MarksOpen = false;
   std::map<std::uint64_t, Instant> Applied;
   std::map<std::uint64_t, double> Delays;
 };
 
-/// Applies a version each 1.56 s, which is 55,000 a day, for 14 s.
+/// A batcher of a fleet of \p Nodes nodes at 28 items/s within its part of the
+/// budget. It starts with chunks to claim, and every item ends at once.
+class BudgetedBatcher {
+public:
+  BudgetedBatcher(EventLoop &Loop, std::size_t Nodes)
+      : Nodes(Nodes), Ids(Nodes),
+        Budgeted(Loop, Rows, shareAt(Nodes, DaemonRole::Batcher), Nodes),
+        BudgetedObjects(Loop, Objects, shareAt(Nodes, DaemonRole::Batcher),
+                        Nodes),
+        Service(Rows, Objects, Loop.clock(), Ids),
+        Worker(Budgeted, BudgetedObjects, Loop.clock(), Ids) {
+    this->Service.putFile(
+        "c", "in", itemInput(20000),
+        [this](const Result<FileRecord> &R) { this->File = R ? R->Id : ""; });
+    this->Service.submit(
+        {"c", "night", this->File, "/v1/chat/completions", "k", 3600000},
+        [](const Result<JobRecord> &) {});
+  }
+
+  /// Called each 100 ms.
+  void tick() {
+    this->Worker.tick();
+    this->Credit += 2.8;
+    while (this->Credit >= 1) {
+      const std::optional<WorkItem> Item = this->Worker.next();
+      if (!Item)
+        break;
+      this->Worker.finish(Item->Id, okOutcome("\"x\""));
+      this->Credit -= 1;
+      ++this->Items;
+    }
+    this->Credit = std::min(this->Credit, 2.8);
+  }
+
+  std::size_t Nodes;
+  double Items = 0;
+  IdSource Ids;
+  MemoryTable Rows;
+  MemoryObjectStore Objects;
+  BudgetedTable Budgeted;
+  BudgetedObjectStore BudgetedObjects;
+  TableJobService Service;
+  BatchWorker Worker;
+
+private:
+  std::string File;
+  double Credit = 0;
+};
+
+void record(CapacityReport &Out, const BudgetedBatcher &Each, double Seconds) {
+  const auto Size = static_cast<double>(Each.Nodes);
+  Out.add("budgeted_batcher.items_s", "nodes", Size, Each.Items / Seconds);
+  Out.add("budgeted_batcher.commits", "nodes", Size,
+          static_cast<double>(Each.Worker.commits()));
+  const StoreCounts &Counts = Each.Budgeted.counts();
+  Out.add("budgeted_batcher.table_calls_s", "nodes", Size,
+          static_cast<double>(Counts.Reads + Counts.Writes) / Seconds);
+  Out.add("budgeted_batcher.table_refused_s", "nodes", Size,
+          static_cast<double>(Counts.Refused) / Seconds);
+}
+
+/// Applies a version each 1.56 s, which is 55,000 a day, for 20 s.
 void probeAdoption(CapacityReport &Out) {
-  constexpr auto Length = std::chrono::seconds(14);
+  constexpr auto Length = std::chrono::seconds(20);
   const BootClock Time;
   EventLoop Loop(Time);
   MemoryTable Rows;
@@ -121,6 +188,13 @@
   std::vector<std::unique_ptr<RelayStores>> Relays;
   for (const std::size_t Nodes : {12, 50, 150, 410})
     Relays.push_back(std::make_unique<RelayStores>(Loop, Rows, Nodes));
+  std::vector<std::unique_ptr<BudgetedBatcher>> Batchers;
+  for (const std::size_t Nodes : {12, 50, 150, 410})
+    Batchers.push_back(std::make_unique<BudgetedBatcher>(Loop, Nodes));
+  Loop.every(std::chrono::milliseconds(100), [&] {
+    for (auto &Each : Batchers)
+      Each->tick();
+  });
   std::uint64_t Version = 0;
   Loop.every(std::chrono::milliseconds(1560), [&] {
     Operator.apply(Version, "probe", makeFolder(std::to_string(Version + 1)),
@@ -139,12 +213,15 @@
   const Instant End = Time.now() + Length;
   while (Time.now() < End)
     Loop.runOnce(std::chrono::milliseconds(20));
-  const double Seconds = 14;
+  const double Seconds = 20;
+  for (const auto &Each : Batchers)
+    record(Out, *Each, Seconds);
   for (const auto &Each : Relays) {
     const auto Size = static_cast<double>(Each->Nodes);
     const StoreCounts &Counts = Each->counts();
     Out.add("adoption.longest_ms", "nodes", Size, Each->longest());
     Out.add("adoption.later_than_3s", "nodes", Size, Each->late());
+    Out.add("adoption.lease_held_share", "nodes", Size, Each->heldShare());
     Out.add("adoption.versions", "nodes", Size, static_cast<double>(Version));
     Out.add("adoption.reads_s", "nodes", Size,
             static_cast<double>(Counts.Reads) / Seconds);
