Utilities: Measure lost nodes and cut zones in the capacity probe

Change: controllers of 19 zones lose nodes or exchange nothing across a cut; the seconds until all agree and the bytes meanwhile are counted.

--- a/Utilities/Capacity/ControlProbes.cpp
+++ b/Utilities/Capacity/ControlProbes.cpp
@@ -52,7 +52,8 @@
       for (OutgoingDigest &Each : Node->tick()) {
         std::string Bytes = encoded(Each.Body);
         Used.Bytes += static_cast<double>(Bytes.size());
-        if (Name != CutOff && Each.Node != CutOff)
+        if (Name != CutOff && Each.Node != CutOff &&
+            this->Parted.count(Name) == this->Parted.count(Each.Node))
           Sent.emplace_back(Each.Node, std::move(Bytes));
       }
       Used.Micros += cpuMicros() - Begun;
@@ -70,6 +71,8 @@
 
   MembershipDigest &at(const std::string &Name) { return *this->Nodes[Name]; }
 
+  /// Nodes that exchange messages only among themselves.
+  std::set<std::string> Parted;
   ManualClock Time;
   FleetSettings Settings;
   std::map<std::string, std::unique_ptr<MembershipDigest>> Nodes;
@@ -83,7 +86,8 @@
       NodeCost &Used = this->Costs[To];
       for (; From != Sent.end() && From->first == To; ++From) {
         const Result<Envelope> Read = decode(From->second);
-        this->Nodes[To]->receive(std::get<Digest>(Read->Body));
+        if (const auto Node = this->Nodes.find(To); Node != this->Nodes.end())
+          Node->second->receive(std::get<Digest>(Read->Body));
         Used.Received += static_cast<double>(From->second.size());
       }
       Used.Micros += cpuMicros() - Begun;
@@ -249,6 +253,78 @@
           static_cast<double>(encoded(Full).size()));
 }
 
+/// Returns whether all running nodes hold exactly \p Live to be live.
+bool agree(const DigestFleet &Fleet, const std::set<std::string> &Live) {
+  return std::all_of(
+      Fleet.Nodes.begin(), Fleet.Nodes.end(),
+      [&](const auto &Each) { return Each.second->liveNodes() == Live; });
+}
+
+/// Seconds until all others know that the nodes with names in \p Lost are
+/// gone, and the bytes of the busiest node in that time.
+void recordLoss(CapacityReport &Out, DigestFleet &Fleet,
+                const std::vector<std::string> &Lost) {
+  constexpr int Limit = 20;
+  for (const std::string &Name : Lost)
+    Fleet.Nodes.erase(Name);
+  std::set<std::string> Live;
+  for (const auto &[Name, Node] : Fleet.Nodes)
+    Live.insert(Name);
+  Fleet.Costs.clear();
+  int Seconds = 0;
+  while (Seconds < Limit && !agree(Fleet, Live)) {
+    Fleet.second(1);
+    ++Seconds;
+  }
+  const auto Size = static_cast<double>(Lost.size());
+  Out.add("loss.seconds_until_known", "nodes_lost", Size, Seconds);
+  Out.add("loss.bytes_s_busiest", "nodes_lost", Size,
+          spread(Fleet.Costs, &NodeCost::Bytes, Seconds).Most);
+}
+
+/// A VM, a rack of 8 VMs over no particular zone, a second rack, and a zone.
+void probeLoss(CapacityReport &Out) {
+  DigestFleet Fleet(makeFleet(19, 22));
+  Fleet.seconds(12);
+  std::vector<std::string> Rack;
+  std::vector<std::string> Zone;
+  for (int I = 0; I < 8; ++I)
+    Rack.push_back("z3n" + std::to_string(I));
+  for (int I = 0; I < 22; ++I)
+    Zone.push_back("z7n" + std::to_string(I));
+  recordLoss(Out, Fleet, {"z1n5"});
+  recordLoss(Out, Fleet, Rack);
+  recordLoss(Out, Fleet, {"z5n1", "z5n2", "z5n3", "z5n4"});
+  recordLoss(Out, Fleet, Zone);
+}
+
+/// Three of 19 zones are cut off for \p Seconds, with a settings version each
+/// second on both sides, and then come back.
+void recordCut(CapacityReport &Out, int Seconds) {
+  constexpr int After = 15;
+  DigestFleet Fleet(makeFleet(19, 4));
+  Fleet.seconds(12);
+  std::set<std::string> Live;
+  for (const auto &[Name, Node] : Fleet.Nodes) {
+    Live.insert(Name);
+    const std::string Zone = Fleet.at(Name).zone();
+    if (Zone == "z0" || Zone == "z1" || Zone == "z2")
+      Fleet.Parted.insert(Name);
+  }
+  for (int I = 0; I < Seconds; ++I)
+    Fleet.second(static_cast<std::uint64_t>(2 + I));
+  Fleet.Parted.clear();
+  Fleet.Costs.clear();
+  int Healed = 0;
+  while (Healed < After && !agree(Fleet, Live)) {
+    Fleet.second(static_cast<std::uint64_t>(2 + Seconds));
+    ++Healed;
+  }
+  Out.add("cut.seconds_until_healed", "seconds_cut", Seconds, Healed);
+  Out.add("cut.bytes_s_busiest_while_healing", "seconds_cut", Seconds,
+          spread(Fleet.Costs, &NodeCost::Bytes, std::max(Healed, 1)).Most);
+}
+
 } // namespace
 
 void probeControl(CapacityReport &Out) {
@@ -259,6 +335,9 @@
     recordExchange(Out, "digest.peers", "nodes", 19.0 * PerZone, 19, PerZone);
   probeViews(Out);
   probeMarks(Out);
+  probeLoss(Out);
+  for (const int Seconds : {15, 30, 60, 120})
+    recordCut(Out, Seconds);
   for (const std::size_t Percent : {1, 10, 100})
     for (const std::size_t Entries : {100, 400, 1000, 2000})
       recordReturn(Out, Entries, Percent);
