Utilities: Measure the list of VMs in the capacity probe

Cause: controllers read the platform's whole list, which names 12,000 engines at the size in two years. Change: the bytes and the processor time of one reading are measured.

--- a/Utilities/Capacity/CapacityMain.cpp
+++ b/Utilities/Capacity/CapacityMain.cpp
@@ -16,7 +16,7 @@
     {"control", probeControl}, {"settings", probeSettings},
     {"serving", probeServing}, {"peers", probePeers},
     {"batch", probeBatch},     {"streams", probeStreams},
-    {"stores", probeStores},
+    {"stores", probeStores},   {"vms", probeVms},
 };
 
 int run(const std::vector<std::string> &Names, const std::string &File) {
@@ -50,7 +50,7 @@
   Description.add_options()("out", po::value(&File),
                             "a JSON file for the points and fits")(
       "probe", po::value(&Names),
-      "control, settings, serving, peers, streams, stores or "
+      "control, settings, serving, peers, streams, stores, vms or "
       "batch; all if none is named")("help,h", "print this text");
   po::positional_options_description Order;
   Order.add("probe", -1);
--- a/Utilities/Capacity/Probes.h
+++ b/Utilities/Capacity/Probes.h
@@ -26,6 +26,9 @@
 /// takes to reach a relay within it.
 void probeStores(CapacityReport &Out);
 
+/// The platform's list of VMs as controllers read it.
+void probeVms(CapacityReport &Out);
+
 /// Store operations of batch jobs.
 void probeBatch(CapacityReport &Out);
 
