--- a/Utilities/Capacity/StoreProbes.cpp
+++ b/Utilities/Capacity/StoreProbes.cpp
@@ -165,6 +165,70 @@
   double Credit = 0;
 };
 
+/// A gateway of a fleet of \p Nodes nodes that accepts one job of 20,000 items
+/// within its part of the budget. Its caller resends what is refused.
+class BudgetedGateway {
+public:
+  BudgetedGateway(EventLoop &Loop, std::size_t Nodes)
+      : Nodes(Nodes), Loop(Loop), Ids(Nodes), Begun(Loop.clock().now()),
+        Budgeted(Loop, Rows, shareAt(Nodes, DaemonRole::Gateway), Nodes),
+        BudgetedObjects(Loop, Objects, shareAt(Nodes, DaemonRole::Gateway),
+                        Nodes),
+        Service(Budgeted, BudgetedObjects, Loop.clock(), Ids) {}
+
+  /// Called each second.
+  void tick() {
+    if (this->Open || this->AcceptedMs > 0)
+      return;
+    this->Open = true;
+    ++this->Tries;
+    if (!this->File.empty())
+      return this->submit();
+    this->Service.putFile("c", "in", itemInput(20000),
+                          [this](const Result<FileRecord> &R) {
+                            this->Open = false;
+                            if (R)
+                              this->File = R->Id;
+                          });
+  }
+
+  std::size_t Nodes;
+  int Tries = 0;
+  /// Milliseconds until the job was accepted, or 0.
+  double AcceptedMs = 0;
+  bool hasFile() const { return !this->File.empty(); }
+
+private:
+  void submit() {
+    this->Service.submit(
+        {"c", "night", this->File, "/v1/chat/completions", "k", 3600000},
+        [this](const Result<JobRecord> &R) {
+          this->Open = false;
+          if (R)
+            this->AcceptedMs = toMillis(this->Loop.clock().now() - this->Begun);
+        });
+  }
+
+  EventLoop &Loop;
+  IdSource Ids;
+  Instant Begun;
+  MemoryTable Rows;
+  MemoryObjectStore Objects;
+  BudgetedTable Budgeted;
+  BudgetedObjectStore BudgetedObjects;
+  TableJobService Service;
+  std::string File;
+  bool Open = false;
+};
+
+void record(CapacityReport &Out, const BudgetedGateway &Each) {
+  const auto Size = static_cast<double>(Each.Nodes);
+  Out.add("budgeted_gateway.accepted_ms", "nodes", Size, Each.AcceptedMs);
+  Out.add("budgeted_gateway.file_stored", "nodes", Size,
+          Each.hasFile() ? 1 : 0);
+  Out.add("budgeted_gateway.tries", "nodes", Size, Each.Tries);
+}
+
 void record(CapacityReport &Out, const BudgetedBatcher &Each, double Seconds) {
   const auto Size = static_cast<double>(Each.Nodes);
   Out.add("budgeted_batcher.items_s", "nodes", Size, Each.Items / Seconds);
@@ -191,6 +255,13 @@
   std::vector<std::unique_ptr<BudgetedBatcher>> Batchers;
   for (const std::size_t Nodes : {12, 50, 150, 410})
     Batchers.push_back(std::make_unique<BudgetedBatcher>(Loop, Nodes));
+  std::vector<std::unique_ptr<BudgetedGateway>> Gateways;
+  for (const std::size_t Nodes : {12, 50, 150, 410})
+    Gateways.push_back(std::make_unique<BudgetedGateway>(Loop, Nodes));
+  Loop.every(std::chrono::seconds(1), [&] {
+    for (auto &Each : Gateways)
+      Each->tick();
+  });
   Loop.every(std::chrono::milliseconds(100), [&] {
     for (auto &Each : Batchers)
       Each->tick();
@@ -214,6 +285,8 @@
   while (Time.now() < End)
     Loop.runOnce(std::chrono::milliseconds(20));
   const double Seconds = 20;
+  for (const auto &Each : Gateways)
+    record(Out, *Each);
   for (const auto &Each : Batchers)
     record(Out, *Each, Seconds);
   for (const auto &Each : Relays) {
