Jobs: Make a repeated upload the same file

A client that sent a job again from the start got another random file id from its second upload, so that the submission under the same Idempotency-Key was refused with 422 as another batch.

The file id now follows from customer, name and content. An upload whose row exists returns that file if it is complete; otherwise its pieces are put again and the row is completed. Every upload of the same bytes writes the same rows and objects, so that uploads which run side by side agree. Hashes of fixed length keep customer, name and content apart.

ResentBatchIsTheSameBatch used a second upload of equal bytes as another file, which it no longer is. It now uploads other bytes for the refusal, and checks that equal bytes give the same id. The fault matrix reports a resend that makes a second file.

--- a/Source/Jobs/JobService.h
+++ b/Source/Jobs/JobService.h
@@ -65,6 +65,8 @@
 
   virtual ~JobService() = default;
 
+  /// Stores an input file. The same name and bytes give the same file, also if
+  /// an earlier upload ended half way.
   virtual void putFile(const std::string &Customer, const std::string &Name,
                        std::string Bytes, FileDone Done) = 0;
 
--- a/Source/Jobs/TableJobService.cpp
+++ b/Source/Jobs/TableJobService.cpp
@@ -51,6 +51,15 @@
                    Request.Endpoint + '\n' + std::to_string(Request.WindowMs));
 }
 
+/// The id follows from the content, so that a job that is sent again from the
+/// start names the same input. Hashes of fixed length keep the parts apart.
+std::string fileIdOf(const std::string &Customer, const std::string &Name,
+                     const std::string &Bytes) {
+  return "file_" +
+         sha256Hex(sha256Hex(Customer) + sha256Hex(Name) + sha256Hex(Bytes))
+             .substr(0, 32);
+}
+
 } // namespace
 
 TableJobService::TableJobService(Table &Rows, ObjectStore &Objects,
@@ -65,8 +74,8 @@
   Call->Customer = Customer;
   Call->Bytes = std::move(Bytes);
   Call->Done = std::move(Done);
-  Call->Row.Record = {"file_" + this->Ids.longId(), Name, Call->Bytes.size(),
-                      this->Time.wallMillis()};
+  Call->Row.Record = {fileIdOf(Customer, Name, Call->Bytes), Name,
+                      Call->Bytes.size(), this->Time.wallMillis()};
   const std::size_t Items = itemLines(Call->Bytes).size();
   if (Items > MaxItemsPerJob)
     return Call->Done(failure(ErrorCode::TooLarge,
@@ -84,11 +93,31 @@
       [this, Call](const Result<void> &Reply) {
         if (Reply)
           return this->storePieces(Call);
+        if (Reply.error().Code == ErrorCode::Conflict)
+          return this->resumeUpload(Call);
         Call->Done(
             tl::make_unexpected(asUnavailable(Reply.error(), "The file")));
       });
 }
 
+// The row of an earlier upload of the same bytes is there. That upload may
+// still run or be dead, so that its pieces are put again.
+void TableJobService::resumeUpload(const std::shared_ptr<Upload> &Call) {
+  this->Rows.get(fileKey(Call->Customer, Call->Row.Record.Id),
+                 [this, Call](const Result<TableRow> &Row) {
+                   const Result<FileRow> Earlier =
+                       Row ? decodeFileRow(Row->Value)
+                           : Result<FileRow>(tl::make_unexpected(Row.error()));
+                   if (!Earlier)
+                     return Call->Done(tl::make_unexpected(
+                         asUnavailable(Earlier.error(), "The file")));
+                   Call->Row.Record.CreatedMs = Earlier->Record.CreatedMs;
+                   if (Earlier->Ready)
+                     return Call->Done(Call->Row.Record);
+                   this->storePieces(Call);
+                 });
+}
+
 void TableJobService::storePieces(const std::shared_ptr<Upload> &Call) {
   while (Call->Next < Call->Row.Pieces &&
          Call->Next - Call->Stored < MaxPutsAtOnce) {
@@ -127,7 +156,8 @@
 void TableJobService::markReady(const std::shared_ptr<Upload> &Call) {
   Call->Row.Ready = true;
   const std::string Key = fileKey(Call->Customer, Call->Row.Record.Id);
-  // Only this call knows the file's id, so that no check is needed.
+  // Every upload of these bytes writes the same row, so that no check is
+  // needed.
   this->Writer.commit({this->Ids.longId(), {}, {{Key, encode(Call->Row)}}, {}},
                       Key, [Call](const Result<void> &Reply) {
                         if (Reply)
--- a/Source/Jobs/TableJobService.h
+++ b/Source/Jobs/TableJobService.h
@@ -15,7 +15,9 @@
 
 /// Batch jobs in the platform's table and object store.
 ///
-/// An upload is cut into pieces that later are the inputs of chunks. A job is
+/// An upload is cut into pieces that later are the inputs of chunks. Its id
+/// follows from customer, name and content, so that a repeated upload is the
+/// same file. A job is
 /// one row and one index row, written together; a chunk's row appears when a
 /// batcher claims it.
 class TableJobService : public JobService {
@@ -37,6 +39,7 @@
   struct Upload;
   struct Submission;
 
+  void resumeUpload(const std::shared_ptr<Upload> &Call);
   void storePieces(const std::shared_ptr<Upload> &Call);
   void onPiece(const std::shared_ptr<Upload> &Call, std::uint32_t Piece,
                int Tries, const Result<void> &Reply);
--- a/Tests/FaultMatrix/WorldClients.cpp
+++ b/Tests/FaultMatrix/WorldClients.cpp
@@ -43,7 +43,11 @@
   if (Job.File.empty()) {
     Of.Jobs.putFile("c", "in", Lines,
                     [this, &Job, &Call, &Of](const Result<FileRecord> &File) {
-                      if (!reaches(Of) || !File || !Job.File.empty())
+                      if (!reaches(Of) || !File)
+                        return;
+                      if (!Job.File.empty() && Job.File != File->Id)
+                        this->problem("a resend made a second file");
+                      if (!Job.File.empty())
                         return;
                       Job.File = File->Id;
                       Call.Next = this->Shared.Time.now();
--- a/Tests/Gateway/BatchApiTest.cpp
+++ b/Tests/Gateway/BatchApiTest.cpp
@@ -32,8 +32,8 @@
     return this->send(Request);
   }
 
-  std::string upload() {
-    return json::parse(this->send(post("/v1/files", Lines)).Body)["id"];
+  std::string upload(const std::string &Text = Lines) {
+    return json::parse(this->send(post("/v1/files", Text)).Body)["id"];
   }
 
   static HttpRequest orderOf(const std::string &File, const std::string &Key) {
@@ -88,7 +88,8 @@
   cr_assert(json::parse(World.send(Office::orderOf(File, "k1")).Body) == First);
   const std::string Id = First["id"];
   cr_assert(json::parse(World.get("/v1/batches/" + Id).Body) == First);
-  const std::string Other = World.upload();
+  cr_assert(World.upload() == File);
+  const std::string Other = World.upload("{\"custom_id\":\"c\"}\n");
   const HttpReply Reused = World.send(Office::orderOf(Other, "k1"));
   cr_assert(Reused.Status == 422 && executionOf(Reused) == "not_run");
 }
--- a/Tests/Jobs/JobServiceTest.cpp
+++ b/Tests/Jobs/JobServiceTest.cpp
@@ -3,6 +3,7 @@
 #include "Support/MemoryTable.h"
 
 #include <criterion/criterion.h>
+#include <set>
 
 using namespace turmericpass;
 
@@ -94,6 +95,53 @@
     }
 }
 
+// Guards against a client that sends a job again from the start and is refused
+// because its second upload is another file, whichever store call of the first
+// upload fails and however it fails.
+Test(JobService, JobSentAgainFromTheStartIsTheSameJob) {
+  const std::string Text = lines(130);
+  for (const StoreFault Fault :
+       {StoreFault::None, StoreFault::Unavailable, StoreFault::ReplyLost,
+        StoreFault::LateEffect, StoreFault::CrashBefore,
+        StoreFault::CrashAfter})
+    for (const bool InRows : {true, false})
+      for (std::size_t Call = 0; Call < 4; ++Call) {
+        Office First;
+        StoreFaults &Faults = InRows ? First.Rows.Faults : First.Objects.Faults;
+        Faults.Next.assign(Call, StoreFault::None);
+        Faults.Next.insert(Faults.Next.end(), 3, Fault);
+        const Result<FileRecord> Sent = First.upload(Text);
+        const Result<JobRecord> Job =
+            Sent ? First.submit(Sent->Id, "k")
+                 : Result<JobRecord>(tl::make_unexpected(Sent.error()));
+        Office Second(First);
+        Second.Time.advance(std::chrono::seconds(5));
+        const Result<FileRecord> Again = Second.upload(Text);
+        cr_assert(Again && (!Sent || (Sent->Id == Again->Id &&
+                                      Sent->CreatedMs == Again->CreatedMs)));
+        const Result<JobRecord> Resent = Second.submit(Again->Id, "k");
+        cr_assert(Resent && (!Job || Job->Id == Resent->Id));
+        Faults.release();
+        Answer<std::string> Read;
+        Second.Service.readFile("c", Again->Id, Read.take());
+        cr_assert(Read.Value && *Read.Value == Text);
+        cr_assert(Second.jobs() == 1);
+      }
+}
+
+// Guards against uploads that are taken for each other.
+Test(JobService, OtherCustomerNameOrBytesAreAnotherFile) {
+  Office Desk;
+  std::set<std::string> Ids;
+  for (const char *Customer : {"c", "d"})
+    for (const char *Name : {"in", "out"})
+      for (const char *Text : {"{}\n", "{}\n{}\n"})
+        Desk.Service.putFile(
+            Customer, Name, Text,
+            [&](const Result<FileRecord> &File) { Ids.insert(File->Id); });
+  cr_assert(Ids.size() == 8);
+}
+
 // Guards against a key that silently names two different jobs.
 Test(JobService, KeyOfAnotherJobIsAConflict) {
   Office Desk;
