Gateway: Describe a file from its record

GET /v1/files/ID read the whole file for its size and gave the id as the name and 0 as the time. JobService has findFile() now, which reads the file's row; the results of a job are still assembled for their size, since no row holds it.

FileIsDescribedFromItsRow and FormUploadKeepsNameAndBytes fail without the change of the gateway and pass with it; GatewayTests (34) and JobsTests (21) pass.

--- a/Source/Gateway/BatchApi.cpp
+++ b/Source/Gateway/BatchApi.cpp
@@ -144,16 +144,20 @@
 
 void BatchApi::getFile(ExchangeId Exchange, const CustomerSettings &Customer,
                        const std::string &Id, bool Content) {
+  if (!Content)
+    return this->Ports.Jobs->findFile(
+        Customer.Name, Id, [this, Exchange](const Result<FileRecord> &File) {
+          if (File)
+            this->reply(Exchange, toFileJson(*File), "application/json");
+          else
+            this->refuse(Exchange, File.error(), Execution::NotRun);
+        });
   this->Ports.Jobs->readFile(
-      Customer.Name, Id,
-      [this, Exchange, Id, Content](const Result<std::string> &Text) {
-        if (!Text)
-          this->refuse(Exchange, Text.error(), Execution::NotRun);
-        else if (Content)
+      Customer.Name, Id, [this, Exchange](const Result<std::string> &Text) {
+        if (Text)
           this->reply(Exchange, *Text, "application/jsonl");
         else
-          this->reply(Exchange, toFileJson({Id, Id, Text->size(), 0}),
-                      "application/json");
+          this->refuse(Exchange, Text.error(), Execution::NotRun);
       });
 }
 
--- a/Source/Jobs/JobService.h
+++ b/Source/Jobs/JobService.h
@@ -70,6 +70,11 @@
   virtual void putFile(const std::string &Customer, const std::string &Name,
                        std::string Bytes, FileDone Done) = 0;
 
+  /// Returns the record of an input file or of a job's results. The size of
+  /// results is what they have at this moment.
+  virtual void findFile(const std::string &Customer, const std::string &FileId,
+                        FileDone Done) = 0;
+
   /// Reads an input file, or a job's results under the id "<job>-output".
   virtual void readFile(const std::string &Customer, const std::string &FileId,
                         TextDone Done) = 0;
--- a/Source/Jobs/TableJobService.cpp
+++ b/Source/Jobs/TableJobService.cpp
@@ -51,6 +51,10 @@
                    Request.Endpoint + '\n' + std::to_string(Request.WindowMs));
 }
 
+std::string jobOf(const std::string &OutputId) {
+  return OutputId.substr(0, OutputId.size() - OutputSuffix.size());
+}
+
 /// The id follows from the content, so that a job that is sent again from the
 /// start names the same input. Hashes of fixed length keep the parts apart.
 std::string fileIdOf(const std::string &Customer, const std::string &Name,
@@ -167,50 +171,86 @@
                       });
 }
 
+void TableJobService::findFile(const std::string &Customer,
+                               const std::string &FileId, FileDone Done) {
+  if (!FileId.ends_with(OutputSuffix))
+    return this->readInputRow(
+        Customer, FileId,
+        [Done = std::move(Done)](const Result<FileRow> &File) {
+          Done(File.map([](const FileRow &Row) { return Row.Record; }));
+        });
+  this->readResults(Customer, jobOf(FileId),
+                    [FileId, Done = std::move(Done)](
+                        const JobRow &Job, const Result<std::string> &Text) {
+                      Done(Text.map([&](const std::string &Lines) {
+                        return FileRecord{FileId, FileId + ".jsonl",
+                                          Lines.size(), Job.Record.CreatedMs};
+                      }));
+                    });
+}
+
 void TableJobService::readFile(const std::string &Customer,
                                const std::string &FileId, TextDone Done) {
-  if (FileId.ends_with(OutputSuffix))
-    return this->readResults(
-        Customer, FileId.substr(0, FileId.size() - OutputSuffix.size()),
-        std::move(Done));
-  this->readInput(Customer, FileId, std::move(Done));
+  if (!FileId.ends_with(OutputSuffix))
+    return this->readInput(Customer, FileId, std::move(Done));
+  this->readResults(
+      Customer, jobOf(FileId),
+      [Done = std::move(Done)](const JobRow &, Result<std::string> Text) {
+        Done(std::move(Text));
+      });
 }
 
-void TableJobService::readInput(const std::string &Customer,
-                                const std::string &FileId, TextDone Done) {
-  this->Rows.get(fileKey(Customer, FileId), [this, Customer, FileId,
-                                             Done = std::move(Done)](
+void TableJobService::readInputRow(const std::string &Customer,
+                                   const std::string &FileId,
+                                   std::function<void(Result<FileRow>)> Done) {
+  this->Rows.get(fileKey(Customer, FileId), [FileId, Done = std::move(Done)](
                                                 const Result<TableRow> &Row) {
     if (!Row)
       return Done(tl::make_unexpected(asReadError(Row.error())));
-    const Result<FileRow> File = decodeFileRow(Row->Value);
+    Result<FileRow> File = decodeFileRow(Row->Value);
     if (!File || !File->Ready)
       return Done(failure(ErrorCode::NotFound,
                           "The upload of " + FileId + " never finished."));
-    std::vector<std::string> Names;
-    for (std::uint32_t I = 0; I < File->Pieces; ++I)
-      Names.push_back(pieceName(Customer, FileId, I));
-    readObjects(this->Objects, std::move(Names),
-                [Done](const Result<std::vector<std::string>> &Pieces) {
-                  if (!Pieces)
-                    return Done(
-                        tl::make_unexpected(asReadError(Pieces.error())));
-                  std::string Text;
-                  for (const std::string &Piece : *Pieces)
-                    Text += Piece;
-                  Done(std::move(Text));
-                });
+    Done(std::move(File));
   });
 }
 
-void TableJobService::readResults(const std::string &Customer,
-                                  const std::string &JobId, TextDone Done) {
+void TableJobService::readInput(const std::string &Customer,
+                                const std::string &FileId, TextDone Done) {
+  this->readInputRow(
+      Customer, FileId,
+      [this, Customer, FileId,
+       Done = std::move(Done)](const Result<FileRow> &File) {
+        if (!File)
+          return Done(tl::make_unexpected(File.error()));
+        std::vector<std::string> Names;
+        for (std::uint32_t I = 0; I < File->Pieces; ++I)
+          Names.push_back(pieceName(Customer, FileId, I));
+        readObjects(this->Objects, std::move(Names),
+                    [Done](const Result<std::vector<std::string>> &Pieces) {
+                      if (!Pieces)
+                        return Done(
+                            tl::make_unexpected(asReadError(Pieces.error())));
+                      std::string Text;
+                      for (const std::string &Piece : *Pieces)
+                        Text += Piece;
+                      Done(std::move(Text));
+                    });
+      });
+}
+
+void TableJobService::readResults(
+    const std::string &Customer, const std::string &JobId,
+    std::function<void(const JobRow &, Result<std::string>)> Done) {
   this->readJob(
       Customer, JobId,
       [this, Done = std::move(Done)](const Result<JobRow> &Row, std::uint64_t) {
         if (!Row)
-          return Done(tl::make_unexpected(Row.error()));
-        assembleResults(this->Rows, this->Objects, *Row, Done);
+          return Done({}, tl::make_unexpected(Row.error()));
+        assembleResults(this->Rows, this->Objects, *Row,
+                        [Done, Job = *Row](Result<std::string> Text) {
+                          Done(Job, std::move(Text));
+                        });
       });
 }
 
--- a/Source/Jobs/TableJobService.h
+++ b/Source/Jobs/TableJobService.h
@@ -11,6 +11,7 @@
 namespace turmericpass {
 
 class ObjectStore;
+struct FileRow;
 struct JobRow;
 
 /// Batch jobs in the platform's table and object store.
@@ -27,6 +28,8 @@
 
   void putFile(const std::string &Customer, const std::string &Name,
                std::string Bytes, FileDone Done) override;
+  void findFile(const std::string &Customer, const std::string &FileId,
+                FileDone Done) override;
   void readFile(const std::string &Customer, const std::string &FileId,
                 TextDone Done) override;
   void submit(const JobRequest &Request, JobDone Done) override;
@@ -48,8 +51,11 @@
   void markReady(const std::shared_ptr<Upload> &Call);
   void readInput(const std::string &Customer, const std::string &FileId,
                  TextDone Done);
-  void readResults(const std::string &Customer, const std::string &JobId,
-                   TextDone Done);
+  void readInputRow(const std::string &Customer, const std::string &FileId,
+                    std::function<void(Result<FileRow>)> Done);
+  void
+  readResults(const std::string &Customer, const std::string &JobId,
+              std::function<void(const JobRow &, Result<std::string>)> Done);
   void readJob(const std::string &Customer, const std::string &JobId,
                std::function<void(Result<JobRow>, std::uint64_t Version)> Done);
   void readInputOf(const std::shared_ptr<Submission> &Call);
--- a/Tests/Gateway/BatchApiTest.cpp
+++ b/Tests/Gateway/BatchApiTest.cpp
@@ -74,7 +74,26 @@
   cr_assert(File["bytes"] == std::string(Lines).size());
   const std::string Id = File["id"];
   cr_assert(World.get("/v1/files/" + Id + "/content").Body == Lines);
-  cr_assert(json::parse(World.get("/v1/files/" + Id).Body)["id"] == Id);
+  cr_assert(json::parse(World.get("/v1/files/" + Id).Body) == File);
+}
+
+// Guards against a description that reads the whole file or leaves out its name
+// and time, and against results that have none.
+Test(BatchApi, FileIsDescribedFromItsRow) {
+  Office World;
+  World.Time.advance(std::chrono::seconds(77));
+  const std::string Id = World.upload();
+  const auto Reads = World.Objects.Faults.Reads;
+  const json File = json::parse(World.get("/v1/files/" + Id).Body);
+  cr_assert(File["filename"] == "input.jsonl" && File["created_at"] != 0);
+  cr_assert(File["bytes"] == std::string(Lines).size());
+  cr_assert(World.Objects.Faults.Reads == Reads);
+  const std::string Job =
+      json::parse(World.send(Office::orderOf(Id, "k1")).Body)["id"];
+  const json Output =
+      json::parse(World.get("/v1/files/" + Job + "-output").Body);
+  cr_assert(Output["id"] == Job + "-output" && Output["bytes"] == 0);
+  cr_assert(World.get("/v1/files/file_none").Status == 404);
 }
 
 // Guards against a batch that is accepted twice when its caller resends it.
@@ -178,6 +197,8 @@
   Request.Method = "GET";
   Request.Headers[0].second = "Bearer other";
   cr_assert(World.send(Request).Status == 404);
+  Request.Path = "/v1/files/" + Id;
+  cr_assert(World.send(Request).Status == 404);
 }
 
 // Guards against a form parser that reads past its input.
