Batcher: Leave a dispatcher on a vanished VM

A VM that vanishes closes no connection, so that peerLost() never comes, and an item that its dispatcher had accepted waited there until the job's due time. The batcher now calls doubt() in its tick, as the gateway does: repeatable items leave a silent dispatcher whose node is not among the live ones. Items that must not be repeated stay.

RepeatableItemLeavesADispatcherOnAVanishedVm fails without the change and passes with it; BatcherTests (9) pass.

--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -87,6 +87,9 @@
   for (const std::string &Id : Ids) {
     if (ItemCall *Call = this->find(Id)) {
       Call->Life.tick(Now);
+      // A vanished VM closes no connection, so that peerLost() never comes.
+      if (!this->Chooser.doubtful().empty())
+        Call->Life.doubt(this->Chooser.doubtful(), Now);
       this->perform(*Call);
     }
   }
--- a/Tests/Batcher/BatcherDaemonTest.cpp
+++ b/Tests/Batcher/BatcherDaemonTest.cpp
@@ -194,6 +194,22 @@
   cr_assert(First == PeerA || First == PeerB);
 }
 
+// Guards against items that wait until their due time for a dispatcher whose VM
+// vanished: its connection stays open and it is silent after it accepted.
+Test(BatcherDaemon, RepeatableItemLeavesADispatcherOnAVanishedVm) {
+  for (const bool Repeatable : {true, false}) {
+    Bench Desk;
+    Desk.submit(Repeatable ? modelLine("one") : orderLine("one"));
+    Desk.run(15);
+    cr_assert(Desk.submissions() == 1);
+    const std::string First = Desk.Peers.lastPeer();
+    Desk.Fleet.Live.erase(First == PeerA ? "a1" : "b1");
+    Desk.run(40);
+    cr_assert(Desk.submissions() == (Repeatable ? 2 : 1));
+    cr_assert(!Repeatable || Desk.Peers.lastPeer() != First);
+  }
+}
+
 // Guards against items that wait for room which they take up themselves: all
 // dispatchers are silent, and later answer again.
 Test(BatcherDaemon, SilentDispatcherGetsItsItemsAgain) {
