--- a/Source/Jobs/TableJobService.h
+++ b/Source/Jobs/TableJobService.h
@@ -11,11 +11,14 @@
 namespace turmericpass {
 
 class ObjectStore;
+struct FileRow;
 struct JobRow;
 
 /// Batch jobs in the platform's table and object store.
 ///
-/// An upload is cut into pieces that later are the inputs of chunks. A job is
+/// An upload is cut into pieces that later are the inputs of chunks. Its id
+/// follows from customer, name and content, so that a repeated upload is the
+/// same file. A job is
 /// one row and one index row, written together; a chunk's row appears when a
 /// batcher claims it.
 class TableJobService : public JobService {
@@ -25,6 +28,8 @@
 
   void putFile(const std::string &Customer, const std::string &Name,
                std::string Bytes, FileDone Done) override;
+  void findFile(const std::string &Customer, const std::string &FileId,
+                FileDone Done) override;
   void readFile(const std::string &Customer, const std::string &FileId,
                 TextDone Done) override;
   void submit(const JobRequest &Request, JobDone Done) override;
@@ -37,6 +42,7 @@
   struct Upload;
   struct Submission;
 
+  void resumeUpload(const std::shared_ptr<Upload> &Call);
   void storePieces(const std::shared_ptr<Upload> &Call);
   void onPiece(const std::shared_ptr<Upload> &Call, std::uint32_t Piece,
                int Tries, const Result<void> &Reply);
@@ -45,8 +51,11 @@
   void markReady(const std::shared_ptr<Upload> &Call);
   void readInput(const std::string &Customer, const std::string &FileId,
                  TextDone Done);
-  void readResults(const std::string &Customer, const std::string &JobId,
-                   TextDone Done);
+  void readInputRow(const std::string &Customer, const std::string &FileId,
+                    std::function<void(Result<FileRow>)> Done);
+  void
+  readResults(const std::string &Customer, const std::string &JobId,
+              std::function<void(const JobRow &, Result<std::string>)> Done);
   void readJob(const std::string &Customer, const std::string &JobId,
                std::function<void(Result<JobRow>, std::uint64_t Version)> Done);
   void readInputOf(const std::shared_ptr<Submission> &Call);
--- a/Tests/Gateway/BatchApiTest.cpp
+++ b/Tests/Gateway/BatchApiTest.cpp
@@ -32,8 +32,8 @@
     return this->send(Request);
   }
 
-  std::string upload() {
-    return json::parse(this->send(post("/v1/files", Lines)).Body)["id"];
+  std::string upload(const std::string &Text = Lines) {
+    return json::parse(this->send(post("/v1/files", Text)).Body)["id"];
   }
 
   static HttpRequest orderOf(const std::string &File, const std::string &Key) {
@@ -74,7 +74,26 @@
   cr_assert(File["bytes"] == std::string(Lines).size());
   const std::string Id = File["id"];
   cr_assert(World.get("/v1/files/" + Id + "/content").Body == Lines);
-  cr_assert(json::parse(World.get("/v1/files/" + Id).Body)["id"] == Id);
+  cr_assert(json::parse(World.get("/v1/files/" + Id).Body) == File);
+}
+
+// Guards against a description that reads the whole file or leaves out its name
+// and time, and against results that have none.
+Test(BatchApi, FileIsDescribedFromItsRow) {
+  Office World;
+  World.Time.advance(std::chrono::seconds(77));
+  const std::string Id = World.upload();
+  const auto Reads = World.Objects.Faults.Reads;
+  const json File = json::parse(World.get("/v1/files/" + Id).Body);
+  cr_assert(File["filename"] == "input.jsonl" && File["created_at"] != 0);
+  cr_assert(File["bytes"] == std::string(Lines).size());
+  cr_assert(World.Objects.Faults.Reads == Reads);
+  const std::string Job =
+      json::parse(World.send(Office::orderOf(Id, "k1")).Body)["id"];
+  const json Output =
+      json::parse(World.get("/v1/files/" + Job + "-output").Body);
+  cr_assert(Output["id"] == Job + "-output" && Output["bytes"] == 0);
+  cr_assert(World.get("/v1/files/file_none").Status == 404);
 }
 
 // Guards against a batch that is accepted twice when its caller resends it.
@@ -88,7 +107,8 @@
   cr_assert(json::parse(World.send(Office::orderOf(File, "k1")).Body) == First);
   const std::string Id = First["id"];
   cr_assert(json::parse(World.get("/v1/batches/" + Id).Body) == First);
-  const std::string Other = World.upload();
+  cr_assert(World.upload() == File);
+  const std::string Other = World.upload("{\"custom_id\":\"c\"}\n");
   const HttpReply Reused = World.send(Office::orderOf(Other, "k1"));
   cr_assert(Reused.Status == 422 && executionOf(Reused) == "not_run");
 }
@@ -177,6 +197,8 @@
   Request.Method = "GET";
   Request.Headers[0].second = "Bearer other";
   cr_assert(World.send(Request).Status == 404);
+  Request.Path = "/v1/files/" + Id;
+  cr_assert(World.send(Request).Status == 404);
 }
 
 // Guards against a form parser that reads past its input.
