Settings, Daemon: Bound a node's servers and keep a least part of the stores

Cause: the capacity probe showed at 410 nodes that the busiest dispatcher owns 133 servers at a mean of 29, and that the even split of the stores' budget leaves controllers 0.37 reads a second: no settings version came into force within 3 s, and batchers stood still.

Change: rendezvous hashing passes over a node that has 1.25 times the mean of its zone, or the largest group. A daemon's part of the budget is at least four reads and one write a second, which is what a busy one needs; the store's refusals hold back the rest. A shared bucket was ruled out, since it needs a store of its own.

In the benchmarks, extra work is now counted in tokens and prompt tokens of the engines against the undisturbed run of the same requests. Counting attempts was wrong: it took a stream that moves with its tokens, where nothing is generated twice, for a copy. The burst scenario keeps some online work going before it, because an idle fleet with small windows was slower than the full one; unanswered requests are counted for each stream.

--- a/Source/Daemon/PlatformStores.cpp
+++ b/Source/Daemon/PlatformStores.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+/// A relay's controller asks for 3.1 reads and 0.3 writes a second, a batcher
+/// at 28 items a second for 1.5 and 0.3. With the even part of 410 nodes no
+/// settings came into force within 3 s and batchers stood still.
+constexpr double LeastReadsPerSecond = 4;
+constexpr double LeastWritesPerSecond = 1;
+
 /// Gateways write intents and jobs, batchers claims and commits; controllers
 /// write little. Dispatchers use no store.
 double shareOf(DaemonRole Role) {
@@ -37,10 +43,11 @@
   const double Nodes =
       std::max<double>(1, static_cast<double>(Settings.Nodes.size()));
   StoreLimits Limits;
+  const double Share = shareOf(Role) / Nodes;
   Limits.WritesPerSecond =
-      Settings.Platform.WritesPerSecond * shareOf(Role) / Nodes;
+      std::max(LeastWritesPerSecond, Settings.Platform.WritesPerSecond * Share);
   Limits.ReadsPerSecond =
-      Settings.Platform.ReadsPerSecond * shareOf(Role) / Nodes;
+      std::max(LeastReadsPerSecond, Settings.Platform.ReadsPerSecond * Share);
   return Limits;
 }
 
--- a/Source/Daemon/PlatformStores.h
+++ b/Source/Daemon/PlatformStores.h
@@ -10,8 +10,9 @@
 namespace turmericpass {
 
 /// Returns the part of the platform's budget that the daemon \p Role of one
-/// node may use. All nodes have equal parts, and the parts of all daemons add
-/// up to the budget in \p Settings.
+/// node may use. Nodes have equal parts, but never less than one busy daemon
+/// needs: few of the daemons of a large fleet are busy at once, and the store's
+/// refusals hold back the rest.
 StoreLimits storeShare(const FleetSettings &Settings, DaemonRole Role);
 
 /// A daemon's table and object store, kept within its part of the budget.
--- a/Source/Settings/Ownership.cpp
+++ b/Source/Settings/Ownership.cpp
@@ -3,6 +3,8 @@
 #include "Core/Hash.h"
 #include "Settings/FleetSettings.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -12,6 +14,9 @@
 
 using ServiceInZone = std::pair<std::string, std::string>;
 
+/// The most slots of a node, as a multiple of the mean of its zone.
+constexpr double LoadBound = 1.25;
+
 std::vector<std::string> candidates(const FleetSettings &Settings,
                                     const std::set<std::string> &LiveNodes,
                                     const std::string &Zone, bool Adopted) {
@@ -27,38 +32,74 @@
   return InZone;
 }
 
-} // namespace
-
-std::vector<ServerGroup>
-assignGroups(const FleetSettings &Settings,
-             const std::set<std::string> &LiveNodes,
-             const std::set<std::string> &AdoptedZones) {
+/// Splits the servers of each service and zone into groups without owners.
+std::map<std::string, std::vector<ServerGroup>>
+groupsByZone(const FleetSettings &Settings) {
   std::map<ServiceInZone, std::vector<std::string>> ByServiceAndZone;
   for (const auto &[Name, Server] : Settings.Servers)
     ByServiceAndZone[{Server.Service, Server.Zone}].push_back(Name);
-
-  std::vector<ServerGroup> Groups;
+  std::map<std::string, std::vector<ServerGroup>> ByZone;
   for (const auto &[Key, Servers] : ByServiceAndZone) {
     const auto &[Service, Zone] = Key;
-    const std::vector<std::string> Nodes =
-        candidates(Settings, LiveNodes, Zone, AdoptedZones.count(Zone) > 0);
     const std::size_t Count =
         (Servers.size() + MaxServersPerGroup - 1) / MaxServersPerGroup;
     for (std::size_t Index = 0; Index < Count; ++Index) {
       ServerGroup Group{Service, Zone, {}, {}, 0};
-      const std::string GroupKey =
-          Service + "/" + Zone + "/" + std::to_string(Index);
-      const int Picked = rendezvousPick(GroupKey, Nodes);
-      if (Picked >= 0)
-        Group.Owner = Nodes[Picked];
       for (std::size_t I = Index; I < Servers.size(); I += Count) {
         Group.Servers.push_back(Servers[I]);
         Group.Slots += Settings.Servers.at(Servers[I]).Slots;
       }
-      Groups.push_back(std::move(Group));
+      ByZone[Zone].push_back(std::move(Group));
+    }
+  }
+  return ByZone;
+}
+
+/// Gives each group its first choice among \p Nodes that has room for it.
+void pickOwners(std::vector<ServerGroup> &Groups,
+                const std::vector<std::string> &Nodes) {
+  if (Nodes.empty())
+    return;
+  double Total = 0;
+  std::uint32_t Largest = 0;
+  for (const ServerGroup &Group : Groups) {
+    Total += Group.Slots;
+    Largest = std::max(Largest, Group.Slots);
+  }
+  const double Mean = Total / static_cast<double>(Nodes.size());
+  const double Bound = std::max<double>(Largest, LoadBound * Mean);
+  std::map<std::string, double> Used;
+  std::map<std::string, int> GroupsOfService;
+  for (ServerGroup &Group : Groups) {
+    const int Index = GroupsOfService[Group.Service]++;
+    const std::string Key =
+        Group.Service + "/" + Group.Zone + "/" + std::to_string(Index);
+    const std::vector<int> Order = rendezvousOrder(Key, Nodes);
+    // The first choice stands if every node is full.
+    Group.Owner = Nodes[Order.front()];
+    for (int Choice : Order) {
+      if (Used[Nodes[Choice]] + Group.Slots > Bound)
+        continue;
+      Group.Owner = Nodes[Choice];
+      break;
     }
+    Used[Group.Owner] += Group.Slots;
+  }
+}
+
+} // namespace
+
+std::vector<ServerGroup>
+assignGroups(const FleetSettings &Settings,
+             const std::set<std::string> &LiveNodes,
+             const std::set<std::string> &AdoptedZones) {
+  std::vector<ServerGroup> All;
+  for (auto &[Zone, Groups] : groupsByZone(Settings)) {
+    pickOwners(Groups, candidates(Settings, LiveNodes, Zone,
+                                  AdoptedZones.count(Zone) > 0));
+    std::move(Groups.begin(), Groups.end(), std::back_inserter(All));
   }
-  return Groups;
+  return All;
 }
 
 } // namespace turmericpass
--- a/Source/Settings/Ownership.h
+++ b/Source/Settings/Ownership.h
@@ -26,9 +26,11 @@
 };
 
 /// Splits the servers of \p Settings into groups and picks an owner for each
-/// among the \p LiveNodes of its zone by rendezvous hashing. A zone without a
-/// live node gets owners among the live nodes of all zones if \p AdoptedZones
-/// names it, and none otherwise.
+/// among the \p LiveNodes of its zone by rendezvous hashing. A node that has
+/// its bound of slots already is passed over, because plain rendezvous gave
+/// the busiest of 410 nodes 133 servers at a mean of 29. A zone without a live
+/// node gets owners among the live nodes of all zones if \p AdoptedZones names
+/// it, and none otherwise.
 std::vector<ServerGroup>
 assignGroups(const FleetSettings &Settings,
              const std::set<std::string> &LiveNodes,
--- /dev/null
+++ b/Tests/Settings/OwnershipTest.cpp
@@ -0,0 +1,82 @@
+#include "Settings/Ownership.h"
+#include "Settings/FleetSettings.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+
+namespace {
+
+FleetSettings fleetOf(int Nodes, int Servers, int Services) {
+  FleetSettings Settings;
+  Settings.Zones["a"] = {"a", "r"};
+  for (int I = 0; I < Nodes; ++I) {
+    const std::string Name = "n" + std::to_string(I);
+    Settings.Nodes[Name].Name = Name;
+    Settings.Nodes[Name].Zone = "a";
+  }
+  for (int I = 0; I < Servers; ++I) {
+    const std::string Name = "s" + std::to_string(I);
+    Settings.Servers[Name] = {
+        Name, "m" + std::to_string(I % Services), "a", "", 8, false};
+  }
+  return Settings;
+}
+
+std::set<std::string> nodesOf(const FleetSettings &Settings) {
+  std::set<std::string> Names;
+  for (const auto &[Name, Node] : Settings.Nodes)
+    Names.insert(Name);
+  return Names;
+}
+
+} // namespace
+
+// Guards against one dispatcher that decides for many more servers than the
+// others and whose one thread then delays every token.
+Test(Ownership, NoNodeHasMuchMoreThanTheMean) {
+  cr_assert(rc::check([] {
+    const int Nodes = *rc::gen::inRange(1, 30);
+    const int Servers = *rc::gen::inRange(1, 700);
+    const FleetSettings Settings =
+        fleetOf(Nodes, Servers, *rc::gen::inRange(1, 9));
+    std::map<std::string, double> Slots;
+    double Largest = 0;
+    std::size_t Owned = 0;
+    for (const ServerGroup &Group :
+         assignGroups(Settings, nodesOf(Settings), {})) {
+      RC_ASSERT(!Group.Owner.empty());
+      RC_ASSERT(Group.Servers.size() <= MaxServersPerGroup);
+      Slots[Group.Owner] += Group.Slots;
+      Largest = std::max<double>(Largest, Group.Slots);
+      Owned += Group.Servers.size();
+    }
+    RC_ASSERT(Owned == static_cast<std::size_t>(Servers));
+    // A group is never split, so a node may be over the bound by one group.
+    const double Mean = 8.0 * Servers / Nodes;
+    for (const auto &[Node, Count] : Slots)
+      RC_ASSERT(Count <= 1.25 * Mean + Largest);
+  }));
+}
+
+// Guards against a fleet that changes most owners when one node is lost.
+Test(Ownership, LossOfANodeMovesFewGroups) {
+  const FleetSettings Settings = fleetOf(22, 630, 8);
+  std::set<std::string> Live = nodesOf(Settings);
+  const auto Before = assignGroups(Settings, Live, {});
+  Live.erase("n3");
+  const auto After = assignGroups(Settings, Live, {});
+  cr_assert(Before.size() == After.size());
+  std::size_t Moved = 0;
+  std::size_t OfLost = 0;
+  for (std::size_t I = 0; I < Before.size(); ++I) {
+    OfLost += Before[I].Owner == "n3";
+    Moved += Before[I].Owner != After[I].Owner;
+    cr_assert(After[I].Owner != "n3");
+  }
+  // Full nodes pass groups on, so some others move too.
+  cr_assert(Moved <= OfLost + 4, "%zu moved of %zu", Moved, OfLost);
+}
--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -56,7 +56,7 @@
 
 LoadRunner::LoadRunner(EventLoop &Loop, HttpClient &Client, LoadPlan Plan)
     : Loop(Loop), Client(Client), Plan(std::move(Plan)),
-      Random(this->Plan.Seed) {}
+      Random(this->Plan.Seed), OpenByStream(this->Plan.Streams.size()) {}
 
 void LoadRunner::run() {
   this->Begin = this->Loop.clock().now();
@@ -155,6 +155,7 @@
     this->finish(Request);
   };
   ++this->OpenRequests;
+  ++this->OpenByStream[Stream];
   const std::string &Target =
       this->Plan.Targets[this->Sent++ % this->Plan.Targets.size()];
   this->Client.call(Target, std::move(Sent), IdleLimit, std::move(Handlers));
@@ -213,6 +214,7 @@
 
 void LoadRunner::finish(const std::shared_ptr<Open> &Request) {
   --this->OpenRequests;
+  --this->OpenByStream[Request->Stream];
   LoadSample &Sample = Request->Sample;
   Sample.TotalMs = this->sinceArrival(*Request);
   const LoadStream &Kind = this->Plan.Streams[Request->Stream];
@@ -241,8 +243,8 @@
 
 std::string LoadRunner::report() const {
   nlohmann::json Whole = nlohmann::json::object();
-  Whole["unanswered"] = this->OpenRequests;
-  for (const LoadStream &Kind : this->Plan.Streams) {
+  for (std::size_t Index = 0; Index < this->Plan.Streams.size(); ++Index) {
+    const LoadStream &Kind = this->Plan.Streams[Index];
     std::vector<double> First;
     std::vector<double> Total;
     std::vector<double> ShortTotal;
@@ -278,6 +280,7 @@
         {"count", Counted},
         {"ok", Total.size()},
         {"cut", Cut},
+        {"unanswered", this->OpenByStream[Index]},
         {"failures", Failures},
         {"tokens", Tokens},
         {"span_ms", LastMs - static_cast<double>(this->Plan.WarmupMs)},
--- a/Utilities/Load/LoadRunner.h
+++ b/Utilities/Load/LoadRunner.h
@@ -61,6 +61,7 @@
   Instant Begin;
   std::uint64_t Sent = 0;
   std::uint64_t OpenRequests = 0;
+  std::vector<std::uint64_t> OpenByStream;
   std::vector<LoadSample> Samples;
 };
 
--- a/Utilities/bench_scenarios.py
+++ b/Utilities/bench_scenarios.py
@@ -61,7 +61,7 @@
 
 def failures(report, name="online"):
     stream = report["streams"][name]
-    return stream["count"] - stream["ok"] + stream["cut"] + report["unanswered"]
+    return stream["count"] - stream["ok"] + stream["cut"] + stream["unanswered"]
 
 
 def p99(report, key="total_ms", name="online"):
@@ -164,26 +164,31 @@
         return run_fleet(action, policy=policy, load_lag_ms=load_lag_ms)
 
     slow = slow_events(moving)
-    normal, _ = run()
+    normal, normal_stats = run()
     ours, stats = run(events=slow)
     lor_normal, _ = run("least_outstanding")
     lor, _ = run("least_outstanding", slow)
     robin, _ = run("round_robin", slow)
-    needed = ours["streams"]["online"]["tokens"]
-    started = stats.get("started", 0)
-    finished = max(1, stats.get("finished", 1))
+    # Both runs have the same requests, so what the engines computed beyond the
+    # undisturbed run is the work of copies, retries and repeated prompts.
+    extra = ratio(engine_work(stats), engine_work(normal_stats)) - 1
     return [
         Row(title, "online p99, 2 of 12 slowed / none", ratio(p99(ours), p99(normal)),
             "<= 1.5",
             {"least_outstanding": ratio(p99(lor), p99(lor_normal)),
              "round_robin": ratio(p99(robin), p99(lor_normal))},
-            {"p99_ms": p99(ours), "normal_ms": p99(normal), "tokens": needed,
+            {"p99_ms": p99(ours), "normal_ms": p99(normal),
              "first_p99_ms": p99(ours, "first_ms"), "failures": failures(ours)}),
-        Row(title, "extra attempts / answers", ratio(started - finished, finished),
-            "<= 0.05", {}, {"started": started, "finished": finished}),
+        Row(title, "extra work, tokens and prompt tokens", round(extra, 3), "<= 0.05", {},
+            {"started": stats["started"], "finished": stats["finished"]}),
     ]
 
 
+def engine_work(stats):
+    """Returns the tokens that engines computed, prompts included."""
+    return stats["tokens"] + stats["prefill_tokens"]
+
+
 def slowed_for_good(seed):
     """Two of twelve servers ten times slower."""
     return slowed_servers(seed, "2 of 12 slowed")
@@ -221,23 +226,26 @@
 
 def burst_onto_batch(seed):
     """A burst of online work onto a fleet full of batch work."""
-    burst = online(600, 4200, start_ms=4000)
+    # Some online work goes on all the time, so that windows are grown.
+    base = online(40, 6000)
+    burst = online(600, 4200, start_ms=4000, name="burst")
 
     def run(streams, policy=None):
         return run_fleet(lambda f: f.load(streams, seed, grace_ms=4000), policy=policy)
 
-    idle = run([burst])
-    ours = run([batch(200, 6000), burst])
-    fcfs = run([batch(200, 6000), burst], "fcfs")
-    part = run([batch(200, 6000), burst], "static_partition")
-    # One engine step under load is at most the token time and a prefill.
-    extra = ours["streams"]["online"]["first_ms"]["p99"] - idle["streams"]["online"]["first_ms"]["p99"]
+    def first(report):
+        return p99(report, "first_ms", "burst")
+
+    idle = run([base, burst])
+    ours = run([batch(200, 6000), base, burst])
+    others = {name: run([batch(200, 6000), base, burst], name)
+              for name in ("fcfs", "static_partition")}
+    # 50 ms and one engine step, which is 20 ms.
     return [
         Row("burst onto full batch", "first token p99 over an idle fleet, ms",
-            round(extra, 1), "<= 70",
-            {name: round(p99(r, "first_ms") - p99(idle, "first_ms"), 1)
-             for name, r in (("fcfs", fcfs), ("static_partition", part))},
-            {"failures": failures(ours)})
+            round(first(ours) - first(idle), 1), "<= 70",
+            {name: round(first(r) - first(idle), 1) for name, r in others.items()},
+            {"failures": failures(ours, "burst") + failures(ours), "idle_ms": first(idle)})
     ]
 
 
