Gateway, Batcher: Serve the decisions that explain asks for

`turmericpass explain ID` asks every daemon, but gateway and batcher kept no records. Both serve /explain now, from a bounded DecisionLog (ExplainPage, which the dispatcher uses as well).

The gateway keeps, by request id: each submission with the dispatcher and what was known of it, each resubmission with its reason, refusals, replays and the outcome with its execution. A request gets its id before admission, and a refusal carries it in X-Request-Id, so that a caller can ask about it. Requests that are refused for their form have no id and no record.

The batcher keeps, by job id: each chunk that was claimed, with its epoch and the batcher it was taken over from, committed or lost, or that stops with its job; and items that ended after the last attempt, by their request id as well. BatchWorker hands the decisions out through a callback, because Jobs does not depend on Control. Per decision there is one record, and none per token or per submitted item.

The new tests fail if no record is kept and pass with this change: DecisionsAboutARequestAreOnRecord, DecisionsAboutAJobAreOnRecord and TakeoverIsToldByBothBatchers.

--- a/Source/Admission/DispatcherChooser.cpp
+++ b/Source/Admission/DispatcherChooser.cpp
@@ -127,6 +127,27 @@
   return Cheapest[Picked];
 }
 
+std::string DispatcherChooser::describe(const std::string &Peer,
+                                        const std::string &Service) const {
+  const auto Found = this->Owners.find(Service);
+  if (Found == this->Owners.end())
+    return "it owns no server of the service";
+  const auto Owning =
+      std::find_if(Found->second.begin(), Found->second.end(),
+                   [&](const Owner &Entry) { return Entry.Peer == Peer; });
+  if (Owning == Found->second.end())
+    return "it owns no server of the service";
+  const Heard *Known = this->freshHint(Peer, Service);
+  const auto Mine = this->Outstanding.find({Peer, Service});
+  return std::string(Owning->OwnZone ? "own zone, " : "another zone, ") +
+         (Known ? "expected wait " +
+                      std::to_string(Known->Hint.ExpectedWaitMs) + " ms, "
+                : "wait not known, ") +
+         std::to_string(Mine == this->Outstanding.end() ? 0 : Mine->second) +
+         " requests of this process at " + std::to_string(Owning->Slots) +
+         " slots";
+}
+
 void DispatcherChooser::hintReceived(const std::string &Peer,
                                      const LoadHint &Hint) {
   if (!Hint.Service.empty())
--- a/Source/Admission/DispatcherChooser.h
+++ b/Source/Admission/DispatcherChooser.h
@@ -43,6 +43,10 @@
   /// nodes that would own them without it. Returns whether it was an owner.
   bool peerLost(const std::string &Peer);
 
+  /// Returns what choose() knows of \p Peer, as part of a sentence.
+  std::string describe(const std::string &Peer,
+                       const std::string &Service) const;
+
   /// Returns the dispatchers of nodes that are not known to be live.
   const std::set<std::string> &doubtful() const { return this->Doubtful; }
 
--- a/Source/Admission/RequestLifeCycle.cpp
+++ b/Source/Admission/RequestLifeCycle.cpp
@@ -203,6 +203,8 @@
 void RequestLifeCycle::refused(const Finish &Answer, Instant Now) {
   this->LastRefusal = Answer;
   this->Running = false;
+  this->Setback =
+      "the dispatcher refused it with " + std::string(toName(Answer.Code));
   if (!this->Work.Repeatable)
     this->giveUp(Answer, Now);
   else if (Answer.Ran == Execution::NotRun)
@@ -213,6 +215,7 @@
 
 void RequestLifeCycle::repeat(Instant Now, const std::string &Why) {
   this->LastRefusal.reset();
+  this->Setback = Why;
   if (++this->Repeats > this->Limits.MaxRepeats || !this->Ports.TakeRepeat()) {
     this->giveUp(
         makeEnding(FinishCode::NoServer, "The request was tried " +
@@ -259,6 +262,7 @@
     return;
   Last->Verdict = Execution::NotRun;
   --this->Submitted;
+  this->Setback = "the message could not be queued";
   this->submitNext(Now);
 }
 
--- a/Source/Admission/RequestLifeCycle.h
+++ b/Source/Admission/RequestLifeCycle.h
@@ -102,6 +102,9 @@
   const Submit &work() const { return this->Work; }
   /// The number of submissions that were not refused locally.
   std::uint32_t submissions() const { return this->Submitted; }
+  /// Why the last submission did not succeed, as part of a sentence; empty if
+  /// nothing went wrong so far.
+  const std::string &lastSetback() const { return this->Setback; }
   std::uint64_t tokenCount() const { return this->Tokens.size(); }
 
 private:
@@ -143,6 +146,7 @@
   bool Over = false;
   std::uint32_t Submitted = 0;
   std::uint32_t Repeats = 0;
+  std::string Setback;
   std::set<std::string> Tried;
   /// Since when no dispatcher has accepted the request.
   std::optional<Instant> SearchingSince;
--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Admission/FleetSource.h"
 #include "Batcher/FinishRule.h"
+#include "Control/DecisionLog.h"
 #include "Jobs/BatchItem.h"
 #include "Loop/EventLoop.h"
 #include "Peers/PeerPort.h"
@@ -37,10 +38,15 @@
     : Ports(std::move(Ports)), Chooser(this->Ports.Time, this->Ports.Zone),
       Window(this->Ports.Time) {
   this->Limits.NoServerPatience = Patience;
+  this->Ports.Worker.onDecision(
+      [this](const std::string &Subject, const char *Kind, std::string Text) {
+        this->Ports.Records.record(Subject, Kind, std::move(Text));
+      });
   this->configure();
 }
 
 BatcherDaemon::~BatcherDaemon() {
+  this->Ports.Worker.onDecision({});
   this->Ports.Loop.cancel(this->TickTimer);
   this->Ports.Loop.cancel(this->StoreTimer);
 }
--- a/Source/Batcher/BatcherDaemon.h
+++ b/Source/Batcher/BatcherDaemon.h
@@ -13,6 +13,7 @@
 
 namespace turmericpass {
 
+class DecisionLog;
 class EventLoop;
 class FleetSource;
 class Logger;
@@ -29,6 +30,7 @@
   Metrics &Stats;
   Tracer &Spans;
   const FleetSource &Fleet;
+  DecisionLog &Records;
   BatchWorker &Worker;
   IntentLedger &Intents;
   /// The zone of this node.
--- /dev/null
+++ b/Source/Gateway/CallRecords.cpp
@@ -0,0 +1,60 @@
+#include "Gateway/CallRecords.h"
+
+#include "Admission/RequestLifeCycle.h"
+#include "Control/DecisionLog.h"
+#include "Telemetry/Logger.h"
+
+namespace turmericpass {
+
+void CallRecords::submitted(const RequestLifeCycle &Life,
+                            const std::string &Peer,
+                            const std::string &Previous,
+                            const std::string &State) {
+  const Submit &Work = Life.work();
+  std::string Text = "Attempt " + std::to_string(Work.Attempt) +
+                     " for service " + Work.Service +
+                     " was submitted to dispatcher " + Peer +
+                     ", the best choice left: " + State + ".";
+  if (!Life.lastSetback().empty())
+    Text += " The request is submitted again because " + Life.lastSetback() +
+            "; it resumes after " + std::to_string(Work.ResumeTokenIds.size()) +
+            " tokens.";
+  this->Records.record(Work.RequestId,
+                       Work.Attempt > 1 ? "resubmission" : "submission",
+                       std::move(Text));
+  if (Work.Attempt > 1)
+    this->Log.log(LogLevel::Info,
+                  "the request was submitted to another dispatcher",
+                  {{"peer", Peer},
+                   {"previous_peer", Previous},
+                   {"request_id", Work.RequestId},
+                   {"attempt", Work.Attempt},
+                   {"resumed_tokens", Work.ResumeTokenIds.size()}});
+}
+
+void CallRecords::refused(const std::string &RequestId, const Problem &Value) {
+  this->Records.record(RequestId, "refusal",
+                       "The request was refused with status " +
+                           std::to_string(Value.Status) + ", " + Value.Kind +
+                           ", execution " + std::string(toName(Value.Ran)) +
+                           ": " + Value.Detail);
+}
+
+void CallRecords::replayed(const std::string &RequestId) {
+  this->Records.record(RequestId, "replay",
+                       "The request was answered with the stored outcome of "
+                       "an earlier one with the same idempotency key.");
+}
+
+void CallRecords::ended(const RequestLifeCycle &Life, const Finish &Ending) {
+  std::string Text = "The request ended with " +
+                     std::string(toName(Ending.Code)) + ", execution " +
+                     std::string(toName(Ending.Ran)) + ", after " +
+                     std::to_string(Life.submissions()) + " submissions and " +
+                     std::to_string(Life.tokenCount()) + " tokens.";
+  if (!Ending.Detail.empty())
+    Text += " " + Ending.Detail;
+  this->Records.record(Life.work().RequestId, "outcome", std::move(Text));
+}
+
+} // namespace turmericpass
--- a/Source/Gateway/GatewayPorts.h
+++ b/Source/Gateway/GatewayPorts.h
@@ -6,6 +6,7 @@
 namespace turmericpass {
 
 class Clock;
+class DecisionLog;
 class EventLoop;
 class FleetSource;
 class HttpServer;
@@ -28,6 +29,7 @@
   Metrics &Stats;
   Tracer &Spans;
   const FleetSource &Fleet;
+  DecisionLog &Records;
   /// Null if there is no table: `at most once` calls are then refused.
   IntentLedger *Intents = nullptr;
   /// Null if there is no store: batch jobs are then refused.
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -37,10 +37,6 @@
   return Name + "{" + Label + "=\"" + std::string(Value) + "\"}";
 }
 
-std::uint64_t toWholeMillis(Duration Value) {
-  return std::chrono::ceil<std::chrono::milliseconds>(Value).count();
-}
-
 } // namespace
 
 struct OnlineCalls::Call {
@@ -67,6 +63,7 @@
 
 OnlineCalls::OnlineCalls(GatewayPorts Ports, LifeCycleLimits Limits)
     : Ports(std::move(Ports)), Limits(Limits),
+      Records(this->Ports.Records, this->Ports.Log),
       Chooser(this->Ports.Time, this->Ports.Zone), Quotas(this->Ports.Time) {
   this->configure();
 }
@@ -86,57 +83,67 @@
   return Found == this->Calls.end() ? nullptr : Found->second.get();
 }
 
-void OnlineCalls::refuse(ExchangeId Exchange, const Problem &Value) {
+void OnlineCalls::refuse(ExchangeId Exchange, const Problem &Value,
+                         const std::string &RequestId) {
+  HttpReply Reply = toReply(Value);
+  if (!RequestId.empty()) {
+    this->Records.refused(RequestId, Value);
+    Reply.Headers.emplace_back("X-Request-Id", RequestId);
+  }
   this->Ports.Stats.add(labelled("gateway_refused_total", "kind", Value.Kind));
-  this->Ports.Http.reply(Exchange, toReply(Value));
+  this->Ports.Http.reply(Exchange, std::move(Reply));
 }
 
 bool OnlineCalls::admit(ExchangeId Exchange, const OnlineRequest &Request) {
+  const std::string &Id = Request.Work.RequestId;
   if (this->Ports.Fleet.quarantined().count(Request.Work.Fingerprint)) {
     this->refuse(Exchange,
                  {422, "quarantined", "Equal requests made servers crash",
                   "Servers crashed while they ran this request.",
-                  Execution::NotRun, 0});
+                  Execution::NotRun, 0},
+                 Id);
     return false;
   }
   if (this->Calls.size() >= MaxOpenCalls) {
-    this->refuse(Exchange, {503, "overloaded", "The gateway is overloaded",
-                            "This gateway holds too many requests.",
-                            Execution::NotRun, 1000});
+    this->refuse(Exchange,
+                 {503, "overloaded", "The gateway is overloaded",
+                  "This gateway holds too many requests.", Execution::NotRun,
+                  1000},
+                 Id);
     return false;
   }
   const std::optional<std::uint32_t> Wait =
       this->Chooser.leastExpectedWait(Request.Work.Service);
   if (Request.Class == ClassKind::Online && Wait &&
       std::chrono::milliseconds(*Wait) > Request.Limit) {
-    this->refuse(Exchange, {503, "overloaded", "The service is overloaded",
-                            "The expected wait of " + std::to_string(*Wait) +
-                                " ms is longer than the request's deadline.",
-                            Execution::NotRun, *Wait});
+    this->refuse(Exchange,
+                 {503, "overloaded", "The service is overloaded",
+                  "The expected wait of " + std::to_string(*Wait) +
+                      " ms is longer than the request's deadline.",
+                  Execution::NotRun, *Wait},
+                 Id);
     return false;
   }
   return this->takeRequest(Exchange, Request.Work.Customer,
-                           Request.ReservedTokens);
+                           Request.ReservedTokens, Id);
 }
 
 bool OnlineCalls::takeRequest(ExchangeId Exchange, const std::string &Customer,
-                              std::uint32_t Tokens) {
+                              std::uint32_t Tokens,
+                              const std::string &RequestId) {
   const Duration Wait = this->Quotas.take(Customer, Tokens);
   if (Wait == Duration{0})
     return true;
-  this->refuse(Exchange,
-               {429, "quota-exceeded", "The customer's quota is used up",
-                "The customer's requests or tokens per second are used up.",
-                Execution::NotRun, toWholeMillis(Wait)});
+  this->refuse(Exchange, quotaUsedUp(Wait), RequestId);
   return false;
 }
 
 void OnlineCalls::open(ExchangeId Exchange, OnlineRequest Request) {
+  Submit &Work = Request.Work;
+  Work.RequestId = this->Ports.Ids.longId();
   if (!this->admit(Exchange, Request))
     return;
   const Instant Now = this->Ports.Time.now();
-  Submit &Work = Request.Work;
-  Work.RequestId = this->Ports.Ids.longId();
   std::optional<SpanContext> Parent;
   if (!Request.Parent.TraceId.empty())
     Parent = SpanContext{Request.Parent.TraceId, Request.Parent.SpanId};
@@ -249,13 +256,14 @@
                    {"Idempotency-Replayed", "true"}};
   Reply.Body = Decision.Outcome.Body;
   this->Ports.Stats.add("gateway_replayed_total");
+  this->Records.replayed(Opened.Life.work().RequestId);
   this->Ports.Http.reply(Opened.Answer.exchange(), std::move(Reply));
   this->Quotas.giveBack(Opened.Life.work().Customer, Opened.Reserved);
   this->drop(std::string(Opened.Life.work().RequestId));
 }
 
 void OnlineCalls::refuseOpened(Call &Opened, const Problem &Value) {
-  this->refuse(Opened.Answer.exchange(), Value);
+  this->refuse(Opened.Answer.exchange(), Value, Opened.Life.work().RequestId);
   this->Quotas.giveBack(Opened.Life.work().Customer, Opened.Reserved);
   this->drop(std::string(Opened.Life.work().RequestId));
 }
@@ -321,6 +329,7 @@
   this->perform(*Open);
   Finish Ending;
   Ending.Code = FinishCode::Cancelled;
+  Ending.Detail = "The caller departed.";
   Ending.TotalTokens = Open->Life.tokenCount();
   this->settle(*Open, Ending);
   this->drop(std::string(Open->Life.work().RequestId));
@@ -387,14 +396,8 @@
     Open.Life.sendFailed(Work->Attempt, this->Ports.Time.now());
     return;
   }
-  if (Work->Attempt > 1)
-    this->Ports.Log.log(LogLevel::Info,
-                        "the request was submitted to another dispatcher",
-                        {{"peer", Action.Peer},
-                         {"previous_peer", Open.OutstandingAt},
-                         {"request_id", Work->RequestId},
-                         {"attempt", Work->Attempt},
-                         {"resumed_tokens", Work->ResumeTokenIds.size()}});
+  this->Records.submitted(Open.Life, Action.Peer, Open.OutstandingAt,
+                          this->Chooser.describe(Action.Peer, Work->Service));
   if (!Open.OutstandingAt.empty())
     this->Chooser.ended(Open.OutstandingAt, Work->Service);
   Open.OutstandingAt = Action.Peer;
@@ -427,6 +430,7 @@
         Ran ? static_cast<double>(Work.PromptTokens + Open.Life.tokenCount())
             : 0);
   Open.EndedWell = Ending.Code == FinishCode::Ok;
+  this->Records.ended(Open.Life, Ending);
   this->Ports.Spans.setAttribute(Open.Span, "outcome",
                                  std::string(toName(Ending.Code)));
   this->Ports.Spans.setAttribute(Open.Span, "execution",
--- a/Source/Gateway/OnlineCalls.h
+++ b/Source/Gateway/OnlineCalls.h
@@ -5,6 +5,7 @@
 #include "Admission/DispatcherChooser.h"
 #include "Admission/RepeatBudget.h"
 #include "Admission/RequestLifeCycle.h"
+#include "Gateway/CallRecords.h"
 #include "Gateway/GatewayPorts.h"
 #include "Gateway/OnlineRequest.h"
 #include "Gateway/Problem.h"
@@ -45,10 +46,12 @@
   /// Takes one request and \p Tokens from the customer's quota. Answers with
   /// a problem and returns false if it is used up.
   bool takeRequest(ExchangeId Exchange, const std::string &Customer,
-                   std::uint32_t Tokens);
+                   std::uint32_t Tokens, const std::string &RequestId = {});
 
-  /// Answers with \p Value and counts it.
-  void refuse(ExchangeId Exchange, const Problem &Value);
+  /// Answers with \p Value and counts it; keeps a record of it if the request
+  /// has an id.
+  void refuse(ExchangeId Exchange, const Problem &Value,
+              const std::string &RequestId = {});
 
 private:
   struct Call;
@@ -73,6 +76,7 @@
 
   GatewayPorts Ports;
   LifeCycleLimits Limits;
+  CallRecords Records;
   DispatcherChooser Chooser;
   CustomerQuotas Quotas;
   RepeatBudget Repeats;
--- a/Source/Gateway/Problem.cpp
+++ b/Source/Gateway/Problem.cpp
@@ -114,6 +114,16 @@
           Detail, Execution::NotRun, 0};
 }
 
+Problem quotaUsedUp(Duration Wait) {
+  const auto Millis = std::chrono::ceil<std::chrono::milliseconds>(Wait);
+  return {429,
+          "quota-exceeded",
+          "The customer's quota is used up",
+          "The customer's requests or tokens per second are used up.",
+          Execution::NotRun,
+          static_cast<std::uint64_t>(Millis.count())};
+}
+
 Problem toProblem(const Finish &Ending) {
   const Form Shape = formOf(Ending);
   return {Shape.Status,  Shape.Kind, Shape.Title,
--- a/Source/Gateway/Problem.h
+++ b/Source/Gateway/Problem.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_GATEWAY_PROBLEM_H
 #define TURMERICPASS_GATEWAY_PROBLEM_H
 
+#include "Core/Clock.h"
 #include "Core/Error.h"
 #include "Http/HttpTypes.h"
 #include "Wire/Messages.h"
@@ -38,6 +39,9 @@
 /// Returns the problem of an idempotency key that has another use.
 Problem keyReused(const std::string &Detail);
 
+/// Returns the problem of a customer that must wait for its quota.
+Problem quotaUsedUp(Duration Wait);
+
 /// Returns the problem of an ending that is not a good answer.
 Problem toProblem(const Finish &Ending);
 
--- a/Source/Jobs/BatchWorker.cpp
+++ b/Source/Jobs/BatchWorker.cpp
@@ -39,7 +39,9 @@
             return this->holds(JobId, Chunk);
           },
           [this](const JobRow &Job, const std::string &Chunk,
-                 const ChunkRow &Row) { this->onClaimed(Job, Chunk, Row); }) {}
+                 const ChunkRow &Row, const std::string &FormerHolder) {
+            this->onClaimed(Job, Chunk, Row, FormerHolder);
+          }) {}
 
 BatchWorker::~BatchWorker() = default;
 
@@ -100,16 +102,54 @@
 }
 
 void BatchWorker::onClaimed(const JobRow &Job, const std::string &Chunk,
-                            const ChunkRow &Row) {
-  this->Chunks[this->NextChunk++] =
+                            const ChunkRow &Row,
+                            const std::string &FormerHolder) {
+  const auto &Added = this->Chunks[this->NextChunk++] =
       std::make_unique<Held>(ChunkRun(Job, Chunk, Row));
+  this->note(Added->Run, "claim",
+             FormerHolder.empty() ? "was claimed by batcher " + this->Name
+             : FormerHolder == this->Name
+                 ? "was claimed again by batcher " + this->Name +
+                       ", which lost the reply to its first claim"
+                 : "was taken over by batcher " + this->Name +
+                       " from batcher " + FormerHolder +
+                       ", whose lease lapsed");
+}
+
+void BatchWorker::note(const ChunkRun &Run, const char *Kind,
+                       const std::string &Text) {
+  if (this->Keep)
+    this->Keep(Run.job().Record.Id, Kind,
+               "Chunk " + Run.name() + " of job " + Run.job().Record.Id +
+                   ", epoch " + std::to_string(Run.row().Epoch) + ", " + Text +
+                   ".");
+}
+
+void BatchWorker::noteLastAttempt(const ChunkRun &Run, std::uint32_t Index,
+                                  const ItemResult &Result) {
+  if (!this->Keep)
+    return;
+  const std::string Cause = Result.ErrorCode.empty()
+                                ? "status " + std::to_string(Result.Status)
+                                : Result.ErrorCode + ": " + Result.ErrorMessage;
+  const std::string Text =
+      "Item " + std::to_string(Index) + " (" + Result.CustomId + ") of chunk " +
+      Run.name() + " of job " + Run.job().Record.Id + " ended after " +
+      std::to_string(MaxItemAttempts) + " attempts with " + Cause;
+  this->Keep(Run.job().Record.Id, "item", Text);
+  if (!Result.RequestId.empty())
+    this->Keep(Result.RequestId, "item", Text);
 }
 
 void BatchWorker::tend(ChunkId Id, Held &Chunk) {
   const JobRecord &Job = Chunk.Run.job().Record;
   const bool Due = this->Time.wallMillis() >= Job.DueMs;
-  if (!Chunk.Run.stopped() && (Due || this->Stops.contains(Job.Id)))
+  if (!Chunk.Run.stopped() && (Due || this->Stops.contains(Job.Id))) {
+    this->note(Chunk.Run, "stop",
+               Due ? "stops: the job's window has passed"
+                   : "stops: the job was seen as cancelled or expiring");
     this->stop(Chunk, Remainder::Drop);
+  }
   if (!Chunk.Run.stopped() && this->Draining)
     Chunk.Run.stop(Remainder::Release);
   if (Chunk.Suspect)
@@ -171,6 +211,9 @@
     return;
   }
   ++this->StaleCommits;
+  this->note(Chunk.Run, "loss",
+             "was lost: after a pause of this batcher its row names another "
+             "claim");
   this->release(Id);
 }
 
@@ -198,9 +241,18 @@
   this->Claims.review(Chunk.Run.job().Record.Id);
   if (Commit->state() == ChunkCommit::State::Stale) {
     ++this->StaleCommits;
+    this->note(Chunk.Run, "loss",
+               "was lost: at the commit its row named another claim, and "
+               "nothing was written");
     return this->release(Id);
   }
   ++this->Commits;
+  this->note(Chunk.Run, "commit",
+             "was committed with " + std::to_string(Commit->plan().Completed) +
+                 " completed and " + std::to_string(Commit->plan().Failed) +
+                 " failed items; " +
+                 std::to_string(Commit->plan().RestItems.size()) +
+                 " items are left out");
   if (Commit->plan().Rest != Remainder::Keep)
     return this->release(Id);
   Chunk.Run.continueAs(Commit->restName(), Commit->plan());
@@ -294,7 +346,9 @@
   this->Items.erase(Found);
   Held &Chunk = *this->Chunks.at(ChunkOf);
   Chunk.Running.erase(Index);
-  Chunk.Run.finish(Index, Outcome, this->Time.now());
+  const bool Ended = Chunk.Run.finish(Index, Outcome, this->Time.now());
+  if (Ended && Outcome.End == ItemEnd::Failed)
+    this->noteLastAttempt(Chunk.Run, Index, Outcome.Result);
 }
 
 std::vector<ItemId> BatchWorker::takeWithdrawn() {
--- a/Source/Jobs/BatchWorker.h
+++ b/Source/Jobs/BatchWorker.h
@@ -55,6 +55,14 @@
               IdSource &Ids, BatchLimits Limits = {}, Protections Rules = {});
   ~BatchWorker();
 
+  /// Takes one decision about a job, or about a request of its items: the id,
+  /// a kind and a sentence.
+  using DecisionMade = std::function<void(const std::string &Subject,
+                                          const char *Kind, std::string Text)>;
+
+  /// Sets who gets the decisions; empty for nobody.
+  void onDecision(DecisionMade Keep) { this->Keep = std::move(Keep); }
+
   /// Does what is due; call it every 100 ms.
   void tick();
 
@@ -96,7 +104,10 @@
   using ChunkId = std::uint64_t;
 
   void onClaimed(const JobRow &Job, const std::string &Name,
-                 const ChunkRow &Row);
+                 const ChunkRow &Row, const std::string &FormerHolder);
+  void note(const ChunkRun &Run, const char *Kind, const std::string &Text);
+  void noteLastAttempt(const ChunkRun &Run, std::uint32_t Index,
+                       const ItemResult &Result);
   bool mayStartAny() const;
   bool mayStartOf(const Held &Chunk) const;
   bool holds(const std::string &JobId, const std::string &Name) const;
@@ -132,6 +143,7 @@
   std::uint64_t Commits = 0;
   std::uint64_t StaleCommits = 0;
   bool Draining = false;
+  DecisionMade Keep;
 };
 
 } // namespace turmericpass
--- a/Source/Jobs/ChunkClaims.cpp
+++ b/Source/Jobs/ChunkClaims.cpp
@@ -219,7 +219,7 @@
   }
   if (Plan.Step == JobStep::Claim)
     for (const ChunkChange &Chunk : Plan.Changes)
-      this->OnClaimed(Job, Chunk.Name, Chunk.Row);
+      this->OnClaimed(Job, Chunk.Name, Chunk.Row, Chunk.FormerHolder);
   if (Plan.Step == JobStep::Finalize)
     this->drop(JobId);
   if (Plan.Step == JobStep::Expire || Plan.Step == JobStep::Reopen)
--- a/Source/Jobs/ChunkClaims.h
+++ b/Source/Jobs/ChunkClaims.h
@@ -21,8 +21,9 @@
 /// without work reads little.
 class ChunkClaims {
 public:
-  using Claimed = std::function<void(const JobRow &Job, const std::string &Name,
-                                     const ChunkRow &Row)>;
+  using Claimed =
+      std::function<void(const JobRow &Job, const std::string &Name,
+                         const ChunkRow &Row, const std::string &FormerHolder)>;
   using Held =
       std::function<bool(const std::string &Job, const std::string &Chunk)>;
 
--- a/Source/Jobs/ChunkRun.cpp
+++ b/Source/Jobs/ChunkRun.cpp
@@ -68,23 +68,27 @@
   return this->Items.at(Index).Line;
 }
 
-void ChunkRun::finish(std::uint32_t Index, const ItemOutcome &Outcome,
+bool ChunkRun::finish(std::uint32_t Index, const ItemOutcome &Outcome,
                       Instant Now) {
   const auto Found = this->Items.find(Index);
   if (Found == this->Items.end() || Found->second.State != Phase::Running)
-    return;
+    return false;
   Item &Entry = Found->second;
   --this->Running;
   if (Outcome.End == ItemEnd::TurnedAway) {
     ++Entry.TurnedAway;
-    return this->waitAgain(Entry, Outcome.After, Now);
+    this->waitAgain(Entry, Outcome.After, Now);
+    return false;
   }
   ++Entry.Attempts;
-  if (Outcome.End == ItemEnd::Failed && Entry.Attempts < MaxItemAttempts)
-    return this->waitAgain(Entry, Outcome.After, Now);
+  if (Outcome.End == ItemEnd::Failed && Entry.Attempts < MaxItemAttempts) {
+    this->waitAgain(Entry, Outcome.After, Now);
+    return false;
+  }
   this->DoneTime += Now - Entry.Since;
   ++this->DoneItems;
   this->end(Entry, Outcome.Result);
+  return true;
 }
 
 void ChunkRun::waitAgain(Item &Entry, Duration After, Instant Now) {
--- a/Source/Jobs/ChunkRun.h
+++ b/Source/Jobs/ChunkRun.h
@@ -52,7 +52,8 @@
   std::optional<std::uint32_t> start(Instant Now);
 
   const std::string &line(std::uint32_t Index) const;
-  void finish(std::uint32_t Index, const ItemOutcome &Outcome, Instant Now);
+  /// Returns true if the item has its result now.
+  bool finish(std::uint32_t Index, const ItemOutcome &Outcome, Instant Now);
 
   /// Starts nothing more; what is left is dropped or released.
   void stop(Remainder Fate);
--- a/Source/Programs/BatcherMain.cpp
+++ b/Source/Programs/BatcherMain.cpp
@@ -1,5 +1,6 @@
 #include "Batcher/BatcherDaemon.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
 #include "Gateway/AgentFleet.h"
 #include "Jobs/TableIntentLedger.h"
@@ -30,9 +31,10 @@
                       static_cast<double>(Agent.settings().Version));
   });
   const AgentFleet Fleet(Agent);
+  ExplainPage Decisions(Context);
   BatcherDaemon Batcher({Context.Loop, Context.Peers, Context.Time, Context.Ids,
                          Context.Log, Context.Stats, Context.Spans, Fleet,
-                         Worker, Intents, Node.Zone});
+                         Decisions.records(), Worker, Intents, Node.Zone});
   Agent.onChange([&] { Batcher.configure(); });
   Context.Loop.every(StoreRetryPeriod, [&] { Intents.tick(); });
   Context.Peers.onReceive([&](const std::string &From, const Message &Body) {
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,4 +1,5 @@
 #include "Daemon/DaemonContext.h"
+#include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
 #include "Gateway/AgentFleet.h"
 #include "Gateway/GatewayDaemon.h"
@@ -32,9 +33,11 @@
                       static_cast<double>(Agent.settings().Version));
   });
   const AgentFleet Fleet(Agent);
+  ExplainPage Decisions(Context);
   GatewayDaemon Gateway({Context.Loop, Callers, Context.Peers, Context.Time,
                          Context.Ids, Context.Log, Context.Stats, Context.Spans,
-                         Fleet, &Intents, &Jobs, Node.Zone});
+                         Fleet, Decisions.records(), &Intents, &Jobs,
+                         Node.Zone});
   Agent.onChange([&] { Gateway.configure(); });
   Context.Loop.every(StoreRetryPeriod, [&] { Intents.tick(); });
   Context.Peers.onReceive([&](const std::string &From, const Message &Body) {
--- a/Tests/Batcher/BatcherDaemonTest.cpp
+++ b/Tests/Batcher/BatcherDaemonTest.cpp
@@ -1,4 +1,5 @@
 #include "Batcher/BatcherDaemon.h"
+#include "Control/DecisionLog.h"
 #include "Jobs/TableIntentLedger.h"
 #include "Jobs/TableJobService.h"
 #include "Loop/EventLoop.h"
@@ -53,11 +54,12 @@
 struct Bench {
   Bench()
       : Loop(Shared.Time), Spans(Shared.Time, Ids, "test", "a1", false),
-        Fleet(twoDispatchers()), Intents(Shared.Rows, Shared.Time, Ids),
+        Records(Shared.Time, 100, 100000), Fleet(twoDispatchers()),
+        Intents(Shared.Rows, Shared.Time, Ids),
         Jobs(Shared.Rows, Shared.Objects, Shared.Time, Ids),
         Worker(Shared.Rows, Shared.Objects, Shared.Time, Ids),
         Batcher({Loop, Peers, Shared.Time, Ids, Log, Stats, Spans, Fleet,
-                 Worker, Intents, "a"}) {}
+                 Records, Worker, Intents, "a"}) {}
 
   void submit(const std::string &Input) {
     std::string File;
@@ -116,6 +118,7 @@
   NullLogger Log;
   Metrics Stats;
   Tracer Spans;
+  DecisionLog Records;
   StaticFleet Fleet;
   TableIntentLedger Intents;
   TableJobService Jobs;
@@ -297,3 +300,27 @@
   cr_assert(Desk.submissions() == Sent);
   cr_assert(Desk.Batcher.isIdle());
 }
+
+// Guards against `turmericpass explain` that cannot tell what became of a job.
+Test(BatcherDaemon, DecisionsAboutAJobAreOnRecord) {
+  for (const bool Cancel : {false, true}) {
+    Bench Desk;
+    Desk.submit(modelLine("one"));
+    Desk.run(10);
+    if (Cancel)
+      Desk.Jobs.cancel("c", Desk.Job, [](const Result<JobRecord> &) {});
+    for (std::size_t I = 0; I < 3 && !Cancel; ++I) {
+      Desk.answer(I, ended(FinishCode::ServerLost, Execution::Unknown));
+      Desk.run(20);
+    }
+    Desk.run(20);
+    std::string Kinds;
+    for (const DecisionRecord &Record : Desk.Records.about(Desk.Job))
+      Kinds += Record.Kind + " ";
+    cr_assert(Kinds == (Cancel ? "claim stop commit " : "claim item commit "),
+              "%s", Kinds.c_str());
+    cr_assert(
+        Cancel ||
+        Desk.Records.about(Desk.Peers.all<Submit>()[2].RequestId).size() == 1);
+  }
+}
--- a/Tests/FaultMatrix/Process.h
+++ b/Tests/FaultMatrix/Process.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_TESTS_FAULTMATRIX_PROCESS_H
 
 #include "Batcher/BatcherDaemon.h"
+#include "Control/DecisionLog.h"
 #include "Jobs/TableIntentLedger.h"
 #include "Jobs/TableJobService.h"
 #include "Loop/EventLoop.h"
@@ -21,11 +22,12 @@
           Protections Rules)
       : Rows(Shared.Rows.rows()), Objects(Shared.Objects.objects()), Ids(Seed),
         Loop(Shared.Time), Spans(Shared.Time, Ids, "test", "a1", false),
+        Records(Shared.Time, 100, 100000),
         Intents(Rows, Shared.Time, Ids, Rules),
         Jobs(Rows, Objects, Shared.Time, Ids, Rules),
         Worker(Rows, Objects, Shared.Time, Ids, {}, Rules),
         Batcher({Loop, Peers, Shared.Time, Ids, Log, Stats, Spans, Fleet,
-                 Worker, Intents, "a"}) {}
+                 Records, Worker, Intents, "a"}) {}
 
   bool dead() const {
     return this->Rows.Faults.Dead || this->Objects.Faults.Dead;
@@ -53,6 +55,7 @@
   NullLogger Log;
   Metrics Stats;
   Tracer Spans;
+  DecisionLog Records;
   TableIntentLedger Intents;
   TableJobService Jobs;
   BatchWorker Worker;
--- a/Tests/Gateway/AdmissionTest.cpp
+++ b/Tests/Gateway/AdmissionTest.cpp
@@ -136,3 +136,33 @@
   cr_assert(Bench.until([&] { return Caller->isOver(); }));
   cr_assert(Caller->Done && Caller->Got.ends_with("data: [DONE]\n\n"));
 }
+
+// Guards against `turmericpass explain` that cannot tell why a request went
+// where it went, was sent again or was refused.
+Test(GatewayAdmission, DecisionsAboutARequestAreOnRecord) {
+  GatewayBench Bench;
+  const auto Caller = Bench.call(chat(false));
+  for (const std::size_t Count : {1, 2}) {
+    const Submit Work = Bench.submission(Count);
+    const std::string Peer = Bench.Peers.lastPeer();
+    Bench.Peers.deliver(
+        Peer, finishOf(Work, FinishCode::Overloaded, Execution::NotRun));
+  }
+  Bench.replyOf(Caller);
+  const Submit Work = Bench.submission(1);
+  const auto Records = Bench.Records.about(Work.RequestId);
+  cr_assert(Records.size() == 3);
+  cr_assert(Records[0].Kind == "submission");
+  cr_assert(Records[0].Text.find("own zone") != std::string::npos);
+  cr_assert(Records[1].Kind == "resubmission");
+  cr_assert(Records[1].Text.find("refused it with overloaded") !=
+            std::string::npos);
+  cr_assert(Records[2].Kind == "outcome");
+  cr_assert(Records[2].Text.find("execution not_run") != std::string::npos);
+  Bench.Fleet.Quarantine.insert(Work.Fingerprint);
+  const HttpReply Reply = Bench.replyOf(Bench.call(chat(false)));
+  const auto Refusals =
+      Bench.Records.about(findHeader(Reply.Headers, "X-Request-Id"));
+  cr_assert(Refusals.size() == 1 && Refusals[0].Kind == "refusal");
+  cr_assert(Refusals[0].Text.find("quarantined") != std::string::npos);
+}
--- a/Tests/Jobs/BatchWorkerTest.cpp
+++ b/Tests/Jobs/BatchWorkerTest.cpp
@@ -278,3 +278,29 @@
   cr_assert(Desk.find(B, Job).State == JobState::Completed);
   cr_assert(Desk.results(B, Job).size() == 100);
 }
+
+// Guards against a takeover or a lost chunk that leaves no record.
+Test(BatchWorker, TakeoverIsToldByBothBatchers) {
+  Bench Desk;
+  BatchNode A(Desk.Shared, 1, leaveRunning);
+  BatchNode B(Desk.Shared, 2, echo);
+  std::map<std::string, std::string> Told;
+  for (BatchNode *Node : {&A, &B})
+    Node->Worker.onDecision(
+        [&Told, Name = Node->Worker.name()](
+            const std::string &, const char *Kind, const std::string &Text) {
+          Told[Name + Kind] = Text;
+        });
+  Desk.submit(A, itemInput(3));
+  Desk.run({&A}, 10);
+  A.Paused = true;
+  Desk.run({&A, &B}, 900);
+  A.Paused = false;
+  Desk.run({&A, &B}, 50);
+  const std::string Taken = Told[B.Worker.name() + "claim"];
+  cr_assert(Taken.find("epoch 2") != std::string::npos, "%s", Taken.c_str());
+  cr_assert(Taken.find("taken over") != std::string::npos);
+  cr_assert(Taken.find("from batcher " + A.Worker.name()) != std::string::npos);
+  cr_assert(Told.contains(B.Worker.name() + "commit"));
+  cr_assert(Told.contains(A.Worker.name() + "loss"));
+}
--- a/Tests/Support/GatewayBench.h
+++ b/Tests/Support/GatewayBench.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_TESTS_SUPPORT_GATEWAYBENCH_H
 #define TURMERICPASS_TESTS_SUPPORT_GATEWAYBENCH_H
 
+#include "Control/DecisionLog.h"
 #include "Core/Hash.h"
 #include "Gateway/GatewayDaemon.h"
 #include "Http/EvhttpClient.h"
@@ -76,10 +77,10 @@
   explicit GatewayBench(FleetSettings Settings = benchSettings(),
                         JobService *Jobs = nullptr)
       : Loop(LoopTime), Http(Loop, {}), Ids(7),
-        Spans(Time, Ids, "test", "a1", false), Fleet(std::move(Settings)),
-        Client(Loop, std::size_t{64} << 20U),
+        Spans(Time, Ids, "test", "a1", false), Records(Time, 100, 100000),
+        Fleet(std::move(Settings)), Client(Loop, std::size_t{64} << 20U),
         Gateway({Loop, Http, Peers, Time, Ids, Log, Stats, Spans, Fleet,
-                 &Intents, Jobs, "a"}) {
+                 Records, &Intents, Jobs, "a"}) {
     // As in DaemonContext: a write to a broken connection is an error value.
     std::signal(SIGPIPE, SIG_IGN);
     this->Port = *this->Http.listen("127.0.0.1", 0);
@@ -127,6 +128,7 @@
   NullLogger Log;
   Metrics Stats;
   Tracer Spans;
+  DecisionLog Records;
   StaticFleet Fleet;
   FakeIntentLedger Intents;
   EvhttpClient Client;
