Programs: Tell that the results of a running job are partial

`turmericpass results` printed the results so far of a running job and "status: in_progress", which a reader easily takes for all results. It now says on standard error how many items have a result and that more follow.

StatusMessageTellsPartialResults checks the sentence; JobsTests (23) pass. The command itself was built and not run.

--- a/Source/Programs/CliBatch.cpp
+++ b/Source/Programs/CliBatch.cpp
@@ -1,4 +1,5 @@
 #include "Http/PercentEncoding.h"
+#include "Jobs/BatchStatus.h"
 #include "Programs/CliCommands.h"
 #include "Programs/CliSupport.h"
 
@@ -163,8 +164,7 @@
       callGateway(Context, *Values, request("GET", batchPath(*Values)));
   if (!Job)
     return refuse(Job.error());
-  if (const Result<std::string> Status = readField(*Job, "status"); Status)
-    std::cerr << "status: " << *Status << '\n';
+  std::cerr << statusMessage(*Job) << '\n';
   const Result<std::string> File = readField(*Job, "output_file_id");
   if (!File)
     return refuse(File.error());
--- a/Tests/Jobs/JobServiceTest.cpp
+++ b/Tests/Jobs/JobServiceTest.cpp
@@ -1,3 +1,4 @@
+#include "Jobs/BatchStatus.h"
 #include "Jobs/TableJobService.h"
 #include "Support/MemoryObjectStore.h"
 #include "Support/MemoryTable.h"
@@ -159,3 +160,18 @@
   Desk.Objects.Faults.Always = StoreFault::Unavailable;
   cr_assert(Desk.upload(lines(3)).error().Code == ErrorCode::Unavailable);
 }
+
+// Guards against partial results that are taken for all of them.
+Test(JobService, StatusMessageTellsPartialResults) {
+  const std::string Counts =
+      R"(,"request_counts":{"total":9,"completed":3,"failed":1}})";
+  for (const char *State : {"in_progress", "cancelling", "completed"}) {
+    const std::string Text =
+        statusMessage(R"({"status":")" + std::string(State) + '"' + Counts);
+    cr_assert(Text.find(State) != std::string::npos);
+    cr_assert(Text.find("4 of 9 items") != std::string::npos);
+    cr_assert((Text.find("not complete yet") != std::string::npos) ==
+              (std::string(State) != "completed"));
+  }
+  cr_assert(statusMessage("[]") == "status: unknown");
+}
