--- a/Utilities/Capacity/ControlProbes.cpp
+++ b/Utilities/Capacity/ControlProbes.cpp
@@ -282,16 +282,18 @@
           spread(Fleet.Costs, &NodeCost::Bytes, Seconds).Most);
 }
 
-/// A VM, a rack of 8 VMs over no particular zone, a second rack, and a zone.
+/// A VM, a rack of 8 VMs of one zone, four VMs of another, and a whole zone.
 void probeLoss(CapacityReport &Out) {
   DigestFleet Fleet(makeFleet(19, 22));
   Fleet.seconds(12);
-  std::vector<std::string> Rack;
-  std::vector<std::string> Zone;
-  for (int I = 0; I < 8; ++I)
-    Rack.push_back("z3n" + std::to_string(I));
-  for (int I = 0; I < 22; ++I)
-    Zone.push_back("z7n" + std::to_string(I));
+  constexpr std::size_t RackNodes = 8;
+  constexpr std::size_t ZoneNodes = 22;
+  std::vector<std::string> Rack(RackNodes);
+  std::vector<std::string> Zone(ZoneNodes);
+  for (std::size_t I = 0; I < RackNodes; ++I)
+    Rack[I] = "z3n" + std::to_string(I);
+  for (std::size_t I = 0; I < ZoneNodes; ++I)
+    Zone[I] = "z7n" + std::to_string(I);
   recordLoss(Out, Fleet, {"z1n5"});
   recordLoss(Out, Fleet, Rack);
   recordLoss(Out, Fleet, {"z5n1", "z5n2", "z5n3", "z5n4"});
@@ -311,13 +313,14 @@
     if (Zone == "z0" || Zone == "z1" || Zone == "z2")
       Fleet.Parted.insert(Name);
   }
+  std::uint64_t Version = 1;
   for (int I = 0; I < Seconds; ++I)
-    Fleet.second(static_cast<std::uint64_t>(2 + I));
+    Fleet.second(++Version);
   Fleet.Parted.clear();
   Fleet.Costs.clear();
   int Healed = 0;
   while (Healed < After && !agree(Fleet, Live)) {
-    Fleet.second(static_cast<std::uint64_t>(2 + Seconds));
+    Fleet.second(Version + 1);
     ++Healed;
   }
   Out.add("cut.seconds_until_healed", "seconds_cut", Seconds, Healed);
@@ -332,7 +335,8 @@
     recordExchange(Out, "digest.zones", "zones", static_cast<double>(Zones),
                    Zones, 22);
   for (const std::size_t PerZone : {6, 11, 16, 22})
-    recordExchange(Out, "digest.peers", "nodes", 19.0 * PerZone, 19, PerZone);
+    recordExchange(Out, "digest.peers", "nodes",
+                   static_cast<double>(19 * PerZone), 19, PerZone);
   probeViews(Out);
   probeMarks(Out);
   probeLoss(Out);
