--- a/Tests/FaultMatrix/World.cpp
+++ b/Tests/FaultMatrix/World.cpp
@@ -248,7 +248,9 @@
   const std::size_t Leftovers = std::exchange(Of.Leftovers, 0);
   for (std::size_t I = 0; I < Out.size(); ++I) {
     if (Of.PausedUntil || Of.dead()) {
-      Of.Peers.Out.insert(Of.Peers.Out.end(), Out.begin() + I, Out.end());
+      Of.Peers.Out.insert(Of.Peers.Out.end(),
+                          Out.begin() + static_cast<std::ptrdiff_t>(I),
+                          Out.end());
       Of.Leftovers = Of.Peers.Out.size();
       return;
     }
--- a/Tests/Jobs/BatchWorkerTest.cpp
+++ b/Tests/Jobs/BatchWorkerTest.cpp
@@ -24,7 +24,7 @@
     return Job;
   }
 
-  void run(std::vector<BatchNode *> Nodes, int Ticks,
+  void run(const std::vector<BatchNode *> &Nodes, int Ticks,
            std::size_t MaxItems = 100000) {
     for (int I = 0; I < Ticks; ++I) {
       for (BatchNode *Node : Nodes)
--- a/Tests/Jobs/IntentLedgerTest.cpp
+++ b/Tests/Jobs/IntentLedgerTest.cpp
@@ -16,7 +16,7 @@
                                const std::string &Hash = "h") {
     Result<IntentDecision> Got = failure(ErrorCode::Internal, "no answer");
     this->Ledger.begin({"c", "k"}, Attempt, Hash,
-                       [&Got](Result<IntentDecision> R) { Got = R; });
+                       [&Got](const Result<IntentDecision> &R) { Got = R; });
     return Got;
   }
 
--- a/Utilities/Load/LoadRunner.cpp
+++ b/Utilities/Load/LoadRunner.cpp
@@ -3,6 +3,7 @@
 #include "Loop/EventLoop.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -19,7 +20,7 @@
   if (Values.empty())
     return 0;
   const auto Last = static_cast<double>(Values.size() - 1);
-  const auto Index = static_cast<std::size_t>(Share * Last + 0.5);
+  const auto Index = static_cast<std::size_t>(std::lround(Share * Last));
   std::nth_element(Values.begin(),
                    Values.begin() + static_cast<std::ptrdiff_t>(Index),
                    Values.end());
