Daemon: Let puts of an upload wait for the object store's budget

Cause: the capacity probe showed that a gateway accepts no job of 20,000 items from 50 nodes on: eight puts at once wait for a part of three writes a second, and a wait above 1 s is refused.

Change: puts wait for up to 8 s, and a daemon's part of the object store is at least ten writes a second.

--- a/Source/Daemon/PlatformStores.cpp
+++ b/Source/Daemon/PlatformStores.cpp
@@ -12,6 +12,10 @@
 constexpr double LeastReadsPerSecond = 4;
 constexpr double LeastWritesPerSecond = 1;
 
+/// Uploads a job of 20,000 items within the wait below.
+constexpr double LeastPutsPerSecond = 10;
+constexpr Duration LongestObjectWait = std::chrono::seconds(8);
+
 /// Gateways write intents and jobs, batchers claims and commits; controllers
 /// write little. Dispatchers use no store.
 double shareOf(DaemonRole Role) {
@@ -51,6 +55,13 @@
   return Limits;
 }
 
+StoreLimits objectShare(const FleetSettings &Settings, DaemonRole Role) {
+  StoreLimits Limits = storeShare(Settings, Role);
+  Limits.WritesPerSecond = std::max(Limits.WritesPerSecond, LeastPutsPerSecond);
+  Limits.MaxWait = LongestObjectWait;
+  return Limits;
+}
+
 PlatformStores::PlatformStores(DaemonContext &Context)
     : PlainRows(Context.Client, Context.Options.Settings.Platform.Table),
       PlainObjects(Context.Client, Context.Options.Settings.Platform.Objects),
@@ -58,7 +69,7 @@
            storeShare(Context.Options.Settings, Context.Role),
            Context.Ids.number()),
       Objects(Context.Loop, this->PlainObjects,
-              storeShare(Context.Options.Settings, Context.Role),
+              objectShare(Context.Options.Settings, Context.Role),
               Context.Ids.number()) {
   Context.onCollect([this, &Context] { this->collect(Context.Stats); });
 }
--- a/Source/Daemon/PlatformStores.h
+++ b/Source/Daemon/PlatformStores.h
@@ -15,6 +15,11 @@
 /// refusals hold back the rest.
 StoreLimits storeShare(const FleetSettings &Settings, DaemonRole Role);
 
+/// As storeShare, for the object store. A job of 20,000 items is uploaded in 40
+/// objects at once and then nothing for long, so its puts wait instead of
+/// being refused.
+StoreLimits objectShare(const FleetSettings &Settings, DaemonRole Role);
+
 /// A daemon's table and object store, kept within its part of the budget.
 class PlatformStores {
 public:
--- a/Utilities/Capacity/StoreProbes.cpp
+++ b/Utilities/Capacity/StoreProbes.cpp
@@ -22,11 +22,19 @@
 
 namespace {
 
-StoreLimits shareAt(std::size_t Nodes, DaemonRole Role) {
+FleetSettings settingsOf(std::size_t Nodes) {
   FleetSettings Settings;
   for (std::size_t I = 0; I < Nodes; ++I)
     Settings.Nodes["n" + std::to_string(I)];
-  return storeShare(Settings, Role);
+  return Settings;
+}
+
+StoreLimits shareAt(std::size_t Nodes, DaemonRole Role) {
+  return storeShare(settingsOf(Nodes), Role);
+}
+
+StoreLimits objectShareAt(std::size_t Nodes, DaemonRole Role) {
+  return objectShare(settingsOf(Nodes), Role);
 }
 
 /// What the controller of a zone's relay does with the table, within its part
@@ -123,8 +131,8 @@
   BudgetedBatcher(EventLoop &Loop, std::size_t Nodes)
       : Nodes(Nodes), Ids(Nodes),
         Budgeted(Loop, Rows, shareAt(Nodes, DaemonRole::Batcher), Nodes),
-        BudgetedObjects(Loop, Objects, shareAt(Nodes, DaemonRole::Batcher),
-                        Nodes),
+        BudgetedObjects(Loop, Objects,
+                        objectShareAt(Nodes, DaemonRole::Batcher), Nodes),
         Service(Rows, Objects, Loop.clock(), Ids),
         Worker(Budgeted, BudgetedObjects, Loop.clock(), Ids) {
     this->Service.putFile(
@@ -172,8 +180,8 @@
   BudgetedGateway(EventLoop &Loop, std::size_t Nodes)
       : Nodes(Nodes), Loop(Loop), Ids(Nodes), Begun(Loop.clock().now()),
         Budgeted(Loop, Rows, shareAt(Nodes, DaemonRole::Gateway), Nodes),
-        BudgetedObjects(Loop, Objects, shareAt(Nodes, DaemonRole::Gateway),
-                        Nodes),
+        BudgetedObjects(Loop, Objects,
+                        objectShareAt(Nodes, DaemonRole::Gateway), Nodes),
         Service(Budgeted, BudgetedObjects, Loop.clock(), Ids) {}
 
   /// Called each second.
