Completions: Move the chat format below gateway and batcher

The batcher linked the whole gateway for the format of completions and for the adapter of the fleet agent.

Change: CompletionCall, CompletionWriter and CallerJson are a library of their own; AgentFleet stands in Daemon. No code changes besides paths.

--- a/Source/Batcher/ItemCall.cpp
+++ b/Source/Batcher/ItemCall.cpp
@@ -1,6 +1,6 @@
 #include "Batcher/ItemCall.h"
 
-#include "Gateway/CompletionWriter.h"
+#include "Completions/CompletionWriter.h"
 
 namespace turmericpass {
 
--- a/Source/Batcher/ItemReader.cpp
+++ b/Source/Batcher/ItemReader.cpp
@@ -1,7 +1,7 @@
 #include "Batcher/ItemReader.h"
 
 #include "Admission/PromptShape.h"
-#include "Gateway/CompletionCall.h"
+#include "Completions/CompletionCall.h"
 #include "Jobs/BatchItem.h"
 #include "Jobs/BatchWorker.h"
 
--- a/Source/Gateway/CallerJson.cpp
+++ b/Source/Completions/CallerJson.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/CallerJson.h"
+#include "Completions/CallerJson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Gateway/CompletionCall.cpp
+++ b/Source/Completions/CompletionCall.cpp
@@ -1,6 +1,6 @@
-#include "Gateway/CompletionCall.h"
+#include "Completions/CompletionCall.h"
 
-#include "Gateway/CallerJson.h"
+#include "Completions/CallerJson.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Source/Gateway/CompletionWriter.cpp
+++ b/Source/Completions/CompletionWriter.cpp
@@ -1,4 +1,4 @@
-#include "Gateway/CompletionWriter.h"
+#include "Completions/CompletionWriter.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/Source/Gateway/AgentFleet.h
+++ b/Source/Daemon/AgentFleet.h
@@ -1,5 +1,5 @@
-#ifndef TURMERICPASS_GATEWAY_AGENTFLEET_H
-#define TURMERICPASS_GATEWAY_AGENTFLEET_H
+#ifndef TURMERICPASS_DAEMON_AGENTFLEET_H
+#define TURMERICPASS_DAEMON_AGENTFLEET_H
 
 #include "Admission/FleetSource.h"
 #include "Control/FleetAgent.h"
--- a/Source/Gateway/BatchOrder.cpp
+++ b/Source/Gateway/BatchOrder.cpp
@@ -1,6 +1,6 @@
 #include "Gateway/BatchOrder.h"
 
-#include "Gateway/CallerJson.h"
+#include "Completions/CallerJson.h"
 #include "Settings/FleetSettings.h"
 
 #include <algorithm>
--- a/Source/Gateway/CallerAnswer.h
+++ b/Source/Gateway/CallerAnswer.h
@@ -1,7 +1,7 @@
 #ifndef TURMERICPASS_GATEWAY_CALLERANSWER_H
 #define TURMERICPASS_GATEWAY_CALLERANSWER_H
 
-#include "Gateway/CompletionWriter.h"
+#include "Completions/CompletionWriter.h"
 #include "Gateway/OnlineRequest.h"
 #include "Http/HttpServer.h"
 #include "Http/HttpTypes.h"
--- a/Source/Gateway/RequestReader.cpp
+++ b/Source/Gateway/RequestReader.cpp
@@ -2,7 +2,7 @@
 
 #include "Admission/FleetSource.h"
 #include "Admission/PromptShape.h"
-#include "Gateway/CompletionCall.h"
+#include "Completions/CompletionCall.h"
 #include "Telemetry/Tracer.h"
 
 #include <algorithm>
--- a/Source/Programs/BatcherMain.cpp
+++ b/Source/Programs/BatcherMain.cpp
@@ -1,8 +1,8 @@
 #include "Batcher/BatcherDaemon.h"
+#include "Daemon/AgentFleet.h"
 #include "Daemon/DaemonContext.h"
 #include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
-#include "Gateway/AgentFleet.h"
 #include "Jobs/TableIntentLedger.h"
 
 #include <utility>
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,7 +1,7 @@
+#include "Daemon/AgentFleet.h"
 #include "Daemon/DaemonContext.h"
 #include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
-#include "Gateway/AgentFleet.h"
 #include "Gateway/GatewayDaemon.h"
 #include "Jobs/TableIntentLedger.h"
 #include "Jobs/TableJobService.h"
--- a/Utilities/Capacity/StreamProbes.cpp
+++ b/Utilities/Capacity/StreamProbes.cpp
@@ -1,7 +1,7 @@
 #include "Backends/EngineProtocol.h"
 #include "Backends/EventStreamParser.h"
 #include "CapacityReport.h"
-#include "Gateway/CompletionWriter.h"
+#include "Completions/CompletionWriter.h"
 #include "Probes.h"
 
 #include <string>
