Daemon: Share the link to the controller between three daemons

Three programs made the same agent and the same metric.

Change: DaemonFleet owns the agent and shows settings_version.

--- a/Source/Dispatcher/DispatcherProgram.cpp
+++ b/Source/Dispatcher/DispatcherProgram.cpp
@@ -1,8 +1,8 @@
 #include "Dispatcher/DispatcherProgram.h"
 
 #include "Backends/HttpBackendPort.h"
-#include "Control/FleetAgent.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/DaemonFleet.h"
 #include "Daemon/ExplainPage.h"
 #include "Dispatcher/DispatcherDaemon.h"
 
@@ -13,20 +13,13 @@
     Context.Log.log(LogLevel::Error, Opened.error().Message);
     return ExitStatus::Refused;
   }
-  const NodeSettings &Node = Context.Options.Node;
-  FleetAgent Fleet(Context.Loop, Context.Peers, Context.Log,
-                   controllerAddress(Node), "dispatcher",
-                   Context.Options.Settings);
+  DaemonFleet Link(Context);
   HttpBackendPort Backends(Context.Loop, Context.Client);
   ExplainPage Records(Context);
   DispatcherDaemon Daemon({Context.Loop, Context.Peers, Backends, Decisions,
-                           Fleet, Records.records(), Context.Log, Context.Stats,
-                           Context.Spans},
-                          Node.Name);
-  Context.onCollect([&Context, &Fleet] {
-    Context.Stats.set("settings_version",
-                      static_cast<double>(Fleet.settings().Version));
-  });
+                           Link.agent(), Records.records(), Context.Log,
+                           Context.Stats, Context.Spans},
+                          Context.Options.Node.Name);
   Daemon.start();
   return Context.run([&Daemon] { Daemon.drain(); },
                      [&Daemon] { return Daemon.isIdle(); });
--- a/Source/Programs/BatcherMain.cpp
+++ b/Source/Programs/BatcherMain.cpp
@@ -1,6 +1,7 @@
 #include "Batcher/BatcherDaemon.h"
 #include "Daemon/AgentFleet.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/DaemonFleet.h"
 #include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
 #include "Jobs/TableIntentLedger.h"
@@ -23,13 +24,8 @@
   TableIntentLedger Intents(Stores.rows(), Context.Time, Context.Ids);
   BatchWorker Worker(Stores.rows(), Stores.objects(), Context.Time,
                      Context.Ids);
-  FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
-                   controllerAddress(Node), "batcher",
-                   Context.Options.Settings);
-  Context.onCollect([&] {
-    Context.Stats.set("settings_version",
-                      static_cast<double>(Agent.settings().Version));
-  });
+  DaemonFleet Link(Context);
+  FleetAgent &Agent = Link.agent();
   const AgentFleet Fleet(Agent);
   ExplainPage Decisions(Context);
   BatcherDaemon Batcher({Context.Loop, Context.Peers, Context.Time, Context.Ids,
--- a/Source/Programs/GatewayMain.cpp
+++ b/Source/Programs/GatewayMain.cpp
@@ -1,5 +1,6 @@
 #include "Daemon/AgentFleet.h"
 #include "Daemon/DaemonContext.h"
+#include "Daemon/DaemonFleet.h"
 #include "Daemon/ExplainPage.h"
 #include "Daemon/PlatformStores.h"
 #include "Gateway/GatewayDaemon.h"
@@ -25,13 +26,8 @@
   TableIntentLedger Intents(Stores.rows(), Context.Time, Context.Ids);
   TableJobService Jobs(Stores.rows(), Stores.objects(), Context.Time,
                        Context.Ids);
-  FleetAgent Agent(Context.Loop, Context.Peers, Context.Log,
-                   controllerAddress(Node), "gateway",
-                   Context.Options.Settings);
-  Context.onCollect([&] {
-    Context.Stats.set("settings_version",
-                      static_cast<double>(Agent.settings().Version));
-  });
+  DaemonFleet Link(Context);
+  FleetAgent &Agent = Link.agent();
   const AgentFleet Fleet(Agent);
   ExplainPage Decisions(Context);
   GatewayDaemon Gateway({Context.Loop, Callers, Context.Peers, Context.Time,
