--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -146,7 +146,7 @@
   if (this->Ports.Fleet.quarantined().contains(Request->Work.Fingerprint))
     return this->Ports.Worker.finish(
         Item.Id, endedWith(Request->CustomId, "quarantined",
-                           "Servers crashed while they ran this item."));
+                           "Servers crashed while they ran equal items."));
   if (!this->hasRoom(Request->Work.Service)) {
     this->BlockedJobs.insert(Item.JobId);
     this->Blocked[Item.JobId] = std::move(Item);
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -99,7 +99,7 @@
   if (this->Ports.Fleet.quarantined().count(Request.Work.Fingerprint)) {
     this->refuse(Exchange,
                  {422, "quarantined", "Equal requests made servers crash",
-                  "Servers crashed while they ran this request.",
+                  "Servers crashed while they ran equal requests.",
                   Execution::NotRun, 0},
                  Id);
     return false;
