Bench: Kill a server with 32 requests in flight

Cause: the scenario of a killed server had eight in flight.

Change: crash-32 runs engines of 40 slots with longer answers and notes how many ran when the server was killed.

--- a/Utilities/bench_fleet.py
+++ b/Utilities/bench_fleet.py
@@ -65,10 +65,10 @@
 class BenchFleet(Fleet):
     """Starts the benchmark's fleet, with a baseline policy or without."""
 
-    def __init__(self, work, policy=None, load_lag_ms=500, token_ms=TOKEN_MS):
+    def __init__(self, work, policy=None, load_lag_ms=500, token_ms=TOKEN_MS, slots=SLOTS):
         folder = pathlib.Path(work) / "settings"
         folder.mkdir(parents=True)
-        for name, text in settings_files().items():
+        for name, text in settings_files(slots=slots).items():
             (folder / name).write_text(text)
         options = ["--token-ms", token_ms, "--load-lag-ms", load_lag_ms]
         super().__init__(folder, pathlib.Path(work) / "logs", options)
--- a/Utilities/bench_scenarios.py
+++ b/Utilities/bench_scenarios.py
@@ -1,10 +1,12 @@
 """The measured scenarios. Each gives rows of measured ratios and counts."""
 
 import dataclasses
+import json
 import signal
 import time
 
 from bench_fleet import ZONES, batch, online, run_fleet
+from fleet import call
 
 # Offered online load, requests a second: about half of the fleet's slots.
 ONLINE_RATE = 150
@@ -224,6 +226,30 @@
     ]
 
 
+def crash_with_32_in_flight(seed):
+    """A server with 32 requests in flight is killed."""
+    # 150 requests a second of 64 tokens at 40 ms are 32 for each engine.
+    stream = online(150, RUN_MS, max_tokens=64)
+    running = []
+
+    def action(fleet):
+        victim = fleet.engines()[0]
+
+        def kill():
+            address = fleet.settings["servers"][victim]["address"]
+            running.append(json.loads(call(address, "GET", "/stats")[2])["running"])
+            fleet.kill(victim)
+
+        return fleet.load([stream], seed, [(6.0, kill)])
+
+    report = run_fleet(action, slots=40, token_ms=40)
+    return [
+        Row("server with 32 in flight killed", "failed or cut requests", failures(report),
+            "<= 0", {}, {"in_flight": running, "p99_ms": p99(report),
+                         "max_ms": report["streams"]["online"]["total_ms"]["max"]})
+    ]
+
+
 def burst_onto_batch(seed):
     """A burst of online work onto a fleet full of batch work."""
     # Some online work goes on all the time, so that windows are grown.
@@ -321,6 +347,7 @@
     "slowed-late": slowed_late_reports,
     "slowed-moving": slowed_moving,
     "crash": crash_in_flight,
+    "crash-32": crash_with_32_in_flight,
     "burst": burst_onto_batch,
     "dispatcher": dispatcher_killed,
     "zone": zone_cut_off,
