Admission: Perform a life cycle's actions in one place

Cause: read-through. Gateway and batcher had the same loop over the actions of a call, with its rule that an action may end the call.

Change: performActions in Admission serves both. Behaviour is the same. Also looked at and left: the twins in the stand-ins and in the command line's option parsing, which share set-up lines and not logic.

--- a/Source/Batcher/BatcherDaemon.cpp
+++ b/Source/Batcher/BatcherDaemon.cpp
@@ -1,6 +1,7 @@
 #include "Batcher/BatcherDaemon.h"
 
 #include "Admission/FleetSource.h"
+#include "Admission/PerformActions.h"
 #include "Batcher/FinishRule.h"
 #include "Control/DecisionLog.h"
 #include "Jobs/BatchItem.h"
@@ -280,16 +281,10 @@
 
 void BatcherDaemon::perform(ItemCall &Call) {
   const std::string Id = Call.Request.Work.RequestId;
-  while (ItemCall *Same = this->find(Id)) {
-    std::vector<LifeCycleAction> Actions = Same->Life.takeActions();
-    if (Actions.empty())
-      return;
-    for (LifeCycleAction &Action : Actions) {
-      this->performOne(*Same, std::move(Action));
-      if (!this->find(Id))
-        return;
-    }
-  }
+  performActions([this, &Id] { return this->find(Id); },
+                 [this](ItemCall &Same, LifeCycleAction Action) {
+                   this->performOne(Same, std::move(Action));
+                 });
 }
 
 void BatcherDaemon::performOne(ItemCall &Call, LifeCycleAction Action) {
--- a/Source/Gateway/OnlineCalls.cpp
+++ b/Source/Gateway/OnlineCalls.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/OnlineCalls.h"
 
 #include "Admission/FleetSource.h"
+#include "Admission/PerformActions.h"
 #include "Core/Hash.h"
 #include "Gateway/CallerAnswer.h"
 #include "Gateway/IntentProblem.h"
@@ -360,18 +361,11 @@
 }
 
 void OnlineCalls::perform(Call &Open) {
-  // A failed send decides the next step at once, and so makes new actions.
   const std::string Id = Open.Life.work().RequestId;
-  while (Call *Same = this->find(Id)) {
-    std::vector<LifeCycleAction> Actions = Same->Life.takeActions();
-    if (Actions.empty())
-      return;
-    for (LifeCycleAction &Action : Actions) {
-      this->performOne(*Same, std::move(Action));
-      if (!this->find(Id))
-        return;
-    }
-  }
+  performActions([this, &Id] { return this->find(Id); },
+                 [this](Call &Same, LifeCycleAction Action) {
+                   this->performOne(Same, std::move(Action));
+                 });
 }
 
 void OnlineCalls::performOne(Call &Open, LifeCycleAction Action) {
