BatchJobs: Drop results that an unanswered commit has listed

Cause: when the answer to a commit was lost and the commit was made, the owner kept its results and listed them again at later positions. Now the owner compares the listed count of the stored head with its own and drops what the store already has. Ruled out: a second owner, since the item came from one VM only.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -46,6 +46,20 @@
 /// is known to within a call's duration.
 constexpr std::int64_t RetentionMarginMs = 1000;
 
+/// Takes over the head as it is in the store. Only the owner lists results, and
+/// in the order of Uncommitted, so results that the store has beyond those
+/// known here came with an own commit whose answer was lost.
+void adoptHead(OwnedJob &Job, const KnownJob &Known) {
+  if (Known.Version <= Job.Version)
+    return;
+  const auto Landed = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(
+      Known.Head.ListedItems - Job.Head.ListedItems, Job.Uncommitted.size()));
+  Job.Uncommitted.erase(Job.Uncommitted.begin(),
+                        Job.Uncommitted.begin() + Landed);
+  Job.Version = Known.Version;
+  Job.Head = Known.Head;
+}
+
 } // namespace
 
 JobRunner::JobRunner(RunnerParts Parts) : With(std::move(Parts)) {}
@@ -64,7 +78,7 @@
 void JobRunner::own(const std::string &JobId) {
   const KnownJob *Known = this->With.Book.find(JobId);
   if (!Known || this->Releasing || !Known->Head.isOpen() ||
-      this->Jobs.contains(JobId))
+      Known->Head.Owner != this->With.Self || this->Jobs.contains(JobId))
     return;
   OwnedJob &Job = this->Jobs[JobId];
   Job.Head = Known->Head;
@@ -164,11 +178,8 @@
       this->drop(JobId, "another VM owns the job");
     else if (Known->Head.Ended)
       this->drop(JobId, "its caller ended the job");
-    else if (Known->Version > Found->second.Version &&
-             !Found->second.Committing) {
-      Found->second.Version = Known->Version;
-      Found->second.Head = Known->Head;
-    }
+    else if (!Found->second.Committing)
+      adoptHead(Found->second, *Known);
   }
 }
 
@@ -441,36 +452,30 @@
   for (const ItemRun &Run : Job.Items)
     Tokens.emplace(Run.Item.Id, Run.Item.Tokens);
   JobHead Head = Job.Head;
-  const std::size_t Count = Job.Uncommitted.size();
-  Head.ListedItems += Count;
+  Head.ListedItems += Job.Uncommitted.size();
   for (const ItemResult &Item : Job.Uncommitted)
     Head.ListedTokens += Tokens[Item.ItemId];
   this->With.Store.change(
       JobId, Head, Job.Version, Job.Uncommitted, Job.Head.ListedItems, {},
       this->With.Loop.clock().now() + CommitTime, this->With.Book,
-      [this, JobId, Count](JobStore::ChangeOutcome Outcome) {
-        this->committed(JobId, Count, Outcome);
+      [this, JobId](JobStore::ChangeOutcome Outcome) {
+        this->committed(JobId, Outcome);
       });
 }
 
-void JobRunner::committed(const std::string &JobId, std::size_t Count,
+void JobRunner::committed(const std::string &JobId,
                           JobStore::ChangeOutcome Outcome) {
   const auto Found = this->Jobs.find(JobId);
   if (Found == this->Jobs.end())
     return;
   OwnedJob &Job = Found->second;
   Job.Committing = false;
-  if (Outcome == JobStore::ChangeOutcome::Done) {
-    const KnownJob *Known = this->With.Book.find(JobId);
-    Job.Head = Known->Head;
-    Job.Version = Known->Version;
-    Job.Uncommitted.erase(Job.Uncommitted.begin(),
-                          Job.Uncommitted.begin() +
-                              static_cast<std::ptrdiff_t>(Count));
-    if (!Job.Head.isOpen()) {
-      this->drop(JobId, "all its results are listed");
-      return;
-    }
+  if (const KnownJob *Known = this->With.Book.find(JobId);
+      Known && Known->Head.Owner == this->With.Self)
+    adoptHead(Job, *Known);
+  if (Job.Head.ListedItems >= Job.Head.TotalItems) {
+    this->drop(JobId, "all its results are listed");
+    return;
   }
   // After a conflict the head shows who took the job, or that it ended.
   this->headsChanged({JobId});
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -96,8 +96,7 @@
   void finish(const ItemKey &Key, ItemRun &Run, bool Succeeded,
               std::string_view Why);
   void commit(const std::string &JobId);
-  void committed(const std::string &JobId, std::size_t Count,
-                 JobStore::ChangeOutcome Outcome);
+  void committed(const std::string &JobId, JobStore::ChangeOutcome Outcome);
   const RouteSettings *routeOf(const OwnedJob &Job) const;
 
   RunnerParts With;
