Serving: Count only verified crashes against a request

Cause: an item whose connection broke three times counted as one that crashes its servers and paused for 20 s, although its servers only lost connections or answers.

--- a/Source/BatchJobs/ItemRun.h
+++ b/Source/BatchJobs/ItemRun.h
@@ -38,12 +38,12 @@
   Instant NotBefore;
   /// Answers that say that the item failed.
   int Failures = 0;
-  /// Sends that broke off without a complete answer and without any event.
-  int Breaks = 0;
   EventSplitter Events;
   /// The data of the events so far.
   std::string Output;
   std::optional<std::uint64_t> LastEvent;
+  /// Events of the present send.
+  int NewEvents = 0;
 };
 
 /// A job that this VM owns.
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Loop/EventLoop.h"
+#include "Serving/CrashDetector.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadBook.h"
 #include "Serving/PlacementPolicy.h"
@@ -30,6 +31,10 @@
 /// Callers' streams have pauses of some hundred milliseconds at most.
 constexpr Duration ItemStall = std::chrono::milliseconds(2500);
 
+/// A request that crashes its servers does so when it begins to run. An item
+/// that had more events than this is not suspected when its server crashes.
+constexpr int MostCrashEvents = 2;
+
 /// How long one commit is tried before its outcome is looked at again.
 constexpr Duration CommitTime = std::chrono::seconds(3);
 
@@ -302,6 +307,7 @@
                                        std::to_string(*Run.LastEvent));
   Run.Server = Server->Entry.Id;
   Run.State = ItemState::Running;
+  Run.NewEvents = 0;
   Run.StartedAt = Run.LastEventAt = this->With.Loop.clock().now();
   Run.Sent = this->With.Channels.send(std::move(Order), *this);
   this->Sends.emplace(Run.Sent, Key);
@@ -387,6 +393,7 @@
       Run->Output += '\n';
     Run->Output += Event.Data;
     Run->LastEvent = Event.Id;
+    ++Run->NewEvents;
     Run->LastEventAt = this->With.Loop.clock().now();
   }
 }
@@ -415,8 +422,9 @@
     return;
   this->stop(*Run, false);
   this->With.Servers.failed(Run->Server);
-  if (Failure != SendFailure::NotSent)
-    this->With.Crashes.brokeOff(
+  if (Failure != SendFailure::NotSent && Run->NewEvents <= MostCrashEvents)
+    this->With.Detector.brokeOff(
+        Run->Server,
         CrashRecord::fingerprint(Run->Item.Target, Run->Item.Body));
   this->postpone(Key, *Run, BrokenPause, Detail);
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -12,6 +12,7 @@
 
 namespace turmericpass {
 
+class CrashDetector;
 class CrashRecord;
 class EventLoop;
 class LoadBook;
@@ -30,6 +31,7 @@
   LoadBook &Loads;
   const PlacementPolicy &Placement;
   CrashRecord &Crashes;
+  CrashDetector &Detector;
   const BackendDialect &Dialect;
   Logger &Log;
   Metrics &Stats;
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -12,6 +12,7 @@
 #include "Node/SettingsKeeper.h"
 #include "RawHttp/CallerServer.h"
 #include "Rows/RowFeed.h"
+#include "Serving/CrashDetector.h"
 #include "Serving/OnlineService.h"
 #include "Serving/PlacementPolicy.h"
 #include "Serving/ServerDirectory.h"
@@ -94,6 +95,7 @@
   ServerDirectory Servers;
   LoadBook Loads;
   CrashRecord Crashes;
+  CrashDetector Detector;
   PlacementPolicy Placement;
   PeerBook Peers;
   SettingsKeeper Settings;
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -1,6 +1,7 @@
 #include "Serving/OnlineService.h"
 
 #include "Core/Hash.h"
+#include "Serving/CrashDetector.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadBook.h"
 #include "Serving/PlacementPolicy.h"
@@ -308,7 +309,7 @@
     --Call->Runs;
     ++Call->Refusals;
   } else {
-    this->With.Crashes.brokeOff(Call->Fingerprint);
+    this->With.Detector.brokeOff(Server, Call->Fingerprint);
   }
   this->tryAgain(*Call, Detail);
 }
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -9,6 +9,7 @@
 
 namespace turmericpass {
 
+class CrashDetector;
 class CrashRecord;
 class LoadBook;
 class Logger;
@@ -25,6 +26,7 @@
   LoadBook &Loads;
   const PlacementPolicy &Placement;
   CrashRecord &Crashes;
+  CrashDetector &Detector;
   const BackendDialect &Dialect;
   Logger &Log;
   Metrics &Stats;
