Node: Learn settings and servers from other VMs while the store is away

A VM that the store turns away kept its settings and list of servers until the store served it again, although its neighbours knew newer ones. It now asks a VM whose digest says that it sees the store, or one of the seeds.

--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -41,6 +41,9 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(700);
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
+/// The pace at which a VM that does not see the store asks others.
+constexpr Duration AskPeriod = std::chrono::milliseconds(500);
+
 constexpr Duration ClaimTime = std::chrono::seconds(1);
 
 /// The share of a server's connections that one VM may use is at least this.
@@ -68,7 +71,12 @@
                }),
       Front(Parts.Loop, *this), ReadyAnswers(*this),
       Ready(Parts.Loop, this->ReadyAnswers), MetricsAnswers(*this),
-      MetricsServer(Parts.Loop, this->MetricsAnswers),
+      MetricsServer(Parts.Loop, this->MetricsAnswers), ViewAnswers(*this),
+      ViewServer(Parts.Loop, this->ViewAnswers),
+      Views(Parts.Loop, Parts.Channels,
+            [this](const std::string &From, const StoreView &View) {
+              this->viewReceived(From, View);
+            }),
       Online({Parts.Loop, this->Front, Parts.Channels, this->Servers,
               this->Loads, this->Placement, this->Crashes, this->Detector,
               Parts.Adapter.backendDialect(), Parts.Log, this->Stats}),
@@ -123,12 +131,19 @@
                            })})
     if (!Opened)
       return Opened;
+  // Without this address the others only do not learn from this VM.
+  if (!this->Config.ControlAddress.empty())
+    if (const Result<void> Opened =
+            this->ViewServer.listen(this->Config.ControlAddress);
+        !Opened)
+      return Opened;
   this->SettingsFeed.start();
   this->ServerFeed.start();
   this->JobFeed.start();
   EventLoop &Loop = this->With.Loop;
   Loop.every(SchedulePeriod, [this] { this->tick(); });
   Loop.every(TakeoverPeriod, [this] { this->takeJobs(); });
+  Loop.every(AskPeriod, [this] { this->askPeers(); });
   Loop.every(NodeRowPeriod, [this] { this->writeNodeRow(); });
   this->With.Log.log(LogLevel::Info, "The node starts.",
                      {{"incarnation", this->Self},
@@ -155,6 +170,49 @@
       this->Node.Stats.render());
 }
 
+void ServingNode::ViewHandler::requested(CallerId Id, RawRequest Request) {
+  if (Request.Target != PeerViewClient::Path || !this->Node.seesStore()) {
+    this->Node.ViewServer.reply(Id, Unavailable, {}, "the store is not seen");
+    return;
+  }
+  StoreView View;
+  View.Settings = this->Node.Settings.document();
+  for (const auto &[Server, Row] : this->Node.ServerRows)
+    View.Servers.push_back(Row);
+  this->Node.ViewServer.reply(Id, Ok, {}, encodeView(View));
+}
+
+bool ServingNode::seesStore() const {
+  return this->Settings.current() && this->SettingsFeed.isCurrent() &&
+         this->ServerFeed.isCurrent();
+}
+
+void ServingNode::askPeers() {
+  if (this->seesStore())
+    return;
+  // Ports are the same on every VM.
+  const std::string Port = this->Config.ControlAddress.substr(
+      this->Config.ControlAddress.find(':') + 1);
+  std::vector<std::string> Candidates;
+  for (const PeerBook::Source &Peer : this->Peers.informed())
+    Candidates.push_back(Peer.Address.substr(0, Peer.Address.find(':') + 1) +
+                         Port);
+  if (Candidates.empty())
+    Candidates = this->Config.Seeds;
+  std::erase(Candidates, this->Config.ControlAddress);
+  if (!Candidates.empty())
+    this->Views.ask(Candidates[this->With.Ids.number() % Candidates.size()]);
+}
+
+void ServingNode::viewReceived(const std::string &From, const StoreView &View) {
+  if (this->seesStore())
+    return;
+  this->Settings.offer(View.Settings, From);
+  this->With.Log.log(LogLevel::Info, "Another node told its list of servers.",
+                     {{"from", From}, {"servers", View.Servers.size()}});
+  this->serversListed(View.Servers, false);
+}
+
 void ServingNode::requested(CallerId Id, RawRequest Request) {
   const BackendDialect &Dialect = this->With.Adapter.backendDialect();
   const std::string RequestId(rawHeader(Request.Headers, Dialect.RequestId));
@@ -237,6 +295,9 @@
 
 void ServingNode::serversListed(const std::vector<StoredRow> &Rows, bool Gap) {
   std::vector<ServerEntry> Entries;
+  this->ServerRows.clear();
+  for (const StoredRow &Row : Rows)
+    this->ServerRows[Row.Key] = Row;
   for (const StoredRow &Row : Rows)
     if (std::optional<ServerEntry> Entry = this->readServer(Row))
       Entries.push_back(std::move(*Entry));
@@ -250,6 +311,10 @@
 
 void ServingNode::serverRows(const std::vector<StoredRow> &Rows) {
   for (const StoredRow &Row : Rows) {
+    if (Row.Removed)
+      this->ServerRows.erase(Row.Key);
+    else
+      this->ServerRows[Row.Key] = Row;
     std::optional<ServerEntry> Entry;
     if (!Row.Removed)
       Entry = this->readServer(Row);
@@ -324,8 +389,7 @@
   Digest.Sequence = ++this->DigestSequence;
   Digest.SettingsVersion = this->Settings.version();
   Digest.Stopping = this->StoppingSince.has_value();
-  Digest.StoreInReach =
-      this->SettingsFeed.isCurrent() && this->ServerFeed.isCurrent();
+  Digest.StoreInReach = this->seesStore();
   Digest.Use = this->Loads.ownAll();
   Digest.Crashes = this->Crashes.toShare(SharedCrashes);
   const std::string Bytes = encodeDigest(Digest);
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -9,6 +9,7 @@
 #include "Node/DigestPort.h"
 #include "Node/NodeConfig.h"
 #include "Node/PeerBook.h"
+#include "Node/PeerView.h"
 #include "Node/SettingsKeeper.h"
 #include "RawHttp/CallerServer.h"
 #include "Rows/RowFeed.h"
@@ -71,7 +72,21 @@
     ServingNode &Node;
   };
 
+  /// Tells other VMs what the store says, if this one sees it.
+  class ViewHandler : public CallerHandler {
+  public:
+    explicit ViewHandler(ServingNode &Node) : Node(Node) {}
+    void requested(CallerId Id, RawRequest Request) override;
+    void callerLeft(CallerId) override {}
+
+  private:
+    ServingNode &Node;
+  };
+
   bool isReady() const;
+  bool seesStore() const;
+  void askPeers();
+  void viewReceived(const std::string &From, const StoreView &View);
   void settingsAdopted(const ServingSettings &Settings);
   void limitConnections();
   void settingsRows(const std::vector<StoredRow> &Rows);
@@ -104,6 +119,9 @@
   CallerServer Ready;
   MetricsHandler MetricsAnswers;
   CallerServer MetricsServer;
+  ViewHandler ViewAnswers;
+  CallerServer ViewServer;
+  PeerViewClient Views;
   OnlineService Online;
   JobBook Book;
   JobStore Jobs;
@@ -118,6 +136,8 @@
   /// Other VMs as the store lists them: address and the store's time of their
   /// last refresh.
   std::map<std::string, std::int64_t> NodeRows;
+  /// The list of servers as it was read, for VMs that cannot read it.
+  std::map<std::string, StoredRow> ServerRows;
   bool ServersKnown = false;
   bool JobsKnown = false;
   Instant StartedAt;
--- /dev/null
+++ b/Tests/Support/FakeCallers.h
@@ -0,0 +1,40 @@
+#ifndef TURMERICPASS_TESTS_SUPPORT_FAKECALLERS_H
+#define TURMERICPASS_TESTS_SUPPORT_FAKECALLERS_H
+
+#include "RawHttp/CallerPort.h"
+
+#include <map>
+#include <string>
+
+namespace turmericpass {
+
+/// CallerPort that keeps what callers would get.
+class FakeCallers : public CallerPort {
+public:
+  struct Answer {
+    int Status = 0;
+    HttpHeaders Headers;
+    std::string Body;
+    bool Complete = false;
+    bool Broken = false;
+  };
+  std::map<CallerId, Answer> Answers;
+
+  void reply(CallerId Id, int Status, const HttpHeaders &Headers,
+             std::string_view Body) override {
+    this->Answers[Id] = {Status, Headers, std::string(Body), true, false};
+  }
+  void sendHead(CallerId Id, int Status, const HttpHeaders &Headers,
+                std::optional<std::uint64_t>) override {
+    this->Answers[Id] = {Status, Headers, "", false, false};
+  }
+  void sendPiece(CallerId Id, std::string_view Bytes) override {
+    this->Answers[Id].Body.append(Bytes);
+  }
+  void finish(CallerId Id) override { this->Answers[Id].Complete = true; }
+  void breakOff(CallerId Id) override { this->Answers[Id].Broken = true; }
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Tests/Support/MemoryRowStore.h
@@ -0,0 +1,140 @@
+#ifndef TURMERICPASS_TESTS_SUPPORT_MEMORYROWSTORE_H
+#define TURMERICPASS_TESTS_SUPPORT_MEMORYROWSTORE_H
+
+#include "Loop/EventLoop.h"
+#include "Rows/RowStore.h"
+
+#include <deque>
+#include <map>
+#include <tuple>
+
+namespace turmericpass {
+
+/// What happens to the next transaction.
+enum class RowFault {
+  None,
+  /// It is made, and its answer is lost.
+  AnswerLost,
+  /// Its answer is lost, and it is made when applyLate() is called, if its
+  /// conditions still hold.
+  MadeLate,
+  /// The store refuses it.
+  Refused,
+};
+
+/// A RowStore in memory. Answers come from the loop.
+class MemoryRowStore : public RowStore {
+public:
+  explicit MemoryRowStore(EventLoop &Loop) : Loop(Loop) {}
+
+  /// Faults of the next transactions, in order.
+  std::deque<RowFault> Faults;
+  /// Reads fail while it is set.
+  bool Away = false;
+  int Transactions = 0;
+
+  void transact(RowTransaction Change, TransactDone Done) override {
+    ++this->Transactions;
+    RowFault Fault = RowFault::None;
+    if (!this->Faults.empty()) {
+      Fault = this->Faults.front();
+      this->Faults.pop_front();
+    }
+    TransactionResult Answer;
+    if (Fault == RowFault::Refused)
+      Answer.Outcome = TransactionOutcome::NotDone;
+    else if (Fault == RowFault::MadeLate)
+      this->Late.push_back(Change);
+    else
+      Answer = this->apply(Change);
+    if (Fault == RowFault::AnswerLost || Fault == RowFault::MadeLate)
+      Answer = TransactionResult();
+    this->Loop.after(Duration(0),
+                     [Answer = std::move(Answer), Done = std::move(Done)] {
+                       Done(Answer);
+                     });
+  }
+
+  /// Makes the transactions that were held back.
+  void applyLate() {
+    for (const RowTransaction &Change : std::exchange(this->Late, {}))
+      this->apply(Change);
+  }
+
+  void read(RowRange Range, PageDone Done) override {
+    Result<RowPage> Page = RowPage();
+    if (this->Away)
+      Page = failure(ErrorCode::Unavailable, "The store is away.");
+    for (const auto &[Name, Row] : this->Rows) {
+      const auto &[Table, Part, Key] = Name;
+      if (!Page || Table != Range.Table || Part != Range.Part ||
+          Key < Range.From || (!Range.To.empty() && Key >= Range.To))
+        continue;
+      if (Page->Rows.size() >= Range.Limit) {
+        Page->Truncated = true;
+        break;
+      }
+      Page->Rows.push_back(Row);
+    }
+    if (Page)
+      Page->Version = this->Version;
+    this->Loop.after(Duration(0),
+                     [Page = std::move(Page), Done = std::move(Done)] {
+                       Done(Page);
+                     });
+  }
+
+  void changes(std::string, std::uint64_t, Duration, PageDone) override {}
+
+  /// Writes a row without any condition, as the operator does.
+  void put(const std::string &Table, const std::string &Part,
+           const std::string &Key, const std::string &Value) {
+    this->Rows[{Table, Part, Key}] = {Table, Part,  Key,
+                                      Value, ++this->Version, false};
+  }
+
+  std::size_t count(const std::string &Table, const std::string &KeyPrefix) {
+    std::size_t Found = 0;
+    for (const auto &[Name, Row] : this->Rows)
+      if (Row.Table == Table && Row.Key.starts_with(KeyPrefix))
+        ++Found;
+    return Found;
+  }
+
+private:
+  TransactionResult apply(const RowTransaction &Change) {
+    TransactionResult Answer;
+    bool Holds = true;
+    for (const RowCondition &Each : Change.Conditions) {
+      const auto Found =
+          this->Rows.find({Each.Table, Change.Part, Each.Key});
+      const bool Absent = Found == this->Rows.end();
+      if ((Absent ? 0 : Found->second.Version) != Each.Version)
+        Holds = false;
+      if (!Absent)
+        Answer.Current.push_back(Found->second);
+    }
+    if (!Holds) {
+      Answer.Outcome = TransactionOutcome::Conflict;
+      return Answer;
+    }
+    Answer.Current.clear();
+    Answer.Outcome = TransactionOutcome::Committed;
+    Answer.Version = ++this->Version;
+    for (const RowWrite &Each : Change.Writes)
+      this->Rows[{Each.Table, Change.Part, Each.Key}] = {
+          Each.Table, Change.Part, Each.Key, Each.Value, Answer.Version, false};
+    for (const RowRemoval &Each : Change.Removals)
+      this->Rows.erase({Each.Table, Change.Part, Each.Key});
+    return Answer;
+  }
+
+  EventLoop &Loop;
+  std::map<std::tuple<std::string, std::string, std::string>, StoredRow> Rows;
+  std::vector<RowTransaction> Late;
+  std::uint64_t Version = 0;
+};
+
+} // namespace turmericpass
+
+#endif
--- /dev/null
+++ b/Tests/Support/RunnerBench.h
@@ -0,0 +1,109 @@
+#ifndef TURMERICPASS_TESTS_SUPPORT_RUNNERBENCH_H
+#define TURMERICPASS_TESTS_SUPPORT_RUNNERBENCH_H
+
+#include "BatchJobs/JobRunner.h"
+#include "Core/IdSource.h"
+#include "Loop/EventLoop.h"
+#include "Serving/CrashDetector.h"
+#include "Serving/CrashRecord.h"
+#include "Serving/LoadBook.h"
+#include "Serving/PlacementPolicy.h"
+#include "Serving/ServerDirectory.h"
+#include "Support/FakeChannels.h"
+#include "Support/MemoryRowStore.h"
+#include "Support/RunUntil.h"
+#include "Telemetry/Logger.h"
+#include "Telemetry/Metrics.h"
+
+namespace turmericpass {
+
+/// A JobRunner with a store in memory and servers that the test plays.
+struct RunnerBench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  MemoryRowStore Rows{Loop};
+  FakeChannels Channels;
+  NullLogger Log;
+  Metrics Stats;
+  IdSource Ids{7};
+  BackendDialect Dialect;
+  ServerDirectory Servers{Time};
+  LoadBook Loads{"self"};
+  CrashRecord Crashes{Time};
+  ServingSettings Settings;
+  CrashDetector Detector{Loop,    Channels, Servers,
+                         Crashes, Log,      [this] { return &this->Settings; }};
+  PlacementPolicy Placement{Time, Servers, Loads, "a", "self"};
+  JobBook Book{Log};
+  JobStore Store{Loop, Rows, Ids, Log};
+  std::int64_t StoreNow = 0;
+  JobRunner Runner;
+
+  RunnerBench()
+      : Runner({Loop, Channels, Store, Book, Servers, Loads, Placement, Crashes,
+                Detector, Dialect, Log, Stats,
+                [this] { return &this->Settings; },
+                [this] { return this->StoreNow; }, "self"}) {
+    Dialect.RequestId = "Id";
+    Dialect.RemainingMs = "Remaining";
+    Dialect.ExpectedServer = "Server";
+    Dialect.NotRun = "Not-Run";
+    Dialect.LastEventId = "After";
+    Dialect.RetryAfter = "Retry-After";
+    RouteSettings Route;
+    Route.Name = "jobs";
+    Route.Host = "h";
+    Route.PathPrefix = "/";
+    Route.Kind = RequestKind::Batch;
+    Route.MaxAttempts = 3;
+    Route.Services = {{"model", 1}};
+    Settings.Routes = {Route};
+    Servers.update({"s1", "model", "127.0.0.1:1", "a", 8, false, 1});
+  }
+
+  /// Accepts a job of \p Count items and lets the runner start them.
+  bool startJob(const std::string &JobId, std::size_t Count) {
+    JobHead Head;
+    Head.Host = "h";
+    Head.Target = "/";
+    Head.Route = "jobs";
+    Head.Owner = "self";
+    Head.Epoch = 1;
+    Head.TotalItems = Count;
+    std::vector<JobItem> Items;
+    for (std::size_t I = 0; I < Count; ++I)
+      Items.push_back({"item" + std::to_string(I), "/x", {}, "body", 10});
+    Head.TotalTokens = 10 * Count;
+    bool Accepted = false;
+    Store.accept(JobId, Head, Items, Book.admissionVersion("jobs"),
+                 Time.now() + std::chrono::seconds(5), Book,
+                 [&](JobStore::ChangeOutcome Outcome) {
+                   Accepted = Outcome == JobStore::ChangeOutcome::Done;
+                   Runner.own(JobId);
+                 });
+    const std::size_t Before = Channels.All.size();
+    return runUntil(Loop, [&] {
+      return Accepted && Channels.All.size() == Before + Count;
+    });
+  }
+
+  /// Plays a whole answer of two events to request \p Id.
+  void complete(SendId Id) {
+    Channels.head(Id, 200, {{"Content-Type", "text/event-stream"}});
+    Channels.body(Id, "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+    Channels.done(Id);
+  }
+
+  std::vector<ItemResult> results(const std::string &JobId) {
+    std::optional<std::vector<ItemResult>> Read;
+    Store.readResults(JobId, 0, 0, [&](Result<std::vector<ItemResult>> Found) {
+      Read = Found ? *Found : std::vector<ItemResult>();
+    });
+    runUntil(Loop, [&] { return Read.has_value(); });
+    return *Read;
+  }
+};
+
+} // namespace turmericpass
+
+#endif
