Node: Accept no more connections 3.2 s after SIGTERM

Cause: while more than half of a zone's VMs stop, the balancer sends callers to stopping ones too. A request that came 6 s after SIGTERM was cut 0.3 s before the SIGKILL.

--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -37,8 +37,12 @@
 
 /// The balancer needs two misses, a second apart, to send no more callers.
 constexpr Duration LeaveRotationTime = std::chrono::milliseconds(2600);
+/// When no more connections are accepted. The balancer may send callers to a
+/// stopping VM for as long as most VMs of its zone stop, and their requests
+/// would not end before the SIGKILL.
+constexpr Duration StopAcceptingTime = std::chrono::milliseconds(3200);
 /// Kept off the time of the SIGKILL.
-constexpr Duration StopMargin = std::chrono::milliseconds(700);
+constexpr Duration StopMargin = std::chrono::milliseconds(300);
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
 /// The pace at which a VM that does not see the store asks others.
@@ -473,6 +477,8 @@
   const Duration Since = this->With.Loop.clock().now() - *this->StoppingSince;
   if (Since >= LeaveRotationTime)
     this->Front.closeIdle();
+  if (Since >= StopAcceptingTime)
+    this->Front.closeListener();
   const bool Idle =
       this->Front.openRequests() == 0 && this->Front.openConnections() == 0;
   if ((Since >= LeaveRotationTime + StopCheckPeriod && Idle) ||
--- a/Source/RawHttp/CallerServer.cpp
+++ b/Source/RawHttp/CallerServer.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <utility>
 #include <vector>
 
 namespace turmericpass {
@@ -30,8 +31,7 @@
 
 CallerServer::~CallerServer() {
   this->Connections.clear();
-  if (this->Listener)
-    evconnlistener_free(this->Listener);
+  this->closeListener();
 }
 
 Result<void> CallerServer::listen(const std::string &Address) {
@@ -97,6 +97,11 @@
     Connection->breakOff();
 }
 
+void CallerServer::closeListener() {
+  if (this->Listener)
+    evconnlistener_free(std::exchange(this->Listener, nullptr));
+}
+
 void CallerServer::closeIdle() {
   for (auto &[Id, Connection] : this->Connections)
     if (Connection->isIdle())
--- a/Source/RawHttp/CallerServer.h
+++ b/Source/RawHttp/CallerServer.h
@@ -41,6 +41,9 @@
   /// From now on each answer is the last one of its connection.
   void startDraining() { this->Draining = true; }
 
+  /// Accepts no more connections.
+  void closeListener();
+
   /// Closes the connections that wait for a request.
   void closeIdle();
 
