Node, BatchJobs: Spend less on store calls, digests and connections

Jobs' changes are read every 120 ms. The admission row holds the sum of accepted tokens, so that a conflict needs no wait for the feed. Digests to other zones go out every 5 ms for each VM. A server with free slots and an idle connection is preferred.

--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -26,9 +26,9 @@
 /// The time of a submission whose caller does not say how long it waits.
 constexpr Duration DefaultSubmitTime = std::chrono::seconds(4);
 
-/// After a conflict with another acceptance the feed brings it in some
-/// milliseconds.
-constexpr Duration AdmissionPause = std::chrono::milliseconds(25);
+/// The pause after a conflict with another acceptance, which brought the
+/// admission row as it is now.
+constexpr Duration AdmissionPause = std::chrono::milliseconds(5);
 
 /// The results of one answer.
 constexpr std::size_t AnswerBytes = std::size_t{700} << 10U;
@@ -133,8 +133,7 @@
           this->With.Loop.clock().now() - Job->Arrived)
           .count();
   this->With.Store.accept(
-      Job->JobId, Job->Head, Job->Items,
-      this->With.Book.admissionVersion(Route), Job->Until, this->With.Book,
+      Job->JobId, Job->Head, Job->Items, Job->Until, this->With.Book,
       [this, Job](JobStore::ChangeOutcome Outcome) {
         this->acceptDone(Job, Outcome);
       });
--- a/Source/BatchJobs/JobBook.cpp
+++ b/Source/BatchJobs/JobBook.cpp
@@ -2,6 +2,7 @@
 
 #include "Telemetry/Logger.h"
 
+#include <cstdlib>
 #include <set>
 
 namespace turmericpass {
@@ -46,9 +47,12 @@
 
 void JobBook::apply(const StoredRow &Row, std::vector<std::string> &Changed) {
   if (Row.Key.starts_with(AdmissionPrefix)) {
-    std::uint64_t &Known =
-        this->AdmissionVersions[Row.Key.substr(AdmissionPrefix.size())];
-    Known = Row.Removed ? 0 : std::max(Known, Row.Version);
+    Admission &Known =
+        this->Admissions[Row.Key.substr(AdmissionPrefix.size())];
+    if (Row.Removed)
+      Known = Admission();
+    else if (Row.Version > Known.Version)
+      Known = {Row.Version, std::strtoull(Row.Value.c_str(), nullptr, 10)};
     return;
   }
   if (!Row.Key.starts_with(HeadPrefix))
@@ -80,17 +84,19 @@
              : &Found->second;
 }
 
-std::uint64_t JobBook::waitingTokens(const std::string &Route) const {
-  std::uint64_t Sum = 0;
-  for (const auto &[JobId, Known] : this->Jobs)
-    if (Known.Head.Route == Route && Known.Head.isOpen())
-      Sum += Known.Head.TotalTokens - Known.Head.ListedTokens;
-  return Sum;
+JobBook::Admission JobBook::admission(const std::string &Route) const {
+  const auto Found = this->Admissions.find(Route);
+  return Found == this->Admissions.end() ? Admission() : Found->second;
 }
 
-std::uint64_t JobBook::admissionVersion(const std::string &Route) const {
-  const auto Found = this->AdmissionVersions.find(Route);
-  return Found == this->AdmissionVersions.end() ? 0 : Found->second;
+std::uint64_t JobBook::waitingTokens(const std::string &Route) const {
+  std::uint64_t Done = 0;
+  for (const auto &[JobId, Known] : this->Jobs)
+    if (Known.Head.Route == Route)
+      Done += Known.Head.isOpen() ? Known.Head.ListedTokens
+                                  : Known.Head.TotalTokens;
+  const std::uint64_t Accepted = this->admission(Route).AcceptedTokens;
+  return Accepted > Done ? Accepted - Done : 0;
 }
 
 } // namespace turmericpass
--- a/Source/BatchJobs/JobBook.h
+++ b/Source/BatchJobs/JobBook.h
@@ -32,14 +32,19 @@
   const KnownJob *find(const std::string &JobId) const;
   const std::map<std::string, KnownJob> &all() const { return this->Jobs; }
 
-  /// The tokens of items that are accepted under \p Route, not listed and not
-  /// ended. An item that finished but is not listed counts still.
+  /// What every acceptance under a route rewrites, so that two of them never
+  /// pass unseen by each other.
+  struct Admission {
+    std::uint64_t Version = 0;
+    /// The tokens of all jobs that were ever accepted and are in the store.
+    std::uint64_t AcceptedTokens = 0;
+  };
+  Admission admission(const std::string &Route) const;
+
+  /// The tokens that may wait under \p Route: those accepted less those known
+  /// to be listed or ended. A book that lags counts too many, never too few.
   std::uint64_t waitingTokens(const std::string &Route) const;
 
-  /// The version of the row that each acceptance under \p Route rewrites. A
-  /// transaction on this version sees every job accepted before.
-  std::uint64_t admissionVersion(const std::string &Route) const;
-
   /// Keys of the rows in the table of heads.
   static std::string headKey(const std::string &JobId);
   static std::string admissionKey(const std::string &Route);
@@ -49,7 +54,7 @@
 
   Logger &Log;
   std::map<std::string, KnownJob> Jobs;
-  std::map<std::string, std::uint64_t> AdmissionVersions;
+  std::map<std::string, Admission> Admissions;
 };
 
 } // namespace turmericpass
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -113,8 +113,7 @@
     : Loop(Loop), Rows(Rows), Ids(Ids), Log(Log) {}
 
 void JobStore::accept(const std::string &JobId, JobHead Head,
-                      const std::vector<JobItem> &Items,
-                      std::uint64_t AdmissionVersion, Instant Until,
+                      const std::vector<JobItem> &Items, Instant Until,
                       JobBook &Book, ChangeDone Done) {
   auto Tried = std::make_shared<Attempt>();
   Tried->JobId = JobId;
@@ -124,11 +123,13 @@
   Tried->Done = std::move(Done);
   RowTransaction &Change = Tried->Change;
   Change.Part = Part;
-  const std::string Admission = JobBook::admissionKey(Head.Route);
+  const std::string Key = JobBook::admissionKey(Head.Route);
+  const JobBook::Admission Before = Book.admission(Head.Route);
   Change.Conditions = {{HeadTable, JobBook::headKey(JobId), 0},
-                       {HeadTable, Admission, AdmissionVersion}};
+                       {HeadTable, Key, Before.Version}};
   Change.Writes = {{HeadTable, JobBook::headKey(JobId), encodeHead(Head)},
-                   {HeadTable, Admission, JobId}};
+                   {HeadTable, Key,
+                    std::to_string(Before.AcceptedTokens + Head.TotalTokens)}};
   addValue(Change, itemsPrefix(JobId), encodeItems(Items));
   this->attempt(std::move(Tried));
 }
@@ -188,11 +189,7 @@
     Tried.Book->update(Written);
     Outcome = ChangeOutcome::Done;
   } else if (Answer.Outcome == TransactionOutcome::Conflict) {
-    // Only the head: the newer admission row would vouch for jobs that the
-    // book has not seen.
-    for (const StoredRow &Row : Answer.Current)
-      if (Row.Key == JobBook::headKey(Tried.JobId))
-        Tried.Book->update({Row});
+    Tried.Book->update(Answer.Current);
     const KnownJob *Known = Tried.Book->find(Tried.JobId);
     Outcome = Known && Known->Head.WriteId == Tried.WriteId
                   ? ChangeOutcome::Done
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -39,11 +39,11 @@
   };
   using ChangeDone = std::function<void(ChangeOutcome)>;
 
-  /// Writes a new job on condition that \p Route's admission row still has
-  /// \p AdmissionVersion and that there is no such job. Tries until \p Until.
+  /// Writes a new job on condition that its route's admission row is as \p Book
+  /// has it and that there is no such job. Tries until \p Until.
   void accept(const std::string &JobId, JobHead Head,
-              const std::vector<JobItem> &Items, std::uint64_t AdmissionVersion,
-              Instant Until, JobBook &Book, ChangeDone Done);
+              const std::vector<JobItem> &Items, Instant Until, JobBook &Book,
+              ChangeDone Done);
 
   /// Replaces the head whose version is \p Version, and writes \p Results from
   /// position \p First on and \p Progress.
--- a/Source/Node/PeerBook.cpp
+++ b/Source/Node/PeerBook.cpp
@@ -51,10 +51,12 @@
   return Lost;
 }
 
-std::vector<std::string> PeerBook::addresses() const {
+std::vector<std::string> PeerBook::addresses(const std::string &Zone) const {
   std::set<std::string> All(this->Listed.begin(), this->Listed.end());
   for (const auto &[Incarnation, Known] : this->Peers)
-    if (!Known.Silent)
+    if (!Zone.empty() && Known.Digest.Zone != Zone)
+      All.erase(Known.Address);
+    else if (!Known.Silent)
       All.insert(Known.Address);
   return {All.begin(), All.end()};
 }
--- a/Source/Node/PeerBook.h
+++ b/Source/Node/PeerBook.h
@@ -32,12 +32,16 @@
   /// that fell silent since the last call.
   std::vector<std::string> sweep();
 
-  /// Where digests go: listed VMs and those that sent one lately.
-  std::vector<std::string> addresses() const;
+  /// Where digests go: listed VMs and those that sent one lately. With \p Zone,
+  /// without the VMs that are known to be in another zone.
+  std::vector<std::string> addresses(const std::string &Zone = "") const;
 
   /// Incarnations that were heard lately and do not stop, without this VM's.
   std::vector<std::string> alive() const;
 
+  /// How many VMs were heard within the last minute.
+  int count() const { return static_cast<int>(this->Peers.size()); }
+
   /// Whether \p Incarnation was heard lately or is this VM's own.
   bool isAlive(const std::string &Incarnation) const;
 
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -14,8 +14,11 @@
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 
-/// The pace of digests while this VM's load changes, and while it does not.
+/// The pace of digests inside the zone while this VM's load changes.
 constexpr Duration DigestPause = std::chrono::milliseconds(20);
+/// The pace of digests to other zones is this for each VM, since traffic between
+/// zones is dear and grows with the square of the VMs; and the slowest pace.
+constexpr Duration FarDigestPause = std::chrono::milliseconds(5);
 constexpr Duration IdleDigestPause = std::chrono::milliseconds(400);
 
 /// The pace of decisions on batch items.
@@ -45,6 +48,12 @@
 constexpr Duration StopMargin = std::chrono::milliseconds(300);
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
+/// The pauses between two answers with changes. Settings and leaving servers
+/// have a bound of two seconds; heads of jobs change with each result, and every
+/// VM reads every change.
+constexpr Duration UrgentChangePause = std::chrono::milliseconds(15);
+constexpr Duration JobChangePause = std::chrono::milliseconds(120);
+
 /// The pace at which a VM that does not see the store asks others.
 constexpr Duration AskPeriod = std::chrono::milliseconds(500);
 
@@ -67,7 +76,7 @@
       Detector(Parts.Loop, Parts.Channels, this->Servers, this->Crashes,
                Parts.Log, [this] { return this->Settings.current(); }),
       Placement(Parts.Loop.clock(), this->Servers, this->Loads,
-                this->Config.Zone, this->Self),
+                Parts.Channels, this->Config.Zone, this->Self),
       Peers(Parts.Loop.clock(), this->Loads, this->Crashes, this->Self),
       Settings(Parts.Adapter, Parts.Log,
                [this](const ServingSettings &Adopted) {
@@ -97,7 +106,7 @@
            [this] { return this->JobFeed.isCurrent(); }, this->Self}),
       Takeover(Parts.Loop.clock(), this->Self),
       SettingsFeed(Parts.Loop, Parts.Store, Parts.Log,
-                   Parts.Adapter.tables().SettingsTable, "",
+                   Parts.Adapter.tables().SettingsTable, "", UrgentChangePause,
                    {[this](const std::vector<StoredRow> &Rows, bool) {
                       this->settingsRows(Rows);
                     },
@@ -105,7 +114,7 @@
                       this->settingsRows(Rows);
                     }}),
       ServerFeed(Parts.Loop, Parts.Store, Parts.Log,
-                 Parts.Adapter.tables().ServersTable, "",
+                 Parts.Adapter.tables().ServersTable, "", UrgentChangePause,
                  {[this](const std::vector<StoredRow> &Rows, bool Gap) {
                     this->serversListed(Rows, Gap);
                   },
@@ -113,7 +122,7 @@
                     this->serverRows(Rows);
                   }}),
       JobFeed(Parts.Loop, Parts.Store, Parts.Log, JobStore::HeadTable,
-              JobStore::Part,
+              JobStore::Part, JobChangePause,
               {[this](const std::vector<StoredRow> &Rows, bool) {
                  this->jobRows(Rows, true);
                },
@@ -386,7 +395,7 @@
   });
 }
 
-void ServingNode::sendDigests() {
+void ServingNode::sendDigests(bool ToAllZones) {
   PeerDigest Digest;
   Digest.Incarnation = this->Self;
   Digest.Zone = this->Config.Zone;
@@ -397,9 +406,12 @@
   Digest.Use = this->Loads.ownAll();
   Digest.Crashes = this->Crashes.toShare(SharedCrashes);
   const std::string Bytes = encodeDigest(Digest);
-  for (const std::string &Address : this->Peers.addresses())
+  for (const std::string &Address :
+       this->Peers.addresses(ToAllZones ? "" : this->Config.Zone))
     this->Digests.send(Address, Bytes);
   this->DigestSentAt = this->With.Loop.clock().now();
+  if (ToAllZones)
+    this->FarDigestSentAt = this->DigestSentAt;
   this->SentRevision = this->Loads.revision();
 }
 
@@ -418,10 +430,13 @@
     this->With.Log.log(LogLevel::Warning, "A node has fallen silent.",
                        {{"incarnation", Lost}});
   this->Runner.schedule();
-  const Duration Since = this->With.Loop.clock().now() - this->DigestSentAt;
+  const Instant Now = this->With.Loop.clock().now();
   const bool Changed = this->SentRevision != this->Loads.revision();
-  if ((Changed && Since >= DigestPause) || Since >= IdleDigestPause)
-    this->sendDigests();
+  if (Now - this->FarDigestSentAt >=
+      std::min(IdleDigestPause, FarDigestPause * this->Peers.count()))
+    this->sendDigests(true);
+  else if (Changed && Now - this->DigestSentAt >= DigestPause)
+    this->sendDigests(false);
 }
 
 void ServingNode::takeJobs() {
@@ -469,7 +484,7 @@
                       {"jobs", this->Runner.owned()}});
   this->Front.startDraining();
   this->Runner.release();
-  this->sendDigests();
+  this->sendDigests(true);
   this->With.Loop.every(StopCheckPeriod, [this] { this->checkStop(); });
 }
 
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -96,7 +96,7 @@
   void jobRows(const std::vector<StoredRow> &Rows, bool Listed);
   void nodeRow(const StoredRow &Row);
   void writeNodeRow();
-  void sendDigests();
+  void sendDigests(bool ToAllZones);
   void digestReceived(const std::string &From, std::string_view Bytes);
   void tick();
   void takeJobs();
@@ -145,6 +145,7 @@
   std::uint64_t DigestSequence = 0;
   std::uint64_t SentRevision = 0;
   Instant DigestSentAt;
+  Instant FarDigestSentAt;
 };
 
 } // namespace turmericpass
--- a/Source/RawHttp/BackendChannels.h
+++ b/Source/RawHttp/BackendChannels.h
@@ -65,6 +65,9 @@
   /// Closes the idle connections to \p Address.
   virtual void forget(const std::string &Address) = 0;
 
+  /// Whether a connection to \p Address is open and idle.
+  virtual bool hasIdle(const std::string &Address) const = 0;
+
   /// Bounds the connections to \p Address; 0 means no bound.
   virtual void setConnectionLimit(const std::string &Address,
                                   std::size_t Limit) = 0;
--- a/Source/RawHttp/TcpBackendChannels.cpp
+++ b/Source/RawHttp/TcpBackendChannels.cpp
@@ -82,6 +82,11 @@
   Found->second.Idle.clear();
 }
 
+bool TcpBackendChannels::hasIdle(const std::string &Address) const {
+  const auto Found = this->Pools.find(Address);
+  return Found != this->Pools.end() && !Found->second.Idle.empty();
+}
+
 void TcpBackendChannels::setConnectionLimit(const std::string &Address,
                                             std::size_t Limit) {
   this->Pools[Address].Limit = Limit;
--- a/Source/RawHttp/TcpBackendChannels.h
+++ b/Source/RawHttp/TcpBackendChannels.h
@@ -22,6 +22,7 @@
   SendId send(SendOrder Order, SendHandler &Handler) override;
   void cancel(SendId Id) override;
   void forget(const std::string &Address) override;
+  bool hasIdle(const std::string &Address) const override;
   void setConnectionLimit(const std::string &Address,
                           std::size_t Limit) override;
 
--- a/Source/Rows/RowFeed.cpp
+++ b/Source/Rows/RowFeed.cpp
@@ -28,10 +28,6 @@
 constexpr Duration FirstRetry = std::chrono::milliseconds(50);
 constexpr int MostDoublings = 3;
 
-/// The pause between two answers with changes, so that a stream of changes
-/// costs few calls.
-constexpr Duration ChangePause = std::chrono::milliseconds(15);
-
 std::int64_t bootMillis(Instant Now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              Now.time_since_epoch())
@@ -45,9 +41,10 @@
 }
 
 RowFeed::RowFeed(EventLoop &Loop, RowStore &Store, Logger &Log,
-                 std::string Table, std::string Part, Handlers Told)
+                 std::string Table, std::string Part, Duration ChangePause,
+                 Handlers Told)
     : Loop(Loop), Store(Store), Log(Log), Table(std::move(Table)),
-      Part(std::move(Part)), Told(std::move(Told)) {}
+      Part(std::move(Part)), ChangePause(ChangePause), Told(std::move(Told)) {}
 
 bool RowFeed::isCurrent() const {
   return this->Listed &&
@@ -120,7 +117,7 @@
           return;
         }
         this->Told.Changed(Page->Rows);
-        this->Loop.after(ChangePause, [this] { this->follow(); });
+        this->Loop.after(this->ChangePause, [this] { this->follow(); });
       });
 }
 
--- a/Source/Rows/RowFeed.h
+++ b/Source/Rows/RowFeed.h
@@ -24,8 +24,10 @@
     std::function<void(const std::vector<StoredRow> &Rows)> Changed;
   };
 
+  /// \p ChangePause is kept between two answers with changes, so that a stream
+  /// of changes costs few calls.
   RowFeed(EventLoop &Loop, RowStore &Store, Logger &Log, std::string Table,
-          std::string Part, Handlers Told);
+          std::string Part, Duration ChangePause, Handlers Told);
 
   void start() { this->list(); }
 
@@ -50,6 +52,7 @@
   Logger &Log;
   std::string Table;
   std::string Part;
+  Duration ChangePause;
   Handlers Told;
   std::vector<StoredRow> Rows;
   std::uint64_t ListVersion = 0;
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -1,6 +1,7 @@
 #include "Serving/PlacementPolicy.h"
 
 #include "Core/Hash.h"
+#include "RawHttp/BackendChannels.h"
 #include "Serving/LoadBook.h"
 #include "Serving/ServerDirectory.h"
 
@@ -9,19 +10,28 @@
 
 namespace turmericpass {
 
+namespace {
+
+/// So many free slots are left at a server before another one is preferred,
+/// because other VMs choose at the same moment.
+constexpr int SpareSlots = 1;
+
+} // namespace
+
 PlacementPolicy::PlacementPolicy(const Clock &Time,
                                  const ServerDirectory &Servers,
-                                 const LoadBook &Loads, std::string Zone,
-                                 std::string Self)
-    : Time(Time), Servers(Servers), Loads(Loads), Zone(std::move(Zone)),
-      Self(std::move(Self)) {}
+                                 const LoadBook &Loads,
+                                 const BackendChannels &Channels,
+                                 std::string Zone, std::string Self)
+    : Time(Time), Servers(Servers), Loads(Loads), Channels(Channels),
+      Zone(std::move(Zone)), Self(std::move(Self)) {}
 
 const KnownServer *
 PlacementPolicy::forOnline(std::string_view Service,
                            const std::set<std::string> &Tried) const {
   const KnownServer *Best = nullptr;
   // Smaller is better, from the most to the least important reason.
-  std::tuple<bool, bool, int, bool, int, std::uint64_t> BestRank;
+  std::tuple<bool, bool, int, bool, int, bool, int, std::uint64_t> BestRank;
   const Instant Now = this->Time.now();
   for (const KnownServer *Server : this->Servers.usable(Service)) {
     const ServerUse Use = this->Loads.total(Server->Entry.Id);
@@ -29,12 +39,16 @@
     // Beyond its slots a request waits, so the number that wait decides; below
     // them any free slot is as good, and traffic between zones is saved.
     const int Waiting = std::max(0, Use.Online + 1 - Slots);
-    const int Displaced = std::max(0, Use.Online + Use.Batch + 1 - Slots);
+    // An item that gives way is resumed elsewhere, but its slot comes free only
+    // after a digest and a step of the engine.
+    const int Displaced =
+        std::max(0, Use.Online + Use.Batch + 1 + SpareSlots - Slots);
     const std::tuple Rank(Tried.contains(Server->Entry.Id),
                           Server->AvoidedUntil > Now, Waiting,
                           Server->Entry.Zone != this->Zone,
-                          Displaced > 0 ? 100 + Use.Online : Use.Online,
-                          hash64(Server->Entry.Id + this->Self));
+                          Displaced,
+                          !this->Channels.hasIdle(Server->Entry.Address),
+                          Use.Online, hash64(Server->Entry.Id + this->Self));
     if (!Best || Rank < BestRank) {
       Best = Server;
       BestRank = Rank;
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -9,6 +9,7 @@
 
 namespace turmericpass {
 
+class BackendChannels;
 class LoadBook;
 class ServerDirectory;
 struct KnownServer;
@@ -18,7 +19,8 @@
 class PlacementPolicy {
 public:
   PlacementPolicy(const Clock &Time, const ServerDirectory &Servers,
-                  const LoadBook &Loads, std::string Zone, std::string Self);
+                  const LoadBook &Loads, const BackendChannels &Channels,
+                  std::string Zone, std::string Self);
 
   /// Chooses a server of \p Service for a request whose caller waits, or
   /// nullptr if there is none. \p Tried servers are chosen only if there is no
@@ -35,6 +37,7 @@
   const Clock &Time;
   const ServerDirectory &Servers;
   const LoadBook &Loads;
+  const BackendChannels &Channels;
   std::string Zone;
   std::string Self;
 };
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -28,6 +28,7 @@
   }
   void cancel(SendId Id) override { this->Cancelled.insert(Id); }
   void forget(const std::string &) override {}
+  bool hasIdle(const std::string &) const override { return false; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
 
   Sent &last() { return this->All.back(); }
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -33,7 +33,7 @@
   ServingSettings Settings;
   CrashDetector Detector{Loop,    Channels, Servers,
                          Crashes, Log,      [this] { return &this->Settings; }};
-  PlacementPolicy Placement{Time, Servers, Loads, "a", "self"};
+  PlacementPolicy Placement{Time, Servers, Loads, Channels, "a", "self"};
   JobBook Book{Log};
   JobStore Store{Loop, Rows, Ids, Log};
   std::int64_t StoreNow = 0;
@@ -75,8 +75,7 @@
       Items.push_back({"item" + std::to_string(I), "/x", {}, "body", 10});
     Head.TotalTokens = 10 * Count;
     bool Accepted = false;
-    Store.accept(JobId, Head, Items, Book.admissionVersion("jobs"),
-                 Time.now() + std::chrono::seconds(5), Book,
+    Store.accept(JobId, Head, Items, Time.now() + std::chrono::seconds(5), Book,
                  [&](JobStore::ChangeOutcome Outcome) {
                    Accepted = Outcome == JobStore::ChangeOutcome::Done;
                    Runner.own(JobId);
