--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -20,6 +20,9 @@
 constexpr int UnprocessableStatus = 422;
 
 /// How long an item pauses after its server refused it or broke off.
+/// An item that gave way waits until the counts of all VMs have gone round;
+/// started at once, it would meet the same callers at the next server.
+constexpr Duration YieldPause = std::chrono::milliseconds(100);
 constexpr Duration RefusedPause = std::chrono::milliseconds(60);
 constexpr Duration BrokenPause = std::chrono::milliseconds(150);
 constexpr Duration FailedPause = std::chrono::milliseconds(250);
@@ -232,7 +235,7 @@
       if (Yield != ToYield.end() && Yield->second > 0) {
         --Yield->second;
         this->With.Stats.add("items_yielded_total");
-        this->postpone({JobId, I}, Run, Duration(0), "callers need the slot");
+        this->postpone({JobId, I}, Run, YieldPause, "callers need the slot");
       } else if (Now - Run.LastEventAt > ItemStall) {
         this->With.Servers.failed(Run.Server);
         this->postpone({JobId, I}, Run, Duration(0),
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -66,7 +66,9 @@
   for (const KnownServer *Server : this->Servers.usable(Service)) {
     const ServerUse Use = this->Loads.total(Server->Entry.Id);
     const int Busy = Use.Online + Use.Batch;
-    if (Busy >= Server->Entry.Slots || Server->AvoidedUntil > Now ||
+    // What VMs in other zones run is known later, so a slot is left over there.
+    const int Spare = Server->Entry.Zone == this->Zone ? 0 : SpareSlots;
+    if (Busy + Spare >= Server->Entry.Slots || Server->AvoidedUntil > Now ||
         Tried.contains(Server->Entry.Id))
       continue;
     const std::tuple Rank(Server->Entry.Zone != this->Zone, Busy,
--- /dev/null
+++ b/Tests/RawHttp/MessageReaderTest.cpp
@@ -0,0 +1,115 @@
+#include "RawHttp/MessageReader.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+
+namespace {
+
+struct Collected : public MessageSink {
+  RawHead Head;
+  std::string Body;
+  int Messages = 0;
+  void headRead(RawHead Read) override { this->Head = std::move(Read); }
+  void bodyRead(std::string_view Bytes) override { this->Body += Bytes; }
+  void messageRead() override { ++this->Messages; }
+};
+
+constexpr std::size_t HeadBytes = 1024;
+
+} // namespace
+
+// Guards against heads and bodies that depend on how the bytes were cut.
+Test(MessageReader, PiecesOfAnySizeGiveTheSameRequest) {
+  cr_assert(rc::check([] {
+    const std::string Bytes = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-Y: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    Collected Sink;
+    MessageReader Reader(MessageReader::Kind::Requests, HeadBytes, Sink);
+    for (std::size_t At = 0; At < Bytes.size();) {
+      const auto Size = *rc::gen::inRange<std::size_t>(1, 20);
+      const std::string_view Piece = std::string_view(Bytes).substr(At, Size);
+      const MessageReader::Step Step = Reader.feed(Piece);
+      RC_ASSERT(Step.Outcome != ReadOutcome::Invalid);
+      RC_ASSERT(Step.Used == Piece.size());
+      At += Piece.size();
+    }
+    RC_ASSERT(Sink.Messages == 1);
+    RC_ASSERT(Sink.Body == "abcde");
+    RC_ASSERT(Sink.Head.Target == "/a/b?c=1");
+    RC_ASSERT(Sink.Head.header("x-y") == "1");
+  }));
+}
+
+// Guards against bytes after an answer that are taken for a part of it.
+Test(MessageReader, BytesAfterAMessageAreNotLookedAt) {
+  Collected Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+  const MessageReader::Step Step = Reader.feed(Answer + "HTTP/1.1 500");
+  cr_assert_eq(Step.Outcome, ReadOutcome::Complete);
+  cr_assert_eq(Step.Used, Answer.size());
+  cr_assert_str_eq(Sink.Body.c_str(), "ab");
+}
+
+// Guards against an answer without a length that counts as whole while its
+// connection is still open.
+Test(MessageReader, AnswerWithoutLengthEndsWithTheStream) {
+  Collected Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  cr_assert_eq(Reader.feed("HTTP/1.1 200 OK\r\n\r\nab").Outcome,
+               ReadOutcome::Partial);
+  cr_assert_eq(Sink.Messages, 0);
+  cr_assert_eq(Reader.endOfStream(), ReadOutcome::Complete);
+  cr_assert_eq(Sink.Messages, 1);
+}
+
+// Guards against a truncated answer that counts as whole.
+Test(MessageReader, AnswerShorterThanItsLengthIsNotComplete) {
+  Collected Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+  cr_assert_neq(Reader.endOfStream(), ReadOutcome::Complete);
+  cr_assert_eq(Sink.Messages, 0);
+}
+
+// Guards against requests that two parties would cut differently.
+Test(MessageReader, AmbiguousAndOversizedHeadsAreInvalid) {
+  const std::string Bad[] = {
+      "POST / HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+      "GET / HTTP/1.1\r\nX: " + std::string(2 * HeadBytes, 'a') + "\r\n\r\n",
+      "nonsense\r\n\r\n"};
+  for (const std::string &Bytes : Bad) {
+    Collected Sink;
+    MessageReader Reader(MessageReader::Kind::Requests, HeadBytes, Sink);
+    cr_assert_eq(Reader.feed(Bytes).Outcome, ReadOutcome::Invalid, "%s",
+                 Bytes.c_str());
+  }
+}
+
+// Guards against an interim answer that is handed on as the answer.
+Test(MessageReader, InterimAnswersAreSkipped) {
+  Collected Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  const MessageReader::Step Step =
+      Reader.feed("HTTP/1.1 100 Continue\r\nA: 1\r\n\r\n"
+                  "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+  cr_assert_eq(Step.Outcome, ReadOutcome::Complete);
+  cr_assert_eq(Sink.Head.Status, 201);
+  cr_assert(Sink.Head.header("A").empty());
+}
+
+// Guards against a crash by bytes that are no HTTP.
+Test(MessageReader, AnyBytesAreReadWithoutACrash) {
+  cr_assert(rc::check([](const std::string &Bytes) {
+    Collected Sink;
+    MessageReader Reader(MessageReader::Kind::Requests, HeadBytes, Sink);
+    Reader.feed(Bytes);
+    MessageReader Answers(MessageReader::Kind::Answers, HeadBytes, Sink);
+    Answers.feed("HTTP/1.1 200 OK\r\n" + Bytes);
+  }));
+}
