--- /dev/null
+++ b/Tests/Support/OnlineBench.h
@@ -0,0 +1,86 @@
+#ifndef TURMERICPASS_TESTS_SUPPORT_ONLINEBENCH_H
+#define TURMERICPASS_TESTS_SUPPORT_ONLINEBENCH_H
+
+#include "Serving/CrashDetector.h"
+#include "Serving/CrashRecord.h"
+#include "Serving/LoadBook.h"
+#include "Serving/OnlineService.h"
+#include "Serving/PlacementPolicy.h"
+#include "Serving/ServerDirectory.h"
+#include "Support/FakeCallers.h"
+#include "Support/FakeChannels.h"
+#include "Support/RunUntil.h"
+#include "Telemetry/Logger.h"
+#include "Telemetry/Metrics.h"
+
+namespace turmericpass {
+
+/// An OnlineService with two servers, played by the test.
+struct OnlineBench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  FakeChannels Channels;
+  FakeCallers Callers;
+  NullLogger Log;
+  Metrics Stats;
+  BackendDialect Dialect;
+  ServerDirectory Servers{Time};
+  LoadBook Loads{"self"};
+  CrashRecord Crashes{Time};
+  ServingSettings Settings;
+  CrashDetector Detector{Loop,    Channels, Servers,
+                         Crashes, Log,      [this] { return &this->Settings; }};
+  PlacementPolicy Placement{Time, Servers, Loads, Channels, "a", "self"};
+  RouteSettings Route;
+  OnlineService Online;
+
+  OnlineBench()
+      : Online({Loop, Callers, Channels, Servers, Loads, Placement, Crashes,
+                Detector, Dialect, Log, Stats}) {
+    Dialect.RequestId = "Id";
+    Dialect.RemainingMs = "Remaining";
+    Dialect.ExpectedServer = "Server";
+    Dialect.NotRun = "Not-Run";
+    Dialect.LastEventId = "After";
+    Dialect.RetryAfter = "Retry-After";
+    Route.Name = "route";
+    Route.Timeout = std::chrono::seconds(5);
+    Route.MaxAttempts = 2;
+    Route.Services = {{"model", 1}};
+    Servers.update({"s1", "model", "127.0.0.1:1", "a", 2, false, 1});
+    Servers.update({"s2", "model", "127.0.0.1:2", "a", 2, false, 1});
+  }
+
+  void start(CallerId Caller, RequestKind Kind, bool Resumable = false,
+             const std::string &Remaining = "4000") {
+    Route.Kind = Kind;
+    Route.Resumable = Resumable;
+    RawRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/p/" + std::to_string(Caller);
+    Request.Headers = {{"Host", "h"},
+                       {"Id", "r" + std::to_string(Caller)},
+                       {"Remaining", Remaining},
+                       {"Connection", "keep-alive"},
+                       {"X-Own", "kept"}};
+    Request.Body = "body";
+    Online.start(Caller, std::move(Request), Route);
+  }
+
+  const FakeCallers::Answer &answer(CallerId Caller) {
+    return Callers.Answers[Caller];
+  }
+  std::string sentHeader(SendId Id, std::string_view Name) {
+    return std::string(
+        rawHeader(Channels.All[Id - 1].Order.Request.Headers, Name));
+  }
+  void stream(SendId Id, std::string_view Bytes) {
+    Channels.head(Id, 200, {{"Content-Type", "text/event-stream"},
+                            {"Stamp", "of " + std::to_string(Id)}});
+    Channels.body(Id, Bytes);
+  }
+};
+
+} // namespace turmericpass
+
+#endif
