--- /dev/null
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -0,0 +1,200 @@
+#include "BatchJobs/JobApi.h"
+#include "BatchJobs/JobTakeover.h"
+#include "Support/FakeCallers.h"
+#include "Support/RunnerBench.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Submissions of one item with the size that the body names.
+struct PlainDialect : public JobDialect {
+  std::optional<JobCall> readCall(const RawRequest &) const override {
+    return std::nullopt;
+  }
+  Result<std::vector<JobItem>>
+  readSubmission(const RawRequest &Request) const override {
+    if (Request.Body.empty())
+      return failure(ErrorCode::InvalidArgument, "It has no items.");
+    return std::vector<JobItem>{
+        {"item", "/x", {}, "b", std::stoull(Request.Body)}};
+  }
+  std::string
+  writeResults(std::uint64_t Total, std::uint64_t First,
+               const std::vector<ItemResult> &Results) const override {
+    return std::to_string(Total) + "," + std::to_string(First) + "," +
+           std::to_string(Results.size());
+  }
+  std::string contentType() const override { return "text/plain"; }
+};
+
+struct ApiBench : public RunnerBench {
+  FakeCallers Callers;
+  PlainDialect Calls;
+  bool Current = true;
+  RouteSettings Route = Settings.Routes[0];
+  JobApi Api{{Loop, Callers, Store, Book, Runner, Dialect, Calls, Log, Stats,
+              [this] { return this->StoreNow; },
+              [this] { return this->Current; }, "self"}};
+
+  int submit(CallerId Caller, const std::string &JobId,
+             const std::string &Tokens, const std::string &Remaining = "4000") {
+    RawRequest Request;
+    Request.Method = "POST";
+    Request.Target = "/jobs";
+    Request.Headers = {{"Id", JobId}, {"Host", "h"}, {"Remaining", Remaining}};
+    Request.Body = Tokens;
+    Api.submit(Caller, Request, Route);
+    return answer(Caller);
+  }
+  int answer(CallerId Caller) {
+    runUntil(Loop, [&] { return Callers.Answers[Caller].Complete; });
+    return Callers.Answers[Caller].Status;
+  }
+  int call(CallerId Caller, JobCall Call) {
+    Api.handle(Caller, Call, "r");
+    return answer(Caller);
+  }
+};
+
+} // namespace
+
+// Guards against a job that is accepted twice when its caller sends it again.
+Test(JobApi, RepeatedSubmissionIsAcceptedOnce) {
+  ApiBench Bench;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  cr_assert_eq(Bench.submit(2, "j", "5"), 202);
+  cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 1);
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return !Bench.Channels.All.empty(); }));
+  Bench.Runner.schedule();
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+}
+
+// Guards against "not run" being said of a job whose acceptance has no answer,
+// and against one that is accepted although its answer came late.
+Test(JobApi, UnansweredAcceptanceIsNeverRefused) {
+  ApiBench Bench;
+  Bench.Rows.Faults = {RowFault::AnswerLost};
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  Bench.Rows.Faults = std::deque<RowFault>(100, RowFault::Refused);
+  Bench.Rows.Faults.push_front(RowFault::MadeLate);
+  cr_assert_eq(Bench.submit(2, "k", "5", "800"), 504);
+  Bench.Rows.Faults.clear();
+  Bench.Rows.applyLate();
+  cr_assert_eq(Bench.submit(3, "k", "5"), 202);
+  cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 2);
+}
+
+// Guards against callers that wait for a store which is known to be away.
+Test(JobApi, WithoutTheStoreSubmissionsAreRefusedAtOnce) {
+  ApiBench Bench;
+  Bench.Current = false;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 503);
+  cr_assert_eq(Bench.Rows.Transactions, 0);
+}
+
+// Guards against more waiting tokens than the operator allows, also when two
+// VMs accept at once.
+Test(JobApi, WaitingTokensAreBounded) {
+  ApiBench Bench;
+  Bench.Route.MaxWaitingTokens = 10;
+  cr_assert_eq(Bench.submit(1, "j", "6"), 202);
+  cr_assert_eq(Bench.submit(2, "k", "5"), 429);
+  cr_assert_eq(Bench.submit(3, "l", "4"), 202);
+  // Another VM, which has not seen the two jobs.
+  JobBook OtherBook(Bench.Log);
+  JobRunner OtherRunner({Bench.Loop, Bench.Channels, Bench.Store, OtherBook,
+                         Bench.Servers, Bench.Loads, Bench.Placement,
+                         Bench.Crashes, Bench.Detector, Bench.Dialect,
+                         Bench.Log, Bench.Stats,
+                         [&] { return &Bench.Settings; }, [] { return 0; },
+                         "other"});
+  JobApi Other({Bench.Loop, Bench.Callers, Bench.Store, OtherBook, OtherRunner,
+                Bench.Dialect, Bench.Calls, Bench.Log, Bench.Stats,
+                [] { return 0; }, [] { return true; }, "other"});
+  RawRequest Request;
+  Request.Headers = {{"Id", "m"}, {"Host", "h"}};
+  Request.Body = "1";
+  Other.submit(4, Request, Bench.Route);
+  cr_assert_eq(Bench.answer(4), 429);
+}
+
+// Guards against a 404 for a job that exists, and against a missing one that
+// passes for a store that is away.
+Test(JobApi, OnlyTheStoreSaysThatAJobDoesNotExist) {
+  ApiBench Bench;
+  JobCall Call;
+  Call.Kind = JobCallKind::ReadResults;
+  Call.JobId = "none";
+  cr_assert_eq(Bench.call(1, Call), 404);
+  Bench.Rows.Away = true;
+  cr_assert_eq(Bench.call(2, Call), 503);
+  Call.Kind = JobCallKind::End;
+  cr_assert_eq(Bench.call(3, Call), 503);
+}
+
+// Guards against a reader that waits although a result has come, and against
+// results that change between two reads.
+Test(JobApi, WaitingReaderGetsTheResultAsItIsListed) {
+  ApiBench Bench;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 1; }));
+  JobCall Call;
+  Call.Kind = JobCallKind::ReadResults;
+  Call.JobId = "j";
+  Call.Wait = 10s;
+  Bench.Api.handle(2, Call, "r");
+  Bench.complete(1);
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
+  Bench.Api.headsChanged({"j"});
+  cr_assert_eq(Bench.answer(2), 200);
+  cr_assert_str_eq(Bench.Callers.Answers[2].Body.c_str(), "1,0,1");
+  Bench.Rows.Away = true;
+  cr_assert_eq(Bench.call(3, Call), 200);
+  cr_assert_str_eq(Bench.Callers.Answers[3].Body.c_str(), "1,0,1");
+}
+
+// Guards against an end that stops nothing or cannot be repeated.
+Test(JobApi, EndedJobStopsAndStaysReadable) {
+  ApiBench Bench;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  JobCall Call;
+  Call.Kind = JobCallKind::End;
+  Call.JobId = "j";
+  cr_assert_eq(Bench.call(2, Call), 200);
+  cr_assert_eq(Bench.call(3, Call), 200);
+  cr_assert_not(Bench.Runner.owns("j"));
+  Call.Kind = JobCallKind::ReadResults;
+  cr_assert_eq(Bench.call(4, Call), 200);
+}
+
+// Guards against a job that nobody runs after its owner was lost, and against
+// one that every VM takes at once.
+Test(JobTakeover, OrphansAreTakenByOneVmAfterTheOther) {
+  ManualClock Time;
+  std::map<std::string, KnownJob> Jobs;
+  for (int I = 0; I < 30; ++I) {
+    KnownJob &Known = Jobs["job" + std::to_string(I)];
+    Known.Version = 1;
+    Known.Head.TotalItems = 1;
+    Known.Head.Owner = I % 2 ? "lost" : "alive";
+  }
+  const auto IsAlive = [](const std::string &Node) { return Node != "lost"; };
+  JobTakeover A(Time, "a");
+  JobTakeover B(Time, "b");
+  const std::size_t ByA = A.choose(Jobs, {"b"}, IsAlive).size();
+  const std::size_t ByB = B.choose(Jobs, {"a"}, IsAlive).size();
+  cr_assert_eq(ByA + ByB, 15);
+  cr_assert_gt(ByA, 0);
+  cr_assert_gt(ByB, 0);
+  // The first in line may not reach the store.
+  Time.advance(5s);
+  cr_assert_eq(A.choose(Jobs, {"b"}, IsAlive).size(), 15);
+  Jobs.at("job1").Head.Ended = true;
+  cr_assert_eq(A.choose(Jobs, {"b"}, IsAlive).size(), 14);
+}
--- /dev/null
+++ b/Tests/Node/NodeTest.cpp
@@ -0,0 +1,165 @@
+#include "Node/NodeConfig.h"
+#include "Node/PeerBook.h"
+#include "Node/PeerDigest.h"
+#include "Node/PeerView.h"
+
+#include <criterion/criterion.h>
+#include <filesystem>
+#include <fstream>
+#include <rapidcheck.h>
+#include <unistd.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string GoodConfig = R"(node = "a1"
+zone = "a"
+ip = "127.0.0.1"
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+control = ""
+peer_port = 3
+metrics_port = 4
+seeds = []
+store = "127.0.0.1:5"
+store_writes_per_s = 800
+store_reads_per_s = 2000.0
+stop_time_s = 8
+)";
+
+Result<NodeConfig> readText(const std::string &Text) {
+  const std::string Path =
+      std::filesystem::temp_directory_path() /
+      ("turmericpass-node-" + std::to_string(getpid()) + ".toml");
+  std::ofstream(Path) << Text;
+  Result<NodeConfig> Read = readNodeConfig(Path);
+  std::filesystem::remove(Path);
+  return Read;
+}
+
+PeerDigest digestOf(const std::string &Node, std::uint64_t Sequence) {
+  PeerDigest Digest;
+  Digest.Incarnation = Node;
+  Digest.Zone = "a";
+  Digest.Sequence = Sequence;
+  Digest.StoreInReach = true;
+  Digest.Use[serverKey("s")] = {2, 1};
+  Digest.Crashes = {{77, 3}};
+  return Digest;
+}
+
+struct PeerBench {
+  ManualClock Time;
+  LoadBook Loads{"self"};
+  CrashRecord Crashes{Time};
+  PeerBook Peers{Time, Loads, Crashes, "self"};
+};
+
+} // namespace
+
+// Guards against wrong settings that are reported one at a time, or without
+// their place.
+Test(NodeConfig, EachFaultIsNamedWithItsLine) {
+  cr_assert(readText(GoodConfig));
+  std::string Text = GoodConfig;
+  Text.replace(Text.find("peer_port = 3"), 13, "peer_port = 99999");
+  Text.replace(Text.find("zone = \"a\"\n"), 11, "zone = 5\n");
+  const Result<NodeConfig> Read = readText(Text + "colour = 1\n");
+  cr_assert_not(Read);
+  const std::string &Message = Read.error().Message;
+  cr_assert_neq(Message.find(":7: key \"peer_port\" must be a number from 1"),
+                std::string::npos, "%s", Message.c_str());
+  cr_assert_neq(Message.find(":2: key \"zone\" must be a text"),
+                std::string::npos);
+  cr_assert_neq(Message.find("key \"colour\" is not a known key"),
+                std::string::npos);
+}
+
+// Guards against a start with settings that are missing or cut.
+Test(NodeConfig, MissingAndBrokenFilesAreErrors) {
+  cr_assert_not(readNodeConfig("no-such-file.toml"));
+  cr_assert_not(readText("node = \"a"));
+  cr_assert_not(readText(""));
+}
+
+// Guards against digests that lose a field on their way.
+Test(PeerDigest, DecodedDigestIsTheEncodedOne) {
+  const Result<PeerDigest> Read = decodeDigest(encodeDigest(digestOf("n", 9)));
+  cr_assert(Read);
+  cr_assert_eq(Read->Sequence, 9);
+  cr_assert(Read->StoreInReach);
+  cr_assert_eq(Read->Use.at(serverKey("s")).Online, 2);
+  cr_assert_eq(Read->Crashes.at(0).Count, 3);
+}
+
+// Guards against a process that ends because of a datagram or an answer from
+// another program.
+Test(PeerDigest, AnyBytesAreReadWithoutACrash) {
+  cr_assert(rc::check([](const std::string &Bytes) {
+    (void)decodeDigest(Bytes);
+    (void)decodeView(Bytes);
+    std::string Cut = encodeDigest(digestOf("n", 1));
+    Cut.resize(*rc::gen::inRange<std::size_t>(0, Cut.size()));
+    RC_ASSERT_FALSE(decodeDigest(Cut).has_value());
+  }));
+}
+
+// Guards against an older digest that replaces a newer one.
+Test(PeerBook, OvertakenDigestsAreDropped) {
+  PeerBench Bench;
+  Bench.Peers.received("1.1.1.1:1", digestOf("n", 2));
+  PeerDigest Old = digestOf("n", 1);
+  Old.Use.clear();
+  Bench.Peers.received("1.1.1.1:1", Old);
+  cr_assert_eq(Bench.Loads.total("s").Online, 2);
+  cr_assert(Bench.Crashes.isBarred(77));
+}
+
+// Guards against slots that count as taken by a VM that has stopped, and
+// against a VM that stops and is offered work.
+Test(PeerBook, SilentAndStoppingVmsTakeNoWork) {
+  PeerBench Bench;
+  Bench.Peers.received("1.1.1.1:1", digestOf("n", 1));
+  PeerDigest Stopping = digestOf("m", 1);
+  Stopping.Stopping = true;
+  Bench.Peers.received("1.1.1.2:1", Stopping);
+  cr_assert_eq(Bench.Peers.alive().size(), 1);
+  Bench.Time.advance(PeerBook::SilenceLimit);
+  cr_assert_eq(Bench.Peers.sweep().size(), 2);
+  cr_assert(Bench.Peers.sweep().empty());
+  cr_assert_not(Bench.Peers.isAlive("n"));
+  cr_assert(Bench.Peers.isAlive("self"));
+  cr_assert_eq(Bench.Loads.total("s").Online, 0);
+  Bench.Peers.received("1.1.1.1:1", digestOf("n", 2));
+  cr_assert(Bench.Peers.isAlive("n"));
+}
+
+// Guards against digests that go to other zones at the pace of the own zone.
+Test(PeerBook, AddressesOfOtherZonesAreLeftOutWhenAsked) {
+  PeerBench Bench;
+  PeerDigest Far = digestOf("far", 1);
+  Far.Zone = "b";
+  Bench.Peers.received("1.1.1.1:1", digestOf("near", 1));
+  Bench.Peers.received("1.1.1.2:1", Far);
+  Bench.Peers.setListed({"1.1.1.2:1", "1.1.1.3:1"});
+  cr_assert_eq(Bench.Peers.addresses().size(), 3);
+  cr_assert_eq(Bench.Peers.addresses("a").size(), 2);
+}
+
+// Guards against a view of the store that changes on its way.
+Test(PeerView, DecodedViewIsTheEncodedOne) {
+  StoreView View;
+  View.Settings = "document";
+  StoredRow Row;
+  Row.Key = "s1";
+  Row.Value = std::string("a\0b", 3);
+  Row.Version = 7;
+  View.Servers = {Row};
+  const Result<StoreView> Read = decodeView(encodeView(View));
+  cr_assert(Read);
+  cr_assert_str_eq(Read->Settings.c_str(), "document");
+  cr_assert(Read->Servers.at(0).Value == Row.Value);
+  cr_assert_eq(Read->Servers.at(0).Version, 7);
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -0,0 +1,204 @@
+#include "platform/PlatformAdapter.h"
+#include "Core/Base64.h"
+#include "Support/FakeChannels.h"
+#include "Support/RunUntil.h"
+#include "platform/PlatformRowStore.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace turmericpass;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char *const Config = R"({"version":7,"routes":[
+  {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming",
+   "timeout_ms":5000,"target_latency_ms":300,"priority":0,"service":"m",
+   "max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":250},
+  {"name":"r2","host":"h","path_prefix":"/b/","kind":"batch","priority":2,
+   "timeout_ms":15000,"target_latency_ms":400,"max_attempts":3,
+   "traffic_split":[{"service":"m","weight":90},{"service":"n","weight":10}],
+   "run_target_ms":18000,"retention_s":60.5,"max_count":2100000}],
+  "services":[{"name":"m","health_path":"/healthz","max_conns":230,
+   "engine":{"slots":8,"max_count":12}}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+RawRequest request(const char *Method, const char *Target) {
+  RawRequest Request;
+  Request.Method = Method;
+  Request.Target = Target;
+  return Request;
+}
+
+struct StoreBench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  FakeChannels Channels;
+  PlatformRowStore Store{Loop, Channels, "127.0.0.1:1"};
+  std::optional<TransactionResult> Result;
+
+  StoreBench() {
+    RowTransaction Change;
+    Change.Part = "p";
+    Change.Conditions = {{"t", "k", 3}};
+    Change.Writes = {{"t", "k", "value"}};
+    Store.transact(Change, [this](TransactionResult Told) { Result = Told; });
+  }
+  TransactionOutcome answer(int Status, std::string_view Body) {
+    Channels.head(1, Status);
+    Channels.body(1, Body);
+    Channels.done(1);
+    return Result->Outcome;
+  }
+};
+
+} // namespace
+
+// Guards against a field of the operator's document that is lost or taken for
+// another one.
+Test(PlatformConfig, EachFieldReachesItsSetting) {
+  const Result<ServingSettings> Read = PlatformAdapter().readSettings(Config);
+  cr_assert(Read, "%s", Read ? "" : Read.error().Message.c_str());
+  cr_assert_eq(Read->Version, 7);
+  const RouteSettings &Stream = Read->Routes.at(0);
+  cr_assert(Stream.Kind == RequestKind::Stream && Stream.Resumable);
+  cr_assert(Stream.Timeout == 5s && Stream.TargetLatency == 300ms);
+  cr_assert_eq(Stream.MaxAttempts, 2);
+  const RouteSettings &Batch = Read->Routes.at(1);
+  cr_assert(Batch.JobTarget == 18s && Batch.JobRetention == 60500ms);
+  cr_assert_eq(Batch.MaxWaitingTokens, 2100000);
+  cr_assert_eq(Batch.Services.size(), 2);
+  cr_assert_eq(Read->Services.at("m").MaxConnections, 230);
+  cr_assert(Read->Limits.IdleTime == 15s);
+}
+
+// Guards against a document that is used although a part of it is wrong.
+Test(PlatformConfig, WrongDocumentsAreMalformed) {
+  const PlatformAdapter Adapter;
+  for (const char *Bad :
+       {"", "{", "[]", "{\"version\":\"x\",\"routes\":[],\"services\":[]}",
+        "{\"version\":1,\"routes\":[{}],\"services\":[]}",
+        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"path_prefix\":\"/\",\"kind\":\"odd\",\"service\":\"s\"}],"
+        "\"services\":[]}"})
+    cr_assert_not(Adapter.readSettings(Bad), "%s", Bad);
+}
+
+// Guards against an entry of another writer that names a server to use.
+Test(PlatformConfig, OnlyWholeEntriesNameServers) {
+  const PlatformAdapter Adapter;
+  const Result<ServerEntry> Good = Adapter.readServer(
+      "i-1", R"({"service":"m","address":"10.0.0.1:80","zone":"a",
+                 "version":"v1","slots":8,"state":"draining","born":5})");
+  cr_assert(Good);
+  cr_assert(Good->Leaving);
+  cr_assert_eq(Good->BornMillis, 5);
+  for (const char *Bad :
+       {"\xff\xfe", "7", "{}",
+        R"({"service":"m","address":"a","zone":"a","slots":"8","state":"ready"})",
+        R"({"service":"m","address":"a","zone":"a","slots":8,"state":"odd"})",
+        R"({"service":"","address":"a","zone":"a","slots":8,"state":"ready"})"})
+    cr_assert_not(Adapter.readServer("i-1", Bad), "%s", Bad);
+}
+
+// Guards against a submission whose items are lost or changed.
+Test(PlatformJobs, SubmissionIsReadWhole) {
+  RawRequest Request = request("POST", "/b/x");
+  Request.Body =
+      R"({"items":[{"id":"e5","path":"/b/3","headers":{"Model":"m"},
+          "body":"q83v","tokens":940},{"id":"e6","path":"/b/4","headers":{},
+          "body":"","tokens":1}]})";
+  const auto Items = PlatformAdapter().jobDialect().readSubmission(Request);
+  cr_assert(Items);
+  cr_assert_eq(Items->size(), 2);
+  cr_assert_str_eq(Items->at(0).Body.c_str(), "\xab\xcd\xef");
+  cr_assert_eq(Items->at(0).Tokens, 940);
+  cr_assert_str_eq(Items->at(0).Headers.at(0).second.c_str(), "m");
+  for (const char *Bad : {"", "{}", R"({"items":[{"id":"x"}]})",
+                          R"({"items":[{"id":"x","path":"/","headers":{},
+                              "body":"?","tokens":1}]})"}) {
+    Request.Body = Bad;
+    cr_assert_not(PlatformAdapter().jobDialect().readSubmission(Request));
+  }
+}
+
+// Guards against a call on a job that is taken for another one.
+Test(PlatformJobs, CallsAreToldApart) {
+  const PlatformAdapter Adapter;
+  const JobDialect &Jobs = Adapter.jobDialect();
+  RawRequest Read = request("GET", "/lots/7c?after=12");
+  Read.Headers = {{"wait-ms", "1000"}};
+  const auto Results = Jobs.readCall(Read);
+  cr_assert(Results && Results->Kind == JobCallKind::ReadResults);
+  cr_assert(Results->JobId == "7c" && Results->After == 12);
+  cr_assert(Results->Wait == 1000ms);
+  const auto Item = Jobs.readCall(request("GET", "/items/7c?id=e5"));
+  cr_assert(Item && Item->Kind == JobCallKind::ReadItem);
+  cr_assert(Item->JobId == "7c" && Item->ItemId == "e5");
+  const auto End = Jobs.readCall(request("DELETE", "/lots/7c"));
+  cr_assert(End && End->Kind == JobCallKind::End);
+  cr_assert_not(Jobs.readCall(request("POST", "/lots/7c")));
+  cr_assert_not(Jobs.readCall(request("GET", "/x/7c")));
+}
+
+// Guards against "not done" being said of a transaction that may be made.
+Test(PlatformRowStore, OnlyRefusalsMeanNotDone) {
+  cr_assert_eq(StoreBench().answer(503, ""), TransactionOutcome::NotDone);
+  cr_assert_eq(StoreBench().answer(429, ""), TransactionOutcome::NotDone);
+  cr_assert_eq(StoreBench().answer(500, ""), TransactionOutcome::Unknown);
+  cr_assert_eq(StoreBench().answer(200, "cut {"), TransactionOutcome::Unknown);
+  StoreBench Lost;
+  Lost.Channels.fail(1, SendFailure::Unanswered);
+  cr_assert_eq(Lost.Result->Outcome, TransactionOutcome::Unknown);
+  StoreBench NotSent;
+  NotSent.Channels.fail(1, SendFailure::NotSent);
+  cr_assert_eq(NotSent.Result->Outcome, TransactionOutcome::NotDone);
+  StoreBench Silent;
+  cr_assert(runUntil(Silent.Loop, [&] { return Silent.Result.has_value(); }));
+  cr_assert_eq(Silent.Result->Outcome, TransactionOutcome::Unknown);
+  cr_assert(Silent.Channels.Cancelled.contains(1));
+}
+
+// Guards against versions and values that are lost between the two formats.
+Test(PlatformRowStore, TransactionsAndConflictsAreTranslated) {
+  StoreBench Bench;
+  const std::string &Body = Bench.Channels.last().Order.Request.Body;
+  cr_assert_neq(Body.find(R"("row_version":3)"), std::string::npos);
+  cr_assert_neq(Body.find(encodeBase64("value")), std::string::npos);
+  const std::string Row = R"({"rows":[{"table":"t","part":"p","key":"k",
+      "value":")" + encodeBase64("other") +
+                          R"(","row_version":9}],"row_version":12})";
+  cr_assert_eq(Bench.answer(412, Row), TransactionOutcome::Conflict);
+  cr_assert_str_eq(Bench.Result->Current.at(0).Value.c_str(), "other");
+  cr_assert_eq(Bench.Result->Current.at(0).Version, 9);
+  StoreBench Made;
+  cr_assert_eq(Made.answer(200, R"({"row_version":13,"now_ms":5})"),
+               TransactionOutcome::Committed);
+  cr_assert_eq(Made.Result->Version, 13);
+}
+
+// Guards against a reader that goes on although changes are missing.
+Test(PlatformRowStore, ForgottenHistoryIsNotFound) {
+  StoreBench Bench;
+  std::optional<ErrorCode> Code;
+  Bench.Store.changes("t", 5, 1s, [&](const Result<RowPage> &Page) {
+    Code = Page ? std::nullopt : std::optional(Page.error().Code);
+  });
+  Bench.Channels.head(2, 410);
+  Bench.Channels.done(2);
+  cr_assert(Code && *Code == ErrorCode::NotFound);
+}
+
+// Guards against bytes that change in base64, and a crash by what is none.
+Test(Base64, DecodedBytesAreTheEncodedOnes) {
+  cr_assert(rc::check([](const std::string &Bytes) {
+    const Result<std::string> Back = decodeBase64(encodeBase64(Bytes));
+    RC_ASSERT(Back.has_value());
+    RC_ASSERT(*Back == Bytes);
+    (void)decodeBase64(Bytes);
+  }));
+  cr_assert_not(decodeBase64("abc"));
+  cr_assert_not(decodeBase64("a?=="));
+}
