Serving: Turn away what would be late in a wave, and share silent servers

A first attempt that cannot be on time is told when the wave has passed; one that came back is served. Digests name servers that failed requests. A request that every server refused pauses for 15 ms within its target latency.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -32,7 +32,7 @@
 
 /// A running item without an event for so long is taken to another server.
 /// Callers' streams have pauses of some hundred milliseconds at most.
-constexpr Duration ItemStall = std::chrono::milliseconds(2500);
+constexpr Duration ItemStall = std::chrono::milliseconds(1500);
 
 /// A request that crashes its servers does so when it begins to run. An item
 /// that had more events than this is not suspected when its server crashes.
@@ -380,6 +380,7 @@
   ItemRun *Run = this->itemOf(Id, Key);
   if (!Run)
     return;
+  this->With.Servers.heard(Run->Server);
   for (const StreamEvent &Event : Run->Events.feed(Bytes)) {
     if (!Event.Id)
       continue;
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// The first field of each digest; raised when the fields change.
-constexpr unsigned ProtocolVersion = 1;
-constexpr std::uint32_t FieldCount = 9;
+constexpr unsigned ProtocolVersion = 2;
+constexpr std::uint32_t FieldCount = 10;
 
 template <typename T> T field(const msgpack::object &Object, std::uint32_t At) {
   return Object.via.array.ptr[At].as<T>();
@@ -41,6 +41,7 @@
   for (std::uint32_t I = 0; I < arrayOf(Crashes, 2).size; I += 2)
     Digest.Crashes.push_back({field<std::uint64_t>(Crashes, I),
                               field<unsigned>(Crashes, I + 1)});
+  Digest.Avoided = field<std::vector<ServerKey>>(Object, 9);
   return Digest;
 }
 
@@ -68,6 +69,7 @@
     Out.pack(Crash.Fingerprint);
     Out.pack(Crash.Count);
   }
+  Out.pack(Digest.Avoided);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/PeerDigest.h
+++ b/Source/Node/PeerDigest.h
@@ -27,6 +27,8 @@
   bool StoreInReach = false;
   std::map<ServerKey, ServerUse> Use;
   std::vector<CrashRecord::Entry> Crashes;
+  /// Servers that failed requests of this VM lately.
+  std::vector<ServerKey> Avoided;
 };
 
 std::string encodeDigest(const PeerDigest &Digest);
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -92,7 +92,8 @@
             }),
       Online({Parts.Loop, this->Front, Parts.Channels, this->Servers,
               this->Loads, this->Placement, this->Crashes, this->Detector,
-              Parts.Adapter.backendDialect(), Parts.Log, this->Stats}),
+              Parts.Ids, Parts.Adapter.backendDialect(), Parts.Log,
+              this->Stats}),
       Book(Parts.Log), Jobs(Parts.Loop, Parts.Store, Parts.Ids, Parts.Log),
       Runner({Parts.Loop, Parts.Channels, this->Jobs, this->Book,
               this->Servers, this->Loads, this->Placement, this->Crashes,
@@ -405,6 +406,7 @@
   Digest.StoreInReach = this->seesStore();
   Digest.Use = this->Loads.ownAll();
   Digest.Crashes = this->Crashes.toShare(SharedCrashes);
+  Digest.Avoided = this->Servers.avoided();
   const std::string Bytes = encodeDigest(Digest);
   for (const std::string &Address :
        this->Peers.addresses(ToAllZones ? "" : this->Config.Zone))
@@ -422,6 +424,8 @@
     this->Stats.add("digests_malformed_total");
     return;
   }
+  for (ServerKey Key : Digest->Avoided)
+    this->Servers.avoidedElsewhere(Key);
   this->Peers.received(From, std::move(*Digest));
 }
 
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -26,6 +26,8 @@
   Instant Arrived;
   /// When the caller, or the operator for it, stops waiting.
   Instant Deadline;
+  /// How long the caller said that it waits.
+  std::optional<Duration> CallerTime;
   WatchId DeadlineTimer = 0;
 
   /// The send in flight, 0 for none, and its server.
@@ -34,6 +36,7 @@
   Instant SentAt;
   /// Servers that were sent the request.
   std::set<std::string> Tried;
+  WatchId PauseTimer = 0;
   /// Sends of which it is not known that they did not run.
   int Runs = 0;
   /// Sends that did not run.
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -1,6 +1,7 @@
 #include "Serving/OnlineService.h"
 
 #include "Core/Hash.h"
+#include "Core/IdSource.h"
 #include "Serving/CrashDetector.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadBook.h"
@@ -30,9 +31,9 @@
 /// The least pause in a stream that counts as a stall.
 constexpr Duration LeastStall = std::chrono::milliseconds(600);
 
-/// Refusals by servers that did not run the request, after which it is given
-/// up: a full service fills up again faster than a request can go round.
-constexpr int MostRefusals = 6;
+/// The pause after every server of a service refused a request. Calls of plain
+/// services take some ten milliseconds, so slots come free soon.
+constexpr Duration RefusedPause = std::chrono::milliseconds(15);
 
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -76,8 +77,9 @@
   Call.Deadline = Call.Arrived + Route.Timeout;
   if (const auto Left =
           readNumber(rawHeader(Headers, this->With.Dialect.RemainingMs)))
-    Call.Deadline = std::min<Instant>(
-        Call.Deadline, Call.Arrived + std::chrono::milliseconds(*Left));
+    Call.CallerTime = std::chrono::milliseconds(*Left);
+  if (Call.CallerTime)
+    Call.Deadline = std::min(Call.Deadline, Call.Arrived + *Call.CallerTime);
   if (const auto Last =
           readNumber(rawHeader(Headers, this->With.Dialect.LastEventId)))
     Call.LastEvent = static_cast<std::uint64_t>(*Last);
@@ -85,7 +87,8 @@
   Call.DeadlineTimer = this->With.Loop.after(
       Call.Deadline - Call.Arrived, [this, Caller] { this->expired(Caller); });
   if (this->With.Crashes.isBarred(Call.Fingerprint)) {
-    this->refuse(Call, "equal requests broke three servers off");
+    this->refuse(Call, "equal requests broke three servers off",
+                 DefaultRetryAfter);
     return;
   }
   this->sendToServer(Call);
@@ -129,8 +132,9 @@
 }
 
 void OnlineService::sendToServer(OnlineCall &Call) {
-  const KnownServer *Server =
+  const Placement Choice =
       this->With.Placement.forOnline(Call.Service, Call.Tried);
+  const KnownServer *Server = Choice.Server;
   const Instant Now = this->With.Loop.clock().now();
   if (!Server || Call.Deadline - Now < LeastTime) {
     const std::string_view Why =
@@ -138,9 +142,16 @@
     if (Call.HeadPassed || Call.Runs > 0)
       this->fail(Call, BadGateway, Why);
     else
-      this->refuse(Call, Why);
+      this->refuse(Call, Why, DefaultRetryAfter);
     return;
   }
+  if (Call.Runs == 0 && Call.Refusals == 0)
+    if (const std::optional<Duration> Return = this->Overload.refuse(
+            Call.Route, Call.Service, Choice, Call.CallerTime,
+            this->With.Ids.number())) {
+      this->refuse(Call, "it could not be served in time", *Return);
+      return;
+    }
   Call.Server = Server->Entry.Id;
   Call.Tried.insert(Call.Server);
   Call.SentAt = Now;
@@ -155,8 +166,6 @@
 void OnlineService::armStallTimer(OnlineCall &Call) {
   this->With.Loop.cancel(Call.StallTimer);
   Call.StallTimer = 0;
-  if (!Call.Route.mayRepeat() || Call.Runs >= Call.Route.MaxAttempts)
-    return;
   const Duration Limit =
       Call.Answer ? LeastStall
                   : std::max(LeastStall, Call.Route.TargetLatency * StallTargets);
@@ -172,7 +181,12 @@
   Call.StallTimer = 0;
   if (Call.Sent == 0)
     return;
-  this->With.Servers.failed(Call.Server);
+  const KnownServer *Server = this->With.Servers.find(Call.Server);
+  // A server that sends answers to others is slow or full, not silent.
+  if (!Server || Server->HeardAt < Call.SentAt)
+    this->With.Servers.failed(Call.Server);
+  if (!Call.Route.mayRepeat() || Call.Runs >= Call.Route.MaxAttempts)
+    return;
   this->endSend(Call, true);
   this->tryAgain(Call, "the server sent nothing for too long");
 }
@@ -198,12 +212,7 @@
     this->endSend(*Call, true);
     if (Head.Status == this->With.Dialect.WrongServerStatus)
       this->With.Servers.failed(Server);
-    if (Call->Refusals < MostRefusals)
-      this->tryAgain(*Call, "the server did not take the request");
-    else if (Call->HeadPassed || Call->Runs > 0)
-      this->fail(*Call, BadGateway, "no server took the request");
-    else
-      this->refuse(*Call, "no server took the request");
+    this->pauseAndTryAgain(*Call);
     return;
   }
   this->With.Servers.succeeded(Call->Server);
@@ -254,6 +263,7 @@
   OnlineCall *Call = this->callOf(Id);
   if (!Call)
     return;
+  this->With.Servers.heard(Call->Server);
   if (!Call->FirstByteAt)
     Call->FirstByteAt = this->With.Loop.clock().now();
   if (Call->IsEventStream)
@@ -286,6 +296,8 @@
   if (!Call)
     return;
   this->With.Crashes.answered(Call->Fingerprint);
+  this->Overload.served(Call->Service,
+                        this->With.Loop.clock().now() - Call->SentAt);
   this->endSend(*Call, false);
   if (!Call->IsEventStream) {
     this->passHead(*Call);
@@ -332,8 +344,6 @@
     this->fail(Call, BadGateway, Why);
   else if (this->With.Crashes.isBarred(Call.Fingerprint))
     this->fail(Call, BadGateway, "equal requests broke three servers off");
-  else if (Call.Refusals >= MostRefusals && Call.Runs == 0 && !Call.HeadPassed)
-    this->refuse(Call, "no server took the request");
   else
     this->sendToServer(Call);
 }
@@ -347,7 +357,7 @@
   if (Call.Runs > 0 || Call.HeadPassed)
     this->fail(Call, GatewayTimeout, "the time is up");
   else
-    this->refuse(Call, "the time is up");
+    this->refuse(Call, "the time is up", DefaultRetryAfter);
 }
 
 void OnlineService::callerLeft(CallerId Caller) {
@@ -362,16 +372,41 @@
   this->end(Call, 0, "caller_left");
 }
 
-Duration OnlineService::retryAfter(const OnlineCall &) const {
-  return DefaultRetryAfter;
+void OnlineService::pauseAndTryAgain(OnlineCall &Call) {
+  const Instant Now = this->With.Loop.clock().now();
+  const std::size_t Servers =
+      this->With.Servers.usable(Call.Service).size();
+  const bool AllTried = Call.Tried.size() >= Servers;
+  if (!AllTried) {
+    this->tryAgain(Call, "the server did not take the request");
+    return;
+  }
+  if (Now - Call.Arrived >= Call.Route.TargetLatency) {
+    if (Call.HeadPassed || Call.Runs > 0)
+      this->fail(Call, BadGateway, "no server took the request");
+    else
+      this->refuse(Call, "no server took the request", DefaultRetryAfter);
+    return;
+  }
+  Call.Tried.clear();
+  this->With.Loop.cancel(std::exchange(Call.StallTimer, 0));
+  Call.PauseTimer =
+      this->With.Loop.after(RefusedPause, [this, Caller = Call.Caller] {
+        const auto Found = this->Calls.find(Caller);
+        if (Found == this->Calls.end())
+          return;
+        Found->second->PauseTimer = 0;
+        this->tryAgain(*Found->second, "every server was full");
+      });
 }
 
-void OnlineService::refuse(OnlineCall &Call, std::string_view Why) {
+void OnlineService::refuse(OnlineCall &Call, std::string_view Why,
+                           Duration RetryAfter) {
   this->endSend(Call, true);
   this->With.Callers.reply(Call.Caller, Unavailable,
                            {{this->With.Dialect.RequestId, Call.RequestId},
                             {this->With.Dialect.RetryAfter,
-                             secondsText(this->retryAfter(Call))}},
+                             secondsText(RetryAfter)}},
                            Why);
   this->end(Call, Unavailable, Why);
 }
@@ -391,6 +426,7 @@
                         std::string_view Outcome) {
   this->With.Loop.cancel(Call.DeadlineTimer);
   this->With.Loop.cancel(Call.StallTimer);
+  this->With.Loop.cancel(Call.PauseTimer);
   const Instant Now = this->With.Loop.clock().now();
   const double FirstMs =
       Call.FirstByteAt ? toMillis(*Call.FirstByteAt - Call.Arrived) : -1.0;
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -3,6 +3,7 @@
 
 #include "Serving/BackendDialect.h"
 #include "Serving/OnlineCall.h"
+#include "Serving/OverloadPolicy.h"
 
 #include <memory>
 #include <unordered_map>
@@ -11,6 +12,7 @@
 
 class CrashDetector;
 class CrashRecord;
+class IdSource;
 class LoadBook;
 class Logger;
 class Metrics;
@@ -27,6 +29,7 @@
   const PlacementPolicy &Placement;
   CrashRecord &Crashes;
   CrashDetector &Detector;
+  IdSource &Ids;
   const BackendDialect &Dialect;
   Logger &Log;
   Metrics &Stats;
@@ -62,12 +65,13 @@
   void expired(CallerId Caller);
   void stalled(CallerId Caller);
   void armStallTimer(OnlineCall &Call);
-  void refuse(OnlineCall &Call, std::string_view Why);
+  void refuse(OnlineCall &Call, std::string_view Why, Duration RetryAfter);
   void fail(OnlineCall &Call, int Status, std::string_view Why);
   void end(OnlineCall &Call, int Status, std::string_view Outcome);
-  Duration retryAfter(const OnlineCall &Call) const;
+  void pauseAndTryAgain(OnlineCall &Call);
 
   OnlineParts With;
+  OverloadPolicy Overload;
   std::unordered_map<CallerId, std::unique_ptr<OnlineCall>> Calls;
   std::unordered_map<SendId, CallerId> Sends;
 };
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -26,10 +26,10 @@
     : Time(Time), Servers(Servers), Loads(Loads), Channels(Channels),
       Zone(std::move(Zone)), Self(std::move(Self)) {}
 
-const KnownServer *
+Placement
 PlacementPolicy::forOnline(std::string_view Service,
                            const std::set<std::string> &Tried) const {
-  const KnownServer *Best = nullptr;
+  Placement Best;
   // Smaller is better, from the most to the least important reason.
   std::tuple<bool, bool, int, bool, int, bool, int, std::uint64_t> BestRank;
   const Instant Now = this->Time.now();
@@ -49,8 +49,8 @@
                           Displaced,
                           !this->Channels.hasIdle(Server->Entry.Address),
                           Use.Online, hash64(Server->Entry.Id + this->Self));
-    if (!Best || Rank < BestRank) {
-      Best = Server;
+    if (!Best.Server || Rank < BestRank) {
+      Best = {Server, Waiting};
       BestRank = Rank;
     }
   }
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -14,6 +14,15 @@
 class ServerDirectory;
 struct KnownServer;
 
+/// Where a request is to be sent.
+struct Placement {
+  /// nullptr if there is no server.
+  const KnownServer *Server = nullptr;
+  /// How many requests of waiting callers are beyond the server's slots, this
+  /// one counted.
+  int Waiting = 0;
+};
+
 /// Chooses the server of a request from the load that all VMs put on each one.
 /// It has no I/O.
 class PlacementPolicy {
@@ -22,11 +31,11 @@
                   const LoadBook &Loads, const BackendChannels &Channels,
                   std::string Zone, std::string Self);
 
-  /// Chooses a server of \p Service for a request whose caller waits, or
-  /// nullptr if there is none. \p Tried servers are chosen only if there is no
-  /// other one. Batch items do not count, because they give way.
-  const KnownServer *forOnline(std::string_view Service,
-                               const std::set<std::string> &Tried) const;
+  /// Chooses a server of \p Service for a request whose caller waits. \p Tried
+  /// servers are chosen only if there is no other one. Batch items do not count
+  /// as waiting, because they give way.
+  Placement forOnline(std::string_view Service,
+                      const std::set<std::string> &Tried) const;
 
   /// Chooses a server of \p Service with a free slot for a batch item, or
   /// nullptr if every slot is taken.
--- a/Source/Serving/ServerDirectory.cpp
+++ b/Source/Serving/ServerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Serving/ServerDirectory.h"
 
+#include "Serving/LoadBook.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -13,6 +15,10 @@
 constexpr Duration FirstAvoidance = std::chrono::milliseconds(300);
 constexpr int MostDoublings = 4;
 
+/// How long the word of another VM holds, and how long an own experience goes
+/// before it. Some digests fit in.
+constexpr Duration HearsayTime = std::chrono::milliseconds(600);
+
 } // namespace
 
 bool ServerDirectory::update(ServerEntry Entry) {
@@ -55,9 +61,32 @@
   if (Found == this->Servers.end())
     return;
   Found->second.Failures = 0;
+  Found->second.HeardAt = this->Time.now();
   Found->second.AvoidedUntil = Instant();
 }
 
+void ServerDirectory::heard(const std::string &Id) {
+  const auto Found = this->Servers.find(Id);
+  if (Found != this->Servers.end())
+    Found->second.HeardAt = this->Time.now();
+}
+
+void ServerDirectory::avoidedElsewhere(std::uint32_t Key) {
+  const Instant Now = this->Time.now();
+  for (auto &[Id, Known] : this->Servers)
+    if (serverKey(Id) == Key && Now - Known.HeardAt > HearsayTime)
+      Known.AvoidedUntil = std::max(Known.AvoidedUntil, Now + HearsayTime);
+}
+
+std::vector<std::uint32_t> ServerDirectory::avoided() const {
+  std::vector<std::uint32_t> Keys;
+  const Instant Now = this->Time.now();
+  for (const auto &[Id, Known] : this->Servers)
+    if (Known.Failures > 0 && Known.AvoidedUntil > Now)
+      Keys.push_back(serverKey(Id));
+  return Keys;
+}
+
 const KnownServer *ServerDirectory::find(const std::string &Id) const {
   const auto Found = this->Servers.find(Id);
   return Found == this->Servers.end() ? nullptr : &Found->second;
--- a/Source/Serving/ServerDirectory.h
+++ b/Source/Serving/ServerDirectory.h
@@ -21,6 +21,8 @@
   Instant AvoidedUntil;
   /// Failures since the last success.
   int Failures = 0;
+  /// When the server last sent anything to this VM.
+  Instant HeardAt;
 };
 
 /// The backend servers by their ids, as the list of servers and the outcomes
@@ -45,6 +47,13 @@
   void failed(const std::string &Id);
   /// The server answered.
   void succeeded(const std::string &Id);
+  /// The server sent something.
+  void heard(const std::string &Id);
+  /// Another VM avoids the server with hash \p Key; this VM does so too, for a
+  /// while, unless it heard the server lately.
+  void avoidedElsewhere(std::uint32_t Key);
+  /// The hashes of servers that this VM avoids by its own experience.
+  std::vector<std::uint32_t> avoided() const;
 
   /// Returns the server called \p Id, or nullptr.
   const KnownServer *find(const std::string &Id) const;
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -160,7 +160,7 @@
       Loads.startBatch(Id);
   }
   for (int Caller = 0; Caller < ServerCount * Slots; ++Caller) {
-    const KnownServer *Chosen = Placement.forOnline("m", {});
+    const KnownServer *Chosen = Placement.forOnline("m", {}).Server;
     cr_assert_not_null(Chosen);
     Loads.startOnline(Chosen->Entry.Id);
   }
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -37,8 +37,13 @@
   Bench.Channels.head(1, 503, {{"Not-Run", "1"}});
   cr_assert_eq(Bench.Channels.All.size(), 2);
   cr_assert_neq(Bench.sentHeader(1, "Server"), Bench.sentHeader(2, "Server"));
-  for (SendId Id = 2; !Bench.answer(1).Complete && Id < 20; ++Id)
+  Bench.Route.TargetLatency = 50ms;
+  for (SendId Id = 2; !Bench.answer(1).Complete && Id < 2000; ++Id) {
     Bench.Channels.head(Id, 421);
+    runUntil(Bench.Loop, [&] {
+      return Bench.Channels.All.size() > Id || Bench.answer(1).Complete;
+    });
+  }
   cr_assert_eq(Bench.answer(1).Status, 503);
   cr_assert_neq(rawHeader(Bench.answer(1).Headers, "Retry-After"), "");
 }
--- a/Tests/Support/OnlineBench.h
+++ b/Tests/Support/OnlineBench.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_TESTS_SUPPORT_ONLINEBENCH_H
 #define TURMERICPASS_TESTS_SUPPORT_ONLINEBENCH_H
 
+#include "Core/IdSource.h"
 #include "Serving/CrashDetector.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadBook.h"
@@ -23,6 +24,7 @@
   FakeCallers Callers;
   NullLogger Log;
   Metrics Stats;
+  IdSource Ids{7};
   BackendDialect Dialect;
   ServerDirectory Servers{Time};
   LoadBook Loads{"self"};
@@ -36,7 +38,7 @@
 
   OnlineBench()
       : Online({Loop, Callers, Channels, Servers, Loads, Placement, Crashes,
-                Detector, Dialect, Log, Stats}) {
+                Detector, Ids, Dialect, Log, Stats}) {
     Dialect.RequestId = "Id";
     Dialect.RemainingMs = "Remaining";
     Dialect.ExpectedServer = "Server";
