BatchJobs: Start items first that can still be on time

Now items that can be on time go first, on all VMs, and late ones get one start in eight and every slot that is not scarce.

--- /dev/null
+++ b/Source/BatchJobs/ItemOrder.cpp
@@ -0,0 +1,39 @@
+#include "BatchJobs/ItemOrder.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+/// The weight of the newest item in the means.
+constexpr double NewestWeight = 0.1;
+
+/// An item runs at least this part of the mean time, however far it came: its
+/// prompt is read again.
+constexpr double LeastPart = 0.1;
+
+void addTo(double &Mean, double Value) {
+  Mean = Mean == 0 ? Value : Mean + NewestWeight * (Value - Mean);
+}
+
+} // namespace
+
+void ItemOrder::finished(Duration RunTime, std::uint64_t Events) {
+  addTo(this->MeanMicros, static_cast<double>(RunTime.count()));
+  addTo(this->MeanEvents, static_cast<double>(Events));
+}
+
+bool ItemOrder::canBeOnTime(Duration Left, std::uint64_t Events) const {
+  const double Done = this->MeanEvents == 0
+                          ? 0
+                          : static_cast<double>(Events) / this->MeanEvents;
+  const double Needed = this->MeanMicros * std::max(LeastPart, 1 - Done);
+  return static_cast<double>(Left.count()) > Needed;
+}
+
+void ItemOrder::started(bool OnTime) {
+  this->StartsSinceLate = OnTime ? this->StartsSinceLate + 1 : 0;
+}
+
+} // namespace turmericpass
--- a/Source/BatchJobs/ItemRun.h
+++ b/Source/BatchJobs/ItemRun.h
@@ -42,6 +42,8 @@
   /// The data of the events so far.
   std::string Output;
   std::optional<std::uint64_t> LastEvent;
+  /// How long the sends before the present one ran.
+  Duration RunTime{0};
   /// Events of the present send.
   int NewEvents = 0;
 };
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -11,6 +11,7 @@
 #include "Telemetry/Metrics.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace turmericpass {
@@ -38,6 +39,10 @@
 /// that had more events than this is not suspected when its server crashes.
 constexpr int MostCrashEvents = 2;
 
+/// Free slots that late items leave at each server while items of other VMs
+/// wait that can be on time.
+constexpr int SlotsForUrgent = 2;
+
 /// How long one commit is tried before its outcome is looked at again.
 constexpr Duration CommitTime = std::chrono::seconds(3);
 
@@ -208,6 +213,7 @@
   if (CloseConnection)
     this->With.Channels.cancel(Run.Sent);
   this->Sends.erase(std::exchange(Run.Sent, 0));
+  Run.RunTime += this->With.Loop.clock().now() - Run.StartedAt;
   this->With.Loads.endBatch(Run.Server);
   Run.Events.reset();
 }
@@ -244,36 +250,79 @@
     }
 }
 
-void JobRunner::startItems() {
+std::vector<std::string> JobRunner::jobsByDue() const {
   std::vector<std::pair<std::int64_t, std::string>> ByDue;
   for (const auto &[JobId, Job] : this->Jobs)
     if (!Job.Loading)
       ByDue.emplace_back(Job.Head.AcceptedMillis, JobId);
   std::sort(ByDue.begin(), ByDue.end());
-  const Instant Now = this->With.Loop.clock().now();
+  std::vector<std::string> JobIds;
+  for (auto &[Accepted, JobId] : ByDue)
+    JobIds.push_back(std::move(JobId));
+  return JobIds;
+}
+
+void JobRunner::giveUpExpired() {
   const std::int64_t StoreNow = this->With.StoreMillis();
-  for (const auto &[Accepted, JobId] : ByDue) {
-    OwnedJob &Job = this->Jobs.at(JobId);
+  for (auto &[JobId, Job] : this->Jobs) {
     const RouteSettings *Route = this->routeOf(Job);
-    const bool Expired =
-        Route && StoreNow - Accepted >
-                     Route->JobRetention.count() / 1000 + RetentionMarginMs;
-    bool Full = false;
-    for (std::size_t I = 0; I < Job.Items.size() && !Full; ++I) {
+    if (!Route || StoreNow - Job.Head.AcceptedMillis <=
+                      Route->JobRetention.count() / 1000 + RetentionMarginMs)
+      continue;
+    for (std::size_t I = 0; I < Job.Items.size(); ++I)
+      if (Job.Items[I].State == ItemState::Pending)
+        this->finish({JobId, I}, Job.Items[I], false,
+                     "its retention time is over");
+  }
+}
+
+bool JobRunner::canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const {
+  const RouteSettings *Route = this->routeOf(Job);
+  const Duration Age = std::chrono::milliseconds(this->With.StoreMillis() -
+                                                 Job.Head.AcceptedMillis);
+  return Route && this->Order.canBeOnTime(Route->JobTarget - Age,
+                                          Run.LastEvent.value_or(0));
+}
+
+void JobRunner::startItems() {
+  this->giveUpExpired();
+  if (this->Order.isLateTurn())
+    this->startWaiting(false, 1, 0);
+  this->Urgent = false;
+  constexpr int NoLimit = std::numeric_limits<int>::max();
+  this->startWaiting(true, NoLimit, 0);
+  // Urgent items elsewhere may wait for other reasons than a lack of slots, so
+  // late ones are held back only where slots are scarce.
+  if (!this->Urgent)
+    this->startWaiting(false, NoLimit,
+                       this->With.OthersAreUrgent() ? SlotsForUrgent : 0);
+}
+
+int JobRunner::startWaiting(bool OnTime, int Most, int LeaveFree) {
+  const Instant Now = this->With.Loop.clock().now();
+  int Started = 0;
+  for (const std::string &JobId : this->jobsByDue()) {
+    OwnedJob &Job = this->Jobs.at(JobId);
+    for (std::size_t I = 0; I < Job.Items.size() && Started < Most; ++I) {
       ItemRun &Run = Job.Items[I];
-      if (Run.State != ItemState::Pending)
+      if (Run.State != ItemState::Pending || Run.NotBefore > Now ||
+          this->canBeOnTime(Job, Run) != OnTime)
         continue;
-      if (Expired)
-        this->finish({JobId, I}, Run, false, "its retention time is over");
-      else if (Run.NotBefore <= Now)
-        Full = !this->startItem({JobId, I}, Job, Run);
+      if (!this->startItem({JobId, I}, Job, Run, LeaveFree)) {
+        this->Urgent = this->Urgent || OnTime;
+        return Started;
+      }
+      if (Run.State != ItemState::Running)
+        continue;
+      ++Started;
+      this->Order.started(OnTime);
     }
-    if (Full)
-      return;
   }
+  return Started;
 }
 
-bool JobRunner::startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run) {
+bool JobRunner::startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run,
+                          int LeaveFree) {
   const RouteSettings *Route = this->routeOf(Job);
   if (!Route)
     return true;
@@ -284,7 +333,7 @@
     return true;
   }
   const KnownServer *Server = this->With.Placement.forBatch(
-      pickService(*Route, hash64(Run.Item.Id)), {});
+      pickService(*Route, hash64(Run.Item.Id)), LeaveFree);
   if (!Server)
     return false;
   SendOrder Order;
@@ -414,6 +463,7 @@
   this->With.Crashes.answered(
       CrashRecord::fingerprint(Run->Item.Target, Run->Item.Body));
   this->stop(*Run, false);
+  this->Order.finished(Run->RunTime, Run->LastEvent.value_or(0));
   this->finish(Key, *Run, true, "complete");
   this->schedule();
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 #define TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 
+#include "BatchJobs/ItemOrder.h"
 #include "BatchJobs/ItemRun.h"
 #include "BatchJobs/JobStore.h"
 #include "Serving/BackendDialect.h"
@@ -39,6 +40,8 @@
   std::function<const ServingSettings *()> Settings;
   /// The store's clock in milliseconds.
   std::function<std::int64_t()> StoreMillis;
+  /// Whether items of other VMs wait that can still be on time.
+  std::function<bool()> OthersAreUrgent;
   /// This incarnation of this VM, as it stands in heads of jobs.
   std::string Self;
 };
@@ -66,7 +69,8 @@
   }
   bool isReleasing() const { return this->Releasing; }
   std::size_t owned() const { return this->Jobs.size(); }
-  bool hasWork() const { return !this->Jobs.empty(); }
+  /// Whether an item waits for a slot that can still be on time.
+  bool isUrgent() const { return this->Urgent; }
   const OwnedJob *find(const std::string &JobId) const;
 
 private:
@@ -90,7 +94,15 @@
   ItemRun *itemOf(SendId Id, ItemKey &Key);
   void yieldSlots();
   void startItems();
-  bool startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run);
+  /// Starts waiting items that can be on time, or those that cannot, until
+  /// every server has only \p LeaveFree free slots or \p Most have started.
+  /// Returns how many started.
+  int startWaiting(bool OnTime, int Most, int LeaveFree);
+  void giveUpExpired();
+  std::vector<std::string> jobsByDue() const;
+  bool canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const;
+  bool startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run,
+                 int LeaveFree);
   void stop(ItemRun &Run, bool CloseConnection);
   void postpone(const ItemKey &Key, ItemRun &Run, Duration Pause,
                 std::string_view Why);
@@ -104,6 +116,8 @@
   RunnerParts With;
   std::map<std::string, OwnedJob> Jobs;
   std::unordered_map<SendId, ItemKey> Sends;
+  ItemOrder Order;
+  bool Urgent = false;
   bool Releasing = false;
 };
 
--- a/Source/Node/PeerBook.cpp
+++ b/Source/Node/PeerBook.cpp
@@ -1,5 +1,6 @@
 #include "Node/PeerBook.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -75,6 +76,13 @@
          (Found != this->Peers.end() && !Found->second.Silent);
 }
 
+bool PeerBook::isAnyUrgent() const {
+  return std::any_of(this->Peers.begin(), this->Peers.end(),
+                     [](const auto &Each) {
+                       return !Each.second.Silent && Each.second.Digest.Urgent;
+                     });
+}
+
 std::vector<PeerBook::Source> PeerBook::informed() const {
   std::vector<Source> Found;
   for (const auto &[Incarnation, Known] : this->Peers)
--- a/Source/Node/PeerBook.h
+++ b/Source/Node/PeerBook.h
@@ -39,6 +39,9 @@
   /// Incarnations that were heard lately and do not stop, without this VM's.
   std::vector<std::string> alive() const;
 
+  /// Whether any VM that was heard lately has urgent items.
+  bool isAnyUrgent() const;
+
   /// How many VMs were heard within the last minute.
   int count() const { return static_cast<int>(this->Peers.size()); }
 
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// The first field of each digest; raised when the fields change.
-constexpr unsigned ProtocolVersion = 2;
-constexpr std::uint32_t FieldCount = 10;
+constexpr unsigned ProtocolVersion = 3;
+constexpr std::uint32_t FieldCount = 11;
 
 template <typename T> T field(const msgpack::object &Object, std::uint32_t At) {
   return Object.via.array.ptr[At].as<T>();
@@ -42,6 +42,7 @@
     Digest.Crashes.push_back({field<std::uint64_t>(Crashes, I),
                               field<unsigned>(Crashes, I + 1)});
   Digest.Avoided = field<std::vector<ServerKey>>(Object, 9);
+  Digest.Urgent = field<bool>(Object, 10);
   return Digest;
 }
 
@@ -70,6 +71,7 @@
     Out.pack(Crash.Count);
   }
   Out.pack(Digest.Avoided);
+  Out.pack(Digest.Urgent);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/PeerDigest.h
+++ b/Source/Node/PeerDigest.h
@@ -27,6 +27,8 @@
   bool StoreInReach = false;
   std::map<ServerKey, ServerUse> Use;
   std::vector<CrashRecord::Entry> Crashes;
+  /// Items of its jobs wait that can still be on time.
+  bool Urgent = false;
   /// Servers that failed requests of this VM lately.
   std::vector<ServerKey> Avoided;
 };
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -99,7 +99,8 @@
               this->Servers, this->Loads, this->Placement, this->Crashes,
               this->Detector, Parts.Adapter.backendDialect(), Parts.Log, this->Stats,
               [this] { return this->Settings.current(); },
-              [this] { return this->JobFeed.storeMillis(); }, this->Self}),
+              [this] { return this->JobFeed.storeMillis(); },
+              [this] { return this->Peers.isAnyUrgent(); }, this->Self}),
       Api({Parts.Loop, this->Front, this->Jobs, this->Book, this->Runner,
            Parts.Adapter.backendDialect(), Parts.Adapter.jobDialect(),
            Parts.Log, this->Stats,
@@ -406,6 +407,7 @@
   Digest.StoreInReach = this->seesStore();
   Digest.Use = this->Loads.ownAll();
   Digest.Crashes = this->Crashes.toShare(SharedCrashes);
+  Digest.Urgent = this->Runner.isUrgent();
   Digest.Avoided = this->Servers.avoided();
   const std::string Bytes = encodeDigest(Digest);
   for (const std::string &Address :
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -59,7 +59,7 @@
 
 const KnownServer *
 PlacementPolicy::forBatch(std::string_view Service,
-                          const std::set<std::string> &Tried) const {
+                          int LeaveFree) const {
   const KnownServer *Best = nullptr;
   std::tuple<bool, int, std::uint64_t> BestRank;
   const Instant Now = this->Time.now();
@@ -67,9 +67,9 @@
     const ServerUse Use = this->Loads.total(Server->Entry.Id);
     const int Busy = Use.Online + Use.Batch;
     // What VMs in other zones run is known later, so a slot is left over there.
-    const int Spare = Server->Entry.Zone == this->Zone ? 0 : SpareSlots;
-    if (Busy + Spare >= Server->Entry.Slots || Server->AvoidedUntil > Now ||
-        Tried.contains(Server->Entry.Id))
+    const int Spare =
+        std::max(LeaveFree, Server->Entry.Zone == this->Zone ? 0 : SpareSlots);
+    if (Busy + Spare >= Server->Entry.Slots || Server->AvoidedUntil > Now)
       continue;
     const std::tuple Rank(Server->Entry.Zone != this->Zone, Busy,
                           hash64(Server->Entry.Id + this->Self));
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -37,10 +37,9 @@
   Placement forOnline(std::string_view Service,
                       const std::set<std::string> &Tried) const;
 
-  /// Chooses a server of \p Service with a free slot for a batch item, or
-  /// nullptr if every slot is taken.
-  const KnownServer *forBatch(std::string_view Service,
-                              const std::set<std::string> &Tried) const;
+  /// Chooses a server of \p Service for a batch item that has a free slot and
+  /// leaves \p LeaveFree more, or nullptr if there is none.
+  const KnownServer *forBatch(std::string_view Service, int LeaveFree) const;
 
 private:
   const Clock &Time;
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -112,7 +112,7 @@
                          Bench.Crashes, Bench.Detector, Bench.Dialect,
                          Bench.Log, Bench.Stats,
                          [&] { return &Bench.Settings; }, [] { return 0; },
-                         "other"});
+                         [] { return false; }, "other"});
   JobApi Other({Bench.Loop, Bench.Callers, Bench.Store, OtherBook, OtherRunner,
                 Bench.Dialect, Bench.Calls, Bench.Log, Bench.Stats,
                 [] { return 0; }, [] { return true; }, "other"});
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -135,3 +135,62 @@
   cr_assert_eq(Bench.Channels.Cancelled.size(), 2);
   cr_assert_not(Bench.Runner.owns("j"));
 }
+
+// Replays a backlog after an outage: more items than slots, some of which are
+// late already. Guards against items that could be on time and wait behind
+// those that cannot, and against late items that wait for ever.
+Test(JobRunner, ItemsThatCanBeOnTimeGoFirst) {
+  RunnerBench Bench;
+  Bench.Settings.Routes[0].JobTarget = std::chrono::seconds(18);
+  Bench.Servers.update({"s1", "model", "127.0.0.1:1", "a", 1, false, 1});
+  cr_assert(Bench.startJob("blocker", 1));
+  Bench.StoreNow = 100'000;
+  std::map<std::string, std::size_t> Started;
+  for (const auto &[JobId, Accepted] :
+       std::map<std::string, std::int64_t>{{"late", 0}, {"fresh", 99'000}}) {
+    JobHead Head;
+    Head.Host = "h";
+    Head.Target = "/";
+    Head.Route = "jobs";
+    Head.Owner = "self";
+    Head.Epoch = 1;
+    Head.AcceptedMillis = Accepted;
+    Head.TotalItems = 20;
+    std::vector<JobItem> Items;
+    for (int I = 0; I < 20; ++I)
+      Items.push_back({JobId + std::to_string(I), "/" + JobId, {}, "b", 1});
+    bool Accepts = false;
+    Bench.Store.accept(JobId, Head, Items,
+                       Bench.Time.now() + std::chrono::seconds(5), Bench.Book,
+                       [&](JobStore::ChangeOutcome) { Accepts = true; });
+    cr_assert(runUntil(Bench.Loop, [&] { return Accepts; }));
+    Bench.Runner.own(JobId);
+    cr_assert(runUntil(Bench.Loop, [&] {
+      return !Bench.Runner.find(JobId)->Items.empty();
+    }));
+  }
+  // Each end of an item frees the one slot for the next.
+  for (SendId Id = 1; Id <= 16; ++Id) {
+    Bench.complete(Id);
+    Bench.Runner.schedule();
+    cr_assert_eq(Bench.Channels.All.size(), Id + 1);
+    ++Started[Bench.Channels.last().Order.Request.Target];
+  }
+  cr_assert_eq(Started["/late"], 2);
+  cr_assert_eq(Started["/fresh"], 14);
+}
+
+// Guards against late items that take the slots for which items of another VM
+// wait that can be on time.
+Test(JobRunner, LateItemsLeaveSlotsToUrgentItemsElsewhere) {
+  RunnerBench Bench;
+  Bench.Settings.Routes[0].JobTarget = std::chrono::seconds(18);
+  Bench.StoreNow = 100'000;
+  Bench.OthersAreUrgent = true;
+  Bench.Servers.update({"s1", "model", "127.0.0.1:1", "a", 3, false, 1});
+  cr_assert_not(Bench.startJob("j", 3));
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+  Bench.OthersAreUrgent = false;
+  Bench.Runner.schedule();
+  cr_assert_eq(Bench.Channels.All.size(), 3);
+}
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -166,7 +166,7 @@
   }
   for (int I = 0; I < ServerCount; ++I)
     cr_assert_eq(Loads.total("s" + std::to_string(I)).Online, Slots);
-  cr_assert_null(Placement.forBatch("m", {}));
+  cr_assert_null(Placement.forBatch("m", 0));
 }
 
 // Guards against items that are started on slots which callers use.
@@ -178,11 +178,11 @@
   const PlacementPolicy Placement(Time, Servers, Loads, Channels, "a", "self");
   Servers.update({"s", "m", "1.1.1.1:1", "a", 2, false, 1});
   Loads.setPeer("peer", {{serverKey("s"), {1, 0}}});
-  cr_assert_not_null(Placement.forBatch("m", {}));
+  cr_assert_not_null(Placement.forBatch("m", 0));
   Loads.startBatch("s");
-  cr_assert_null(Placement.forBatch("m", {}));
+  cr_assert_null(Placement.forBatch("m", 0));
   Loads.removePeer("peer");
-  cr_assert_not_null(Placement.forBatch("m", {}));
+  cr_assert_not_null(Placement.forBatch("m", 0));
   Servers.failed("s");
-  cr_assert_null(Placement.forBatch("m", {}));
+  cr_assert_null(Placement.forBatch("m", 0));
 }
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -37,13 +37,15 @@
   JobBook Book{Log};
   JobStore Store{Loop, Rows, Ids, Log};
   std::int64_t StoreNow = 0;
+  bool OthersAreUrgent = false;
   JobRunner Runner;
 
   RunnerBench()
       : Runner({Loop, Channels, Store, Book, Servers, Loads, Placement, Crashes,
                 Detector, Dialect, Log, Stats,
                 [this] { return &this->Settings; },
-                [this] { return this->StoreNow; }, "self"}) {
+                [this] { return this->StoreNow; },
+                [this] { return this->OthersAreUrgent; }, "self"}) {
     Dialect.RequestId = "Id";
     Dialect.RemainingMs = "Remaining";
     Dialect.ExpectedServer = "Server";
