--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -57,10 +57,9 @@
   this->With.Stats.add("job_calls_total{status=\"" + std::to_string(Status) +
                        "\"}");
   if (Status != Ok)
-    this->With.Log.log(LogLevel::Info, "A call on a job was answered.",
-                       {{"request", RequestId},
-                        {"status", Status},
-                        {"reason", Why}});
+    this->With.Log.log(
+        LogLevel::Info, "A call on a job was answered.",
+        {{"request", RequestId}, {"status", Status}, {"reason", Why}});
 }
 
 void JobApi::callerLeft(CallerId Caller) {
@@ -132,24 +131,24 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           this->With.Loop.clock().now() - Job->Arrived)
           .count();
-  this->With.Store.accept(
-      Job->JobId, Job->Head, Job->Items, Job->Until, this->With.Book,
-      [this, Job](JobStore::ChangeOutcome Outcome) {
-        this->acceptDone(Job, Outcome);
-      });
+  this->With.Store.accept(Job->JobId, Job->Head, Job->Items, Job->Until,
+                          this->With.Book,
+                          [this, Job](JobStore::ChangeOutcome Outcome) {
+                            this->acceptDone(Job, Outcome);
+                          });
 }
 
 void JobApi::acceptDone(const std::shared_ptr<Submission> &Job,
                         JobStore::ChangeOutcome Outcome) {
   const bool Exists = this->With.Book.find(Job->JobId) != nullptr;
   if (Outcome == JobStore::ChangeOutcome::Done || Exists) {
-    this->With.Log.log(LogLevel::Info, "A job is accepted.",
-                       {{"job", Job->JobId},
-                        {"route", Job->Head.Route},
-                        {"items", Job->Head.TotalItems},
-                        {"tokens", Job->Head.TotalTokens},
-                        {"took_ms", toMillis(this->With.Loop.clock().now() -
-                                             Job->Arrived)}});
+    this->With.Log.log(
+        LogLevel::Info, "A job is accepted.",
+        {{"job", Job->JobId},
+         {"route", Job->Head.Route},
+         {"items", Job->Head.TotalItems},
+         {"tokens", Job->Head.TotalTokens},
+         {"took_ms", toMillis(this->With.Loop.clock().now() - Job->Arrived)}});
     this->answer(Job->Caller, Accepted, Job->JobId, "accepted");
     this->With.Runner.own(Job->JobId);
     return;
@@ -159,7 +158,8 @@
   const bool TimeLeft =
       this->With.Loop.clock().now() + AdmissionPause < Job->Until;
   if (Outcome == JobStore::ChangeOutcome::Overtaken && TimeLeft) {
-    this->With.Loop.after(AdmissionPause, [this, Job] { this->tryAccept(Job); });
+    this->With.Loop.after(AdmissionPause,
+                          [this, Job] { this->tryAccept(Job); });
     return;
   }
   // A refusal promises that nothing runs, so it is no answer while the
@@ -202,38 +202,38 @@
 }
 
 void JobApi::readResults(CallerId Caller, const Reader &Asked) {
-  this->withHead(Asked.Call.JobId, [this, Caller,
-                                    Asked](Result<const KnownJob *> Known) {
-    if (!this->Open.contains(Caller))
-      return;
-    if (!Known) {
-      const bool Absent = Known.error().Code == ErrorCode::NotFound;
-      this->answer(Caller, Absent ? NotFound : Unavailable, Asked.RequestId,
-                   Known.error().Message);
-      return;
-    }
-    const JobHead &Head = (*Known)->Head;
-    if (Asked.Call.After < Head.ListedItems) {
-      this->sendResults(Caller, Asked, **Known);
-      return;
-    }
-    const Duration Left = Asked.Until - this->With.Loop.clock().now();
-    if (!Head.isOpen() || Left <= Duration(0)) {
-      this->answer(Caller, Ok, Asked.RequestId, "",
-                   this->With.Calls.writeResults(Head.TotalItems,
-                                                 Asked.Call.After, {}));
-      return;
-    }
-    this->Waiting[Caller] = Asked;
-    this->With.Loop.after(Left, [this, Caller] {
-      const auto Found = this->Waiting.find(Caller);
-      if (Found == this->Waiting.end())
-        return;
-      const Reader Expired = Found->second;
-      this->Waiting.erase(Found);
-      this->readResults(Caller, Expired);
-    });
-  });
+  this->withHead(
+      Asked.Call.JobId, [this, Caller, Asked](Result<const KnownJob *> Known) {
+        if (!this->Open.contains(Caller))
+          return;
+        if (!Known) {
+          const bool Absent = Known.error().Code == ErrorCode::NotFound;
+          this->answer(Caller, Absent ? NotFound : Unavailable, Asked.RequestId,
+                       Known.error().Message);
+          return;
+        }
+        const JobHead &Head = (*Known)->Head;
+        if (Asked.Call.After < Head.ListedItems) {
+          this->sendResults(Caller, Asked, **Known);
+          return;
+        }
+        const Duration Left = Asked.Until - this->With.Loop.clock().now();
+        if (!Head.isOpen() || Left <= Duration(0)) {
+          this->answer(Caller, Ok, Asked.RequestId, "",
+                       this->With.Calls.writeResults(Head.TotalItems,
+                                                     Asked.Call.After, {}));
+          return;
+        }
+        this->Waiting[Caller] = Asked;
+        this->With.Loop.after(Left, [this, Caller] {
+          const auto Found = this->Waiting.find(Caller);
+          if (Found == this->Waiting.end())
+            return;
+          const Reader Expired = Found->second;
+          this->Waiting.erase(Found);
+          this->readResults(Caller, Expired);
+        });
+      });
 }
 
 void JobApi::sendResults(CallerId Caller, const Reader &Asked,
@@ -311,8 +311,8 @@
         return;
       }
   this->With.Store.readItems(
-      Call.JobId, [this, Caller, Call,
-                   RequestId](Result<std::vector<JobItem>> Items) {
+      Call.JobId,
+      [this, Caller, Call, RequestId](Result<std::vector<JobItem>> Items) {
         if (!Items) {
           const bool Absent = Items.error().Code == ErrorCode::NotFound;
           this->answer(Caller, Absent ? NotFound : Unavailable, RequestId,
--- a/Source/BatchJobs/JobApi.h
+++ b/Source/BatchJobs/JobApi.h
@@ -73,8 +73,7 @@
   void withHead(const std::string &JobId,
                 std::function<void(Result<const KnownJob *>)> Done);
   void readResults(CallerId Caller, const Reader &Asked);
-  void sendResults(CallerId Caller, const Reader &Asked,
-                   const KnownJob &Known);
+  void sendResults(CallerId Caller, const Reader &Asked, const KnownJob &Known);
   void readItem(CallerId Caller, const JobCall &Call,
                 const std::string &RequestId);
   void end(CallerId Caller, const JobCall &Call, const std::string &RequestId,
--- a/Source/BatchJobs/JobBook.cpp
+++ b/Source/BatchJobs/JobBook.cpp
@@ -47,8 +47,7 @@
 
 void JobBook::apply(const StoredRow &Row, std::vector<std::string> &Changed) {
   if (Row.Key.starts_with(AdmissionPrefix)) {
-    Admission &Known =
-        this->Admissions[Row.Key.substr(AdmissionPrefix.size())];
+    Admission &Known = this->Admissions[Row.Key.substr(AdmissionPrefix.size())];
     if (Row.Removed)
       Known = Admission();
     else if (Row.Version > Known.Version)
--- a/Source/BatchJobs/JobDialect.h
+++ b/Source/BatchJobs/JobDialect.h
@@ -38,9 +38,9 @@
   readSubmission(const RawRequest &Request) const = 0;
 
   /// Writes the results from position \p First on.
-  virtual std::string writeResults(std::uint64_t Total, std::uint64_t First,
-                                   const std::vector<ItemResult> &Results)
-      const = 0;
+  virtual std::string
+  writeResults(std::uint64_t Total, std::uint64_t First,
+               const std::vector<ItemResult> &Results) const = 0;
 
   /// The content type of writeResults().
   virtual std::string contentType() const = 0;
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -50,32 +50,18 @@
 constexpr std::string_view ItemRemainingMs = "60000";
 
 constexpr Duration ConnectTime = std::chrono::milliseconds(400);
-constexpr Duration LoadRetryPause = std::chrono::milliseconds(300);
-
-/// Progress beyond this is not worth a row; the item starts again.
-constexpr std::size_t MostProgressBytes = std::size_t{40} << 10U;
+/// The pause before a commit that was not made is tried again.
+constexpr Duration CommitRetryPause = std::chrono::milliseconds(300);
 
 /// Added to the retention before an item is given up, since the store's clock
 /// is known to within a call's duration.
 constexpr std::int64_t RetentionMarginMs = 1000;
 
-/// Takes over the head as it is in the store. Only the owner lists results, and
-/// in the order of Uncommitted, so results that the store has beyond those
-/// known here came with an own commit whose answer was lost.
-void adoptHead(OwnedJob &Job, const KnownJob &Known) {
-  if (Known.Version <= Job.Version)
-    return;
-  const auto Landed = static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(
-      Known.Head.ListedItems - Job.Head.ListedItems, Job.Uncommitted.size()));
-  Job.Uncommitted.erase(Job.Uncommitted.begin(),
-                        Job.Uncommitted.begin() + Landed);
-  Job.Version = Known.Version;
-  Job.Head = Known.Head;
-}
-
 } // namespace
 
-JobRunner::JobRunner(RunnerParts Parts) : With(std::move(Parts)) {}
+JobRunner::JobRunner(RunnerParts Parts)
+    : With(std::move(Parts)),
+      Loader(this->With.Loop, this->With.Store, this->With.Log) {}
 
 const OwnedJob *JobRunner::find(const std::string &JobId) const {
   const auto Found = this->Jobs.find(JobId);
@@ -96,83 +82,26 @@
   OwnedJob &Job = this->Jobs[JobId];
   Job.Head = Known->Head;
   Job.Version = Known->Version;
-  this->load(JobId);
-}
-
-void JobRunner::load(const std::string &JobId) {
-  const auto Retry = [this, JobId](const Error &Why) {
-    this->With.Log.log(LogLevel::Warning, "A job could not be read.",
-                       {{"job", JobId}, {"reason", Why.Message}});
-    this->With.Loop.after(LoadRetryPause, [this, JobId] {
-      if (this->Jobs.contains(JobId))
-        this->load(JobId);
-    });
-  };
-  this->With.Store.readItems(JobId, [this, JobId, Retry](
-                                        Result<std::vector<JobItem>> Items) {
-    if (!Items) {
-      Retry(Items.error());
-      return;
-    }
-    const auto Found = this->Jobs.find(JobId);
-    if (Found == this->Jobs.end())
-      return;
-    if (Found->second.Head.ListedItems == 0 && Found->second.Head.Epoch == 1) {
-      // A job that was just accepted has neither results nor progress.
-      this->loadDone(JobId, std::move(*Items), {}, {});
-      return;
-    }
-    this->With.Store.readResults(
-        JobId, 0, 0,
-        [this, JobId, Retry, Items = std::move(*Items)](
-            Result<std::vector<ItemResult>> Results) mutable {
-          if (!Results) {
-            Retry(Results.error());
-            return;
-          }
-          this->With.Store.readProgress(
-              JobId, [this, JobId, Items = std::move(Items),
-                      Results = std::move(*Results)](
-                         Result<std::vector<ItemProgress>> Progress) mutable {
-                // Without progress the items only run again.
-                this->loadDone(JobId, std::move(Items), Results,
-                               Progress ? *Progress
-                                        : std::vector<ItemProgress>());
-              });
-        });
-  });
+  const bool IsNew = Job.Head.ListedItems == 0 && Job.Head.Epoch == 1;
+  this->Loader.load(
+      JobId, IsNew, [this, JobId] { return this->Jobs.contains(JobId); },
+      [this, JobId](std::vector<ItemRun> Items) {
+        this->loaded(JobId, std::move(Items));
+      });
 }
 
-void JobRunner::loadDone(const std::string &JobId, std::vector<JobItem> Items,
-                         const std::vector<ItemResult> &Results,
-                         const std::vector<ItemProgress> &Progress) {
+void JobRunner::loaded(const std::string &JobId, std::vector<ItemRun> Items) {
   const auto Found = this->Jobs.find(JobId);
   if (Found == this->Jobs.end() || !Found->second.Loading)
     return;
   OwnedJob &Job = Found->second;
   Job.Loading = false;
-  for (JobItem &Item : Items) {
-    ItemRun Run;
-    Run.Item = std::move(Item);
-    Job.Items.push_back(std::move(Run));
-  }
-  std::map<std::string, std::size_t> ByName;
-  for (std::size_t I = 0; I < Job.Items.size(); ++I)
-    ByName.emplace(Job.Items[I].Item.Id, I);
-  for (const ItemResult &Known : Results)
-    if (const auto At = ByName.find(Known.ItemId); At != ByName.end())
-      Job.Items[At->second].State = ItemState::Listed;
-  for (const ItemProgress &Known : Progress)
-    if (Known.Index < Job.Items.size()) {
-      Job.Items[Known.Index].LastEvent = Known.LastEvent;
-      Job.Items[Known.Index].Output = Known.Output;
-    }
+  Job.Items = std::move(Items);
   this->With.Log.log(LogLevel::Info, "A job runs here now.",
                      {{"job", JobId},
                       {"epoch", Job.Head.Epoch},
                       {"items", Job.Items.size()},
-                      {"listed", Results.size()},
-                      {"begun", Progress.size()}});
+                      {"listed", Job.Head.ListedItems}});
   this->schedule();
 }
 
@@ -192,7 +121,7 @@
     else if (Known->Head.Ended)
       this->drop(JobId, "its caller ended the job");
     else if (!Found->second.Committing)
-      adoptHead(Found->second, *Known);
+      Found->second.adoptHead(*Known);
   }
 }
 
@@ -228,8 +157,7 @@
 void JobRunner::yieldSlots() {
   std::map<std::string, int> ToYield;
   for (const auto &[Id, Server] : this->With.Servers.all())
-    if (const int Count =
-            this->With.Loads.batchToYield(Id, Server.Entry.Slots))
+    if (const int Count = this->With.Loads.batchToYield(Id, Server.Entry.Slots))
       ToYield.emplace(Id, Count);
   const Instant Now = this->With.Loop.clock().now();
   for (auto &[JobId, Job] : this->Jobs)
@@ -510,17 +438,10 @@
   if (Job.Committing || Job.Uncommitted.empty())
     return;
   Job.Committing = true;
-  std::map<std::string, std::uint64_t> Tokens;
-  for (const ItemRun &Run : Job.Items)
-    Tokens.emplace(Run.Item.Id, Run.Item.Tokens);
-  JobHead Head = Job.Head;
-  Head.ListedItems += Job.Uncommitted.size();
-  for (const ItemResult &Item : Job.Uncommitted)
-    Head.ListedTokens += Tokens[Item.ItemId];
   this->With.Store.change(
-      JobId, Head, Job.Version, Job.Uncommitted, Job.Head.ListedItems, {},
-      this->With.Loop.clock().now() + CommitTime, this->With.Book,
-      [this, JobId](JobStore::ChangeOutcome Outcome) {
+      JobId, Job.headAfterCommit(), Job.Version, Job.Uncommitted,
+      Job.Head.ListedItems, {}, this->With.Loop.clock().now() + CommitTime,
+      this->With.Book, [this, JobId](JobStore::ChangeOutcome Outcome) {
         this->committed(JobId, Outcome);
       });
 }
@@ -534,7 +455,7 @@
   Job.Committing = false;
   if (const KnownJob *Known = this->With.Book.find(JobId);
       Known && Known->Head.Owner == this->With.Self)
-    adoptHead(Job, *Known);
+    Job.adoptHead(*Known);
   if (Job.Head.ListedItems >= Job.Head.TotalItems) {
     this->drop(JobId, "all its results are listed");
     return;
@@ -546,7 +467,7 @@
   if (Outcome == JobStore::ChangeOutcome::Done)
     this->commit(JobId);
   else
-    this->With.Loop.after(LoadRetryPause, [this, JobId] {
+    this->With.Loop.after(CommitRetryPause, [this, JobId] {
       if (this->Jobs.contains(JobId))
         this->commit(JobId);
     });
@@ -555,21 +476,11 @@
 void JobRunner::release() {
   this->Releasing = true;
   for (auto &[JobId, Job] : this->Jobs) {
-    std::vector<ItemProgress> Progress;
-    for (std::size_t I = 0; I < Job.Items.size(); ++I) {
-      ItemRun &Run = Job.Items[I];
+    for (ItemRun &Run : Job.Items)
       this->stop(Run, true);
-      if (Run.State != ItemState::Finished && Run.State != ItemState::Listed &&
-          Run.LastEvent && Run.Output.size() <= MostProgressBytes)
-        Progress.push_back({I, *Run.LastEvent, Run.Output});
-    }
-    JobHead Head = Job.Head;
+    const std::vector<ItemProgress> Progress = Job.progress();
+    JobHead Head = Job.headAfterCommit();
     Head.Owner.clear();
-    Head.ListedItems += Job.Uncommitted.size();
-    for (const ItemResult &Item : Job.Uncommitted)
-      for (const ItemRun &Run : Job.Items)
-        if (Run.Item.Id == Item.ItemId)
-          Head.ListedTokens += Run.Item.Tokens;
     this->With.Log.log(LogLevel::Info, "A job is handed over.",
                        {{"job", JobId},
                         {"begun", Progress.size()},
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -2,8 +2,8 @@
 #define TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 
 #include "BatchJobs/ItemOrder.h"
-#include "BatchJobs/ItemRun.h"
-#include "BatchJobs/JobStore.h"
+#include "BatchJobs/JobLoader.h"
+#include "BatchJobs/OwnedJob.h"
 #include "Serving/BackendDialect.h"
 #include "Serving/ServingSettings.h"
 
@@ -86,10 +86,7 @@
   void sendFailed(SendId Id, SendFailure Failure,
                   std::string_view Detail) override;
 
-  void load(const std::string &JobId);
-  void loadDone(const std::string &JobId, std::vector<JobItem> Items,
-                const std::vector<ItemResult> &Results,
-                const std::vector<ItemProgress> &Progress);
+  void loaded(const std::string &JobId, std::vector<ItemRun> Items);
   void drop(const std::string &JobId, std::string_view Why);
   ItemRun *itemOf(SendId Id, ItemKey &Key);
   void yieldSlots();
@@ -114,6 +111,7 @@
   const RouteSettings *routeOf(const OwnedJob &Job) const;
 
   RunnerParts With;
+  JobLoader Loader;
   std::map<std::string, OwnedJob> Jobs;
   std::unordered_map<SendId, ItemKey> Sends;
   ItemOrder Order;
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -25,7 +25,9 @@
   return Text;
 }
 
-std::string itemsPrefix(const std::string &JobId) { return "in/" + JobId + "/"; }
+std::string itemsPrefix(const std::string &JobId) {
+  return "in/" + JobId + "/";
+}
 
 std::string resultsPrefix(const std::string &JobId) {
   return "out/" + JobId + "/";
@@ -184,8 +186,8 @@
     std::vector<StoredRow> Written;
     for (const RowWrite &Row : Tried.Change.Writes)
       if (Row.Table == HeadTable)
-        Written.push_back({Row.Table, Part, Row.Key, Row.Value, Answer.Version,
-                           false});
+        Written.push_back(
+            {Row.Table, Part, Row.Key, Row.Value, Answer.Version, false});
     Tried.Book->update(Written);
     Outcome = ChangeOutcome::Done;
   } else if (Answer.Outcome == TransactionOutcome::Conflict) {
@@ -296,20 +298,20 @@
 void JobStore::readResults(const std::string &JobId, std::uint64_t First,
                            std::size_t Bytes, ResultsDone Done) {
   const std::string Prefix = resultsPrefix(JobId);
-  this->read(Prefix, Prefix + positionKey(First), Bytes,
-             [Done = std::move(Done)](
-                 const Result<std::vector<StoredRow>> &Rows) {
-               Done(decodeAll<ItemResult>(Rows, decodeResult));
-             });
+  this->read(
+      Prefix, Prefix + positionKey(First), Bytes,
+      [Done = std::move(Done)](const Result<std::vector<StoredRow>> &Rows) {
+        Done(decodeAll<ItemResult>(Rows, decodeResult));
+      });
 }
 
 void JobStore::readProgress(const std::string &JobId, ProgressDone Done) {
   const std::string Prefix = progressPrefix(JobId);
-  this->read(Prefix, Prefix, 0,
-             [Done = std::move(Done)](
-                 const Result<std::vector<StoredRow>> &Rows) {
-               Done(decodeAll<ItemProgress>(Rows, decodeProgress));
-             });
+  this->read(
+      Prefix, Prefix, 0,
+      [Done = std::move(Done)](const Result<std::vector<StoredRow>> &Rows) {
+        Done(decodeAll<ItemProgress>(Rows, decodeProgress));
+      });
 }
 
 } // namespace turmericpass
--- /dev/null
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -0,0 +1,48 @@
+#include "BatchJobs/OwnedJob.h"
+
+#include <algorithm>
+
+namespace turmericpass {
+
+namespace {
+
+/// Progress beyond this is not worth a row; the item starts again.
+constexpr std::size_t MostProgressBytes = std::size_t{40} << 10U;
+
+} // namespace
+
+void OwnedJob::adoptHead(const KnownJob &Known) {
+  if (Known.Version <= this->Version)
+    return;
+  const auto Landed = static_cast<std::ptrdiff_t>(
+      std::min<std::uint64_t>(Known.Head.ListedItems - this->Head.ListedItems,
+                              this->Uncommitted.size()));
+  this->Uncommitted.erase(this->Uncommitted.begin(),
+                          this->Uncommitted.begin() + Landed);
+  this->Version = Known.Version;
+  this->Head = Known.Head;
+}
+
+JobHead OwnedJob::headAfterCommit() const {
+  JobHead After = this->Head;
+  After.ListedItems += this->Uncommitted.size();
+  for (const ItemResult &Done : this->Uncommitted)
+    for (const ItemRun &Run : this->Items)
+      if (Run.Item.Id == Done.ItemId)
+        After.ListedTokens += Run.Item.Tokens;
+  return After;
+}
+
+std::vector<ItemProgress> OwnedJob::progress() const {
+  std::vector<ItemProgress> Begun;
+  for (std::size_t I = 0; I < this->Items.size(); ++I) {
+    const ItemRun &Run = this->Items[I];
+    const bool Open =
+        Run.State == ItemState::Pending || Run.State == ItemState::Running;
+    if (Open && Run.LastEvent && Run.Output.size() <= MostProgressBytes)
+      Begun.push_back({I, *Run.LastEvent, Run.Output});
+  }
+  return Begun;
+}
+
+} // namespace turmericpass
--- a/Source/BatchJobs/ItemRun.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -1,7 +1,7 @@
-#ifndef TURMERICPASS_BATCHJOBS_ITEMRUN_H
-#define TURMERICPASS_BATCHJOBS_ITEMRUN_H
+#ifndef TURMERICPASS_BATCHJOBS_OWNEDJOB_H
+#define TURMERICPASS_BATCHJOBS_OWNEDJOB_H
 
-#include "BatchJobs/JobRecords.h"
+#include "BatchJobs/JobBook.h"
 #include "Core/Clock.h"
 #include "RawHttp/BackendChannels.h"
 #include "Serving/EventSplitter.h"
@@ -58,6 +58,17 @@
   bool Committing = false;
   /// Items are still being read from the store.
   bool Loading = true;
+
+  /// Takes over the head as it is in the store. Only the owner lists results,
+  /// and in the order of Uncommitted, so results that the store has beyond
+  /// those known here came with an own commit whose answer was lost.
+  void adoptHead(const KnownJob &Known);
+
+  /// The head after a commit of all results that wait for theirs.
+  JobHead headAfterCommit() const;
+
+  /// How far the items came that have no result yet.
+  std::vector<ItemProgress> progress() const;
 };
 
 } // namespace turmericpass
--- a/Source/Node/DigestPort.cpp
+++ b/Source/Node/DigestPort.cpp
@@ -29,7 +29,8 @@
   const Result<sockaddr_in> Own = parseSocketAddress(Address);
   if (!Own)
     return tl::make_unexpected(Own.error());
-  this->Descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  this->Descriptor =
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (this->Descriptor < 0 ||
       bind(this->Descriptor, reinterpret_cast<const sockaddr *>(&*Own),
            sizeof(*Own)) != 0)
@@ -59,9 +60,9 @@
       return;
     std::array<char, INET_ADDRSTRLEN> Ip{};
     inet_ntop(AF_INET, &From.sin_addr, Ip.data(), Ip.size());
-    this->Told(std::string(Ip.data()) + ":" +
-                   std::to_string(ntohs(From.sin_port)),
-               std::string_view(Buffer.data(), static_cast<std::size_t>(Count)));
+    this->Told(
+        std::string(Ip.data()) + ":" + std::to_string(ntohs(From.sin_port)),
+        std::string_view(Buffer.data(), static_cast<std::size_t>(Count)));
   }
 }
 
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -39,8 +39,8 @@
                                             field<int>(Use, I + 2)};
   const msgpack::object &Crashes = Object.via.array.ptr[8];
   for (std::uint32_t I = 0; I < arrayOf(Crashes, 2).size; I += 2)
-    Digest.Crashes.push_back({field<std::uint64_t>(Crashes, I),
-                              field<unsigned>(Crashes, I + 1)});
+    Digest.Crashes.push_back(
+        {field<std::uint64_t>(Crashes, I), field<unsigned>(Crashes, I + 1)});
   Digest.Avoided = field<std::vector<ServerKey>>(Object, 9);
   Digest.Urgent = field<bool>(Object, 10);
   return Digest;
--- a/Source/Node/PeerView.cpp
+++ b/Source/Node/PeerView.cpp
@@ -28,8 +28,7 @@
   StoreView View;
   Object.via.array.ptr[1].convert(View.Settings);
   const msgpack::object &Rows = Object.via.array.ptr[2];
-  if (Rows.type != msgpack::type::ARRAY ||
-      Rows.via.array.size % RowFields != 0)
+  if (Rows.type != msgpack::type::ARRAY || Rows.via.array.size % RowFields != 0)
     throw msgpack::type_error();
   for (std::uint32_t I = 0; I < Rows.via.array.size; I += RowFields) {
     StoredRow Row;
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -16,8 +16,9 @@
 
 /// The pace of digests inside the zone while this VM's load changes.
 constexpr Duration DigestPause = std::chrono::milliseconds(20);
-/// The pace of digests to other zones is this for each VM, since traffic between
-/// zones is dear and grows with the square of the VMs; and the slowest pace.
+/// The pace of digests to other zones is this for each VM, since traffic
+/// between zones is dear and grows with the square of the VMs; and the slowest
+/// pace.
 constexpr Duration FarDigestPause = std::chrono::milliseconds(5);
 constexpr Duration IdleDigestPause = std::chrono::milliseconds(400);
 
@@ -29,10 +30,8 @@
 /// have been heard.
 constexpr Duration LearnTime = std::chrono::milliseconds(1500);
 
-/// This VM's row in the store, and when the row of another VM is too old.
-constexpr Duration NodeRowPeriod = std::chrono::seconds(5);
-constexpr std::int64_t NodeRowLifeMs = 20'000;
-constexpr std::string_view NodePrefix = "node/";
+/// The pace at which this VM refreshes its row in the store.
+constexpr Duration RegistryPeriod = std::chrono::seconds(5);
 
 /// Servers whose entries are missing after the store was away are used for so
 /// long; live servers have written them again by then.
@@ -49,8 +48,8 @@
 constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
 /// The pauses between two answers with changes. Settings and leaving servers
-/// have a bound of two seconds; heads of jobs change with each result, and every
-/// VM reads every change.
+/// have a bound of two seconds; heads of jobs change with each result, and
+/// every VM reads every change.
 constexpr Duration UrgentChangePause = std::chrono::milliseconds(15);
 constexpr Duration JobChangePause = std::chrono::milliseconds(120);
 
@@ -75,8 +74,8 @@
       Crashes(Parts.Loop.clock()),
       Detector(Parts.Loop, Parts.Channels, this->Servers, this->Crashes,
                Parts.Log, [this] { return this->Settings.current(); }),
-      Placement(Parts.Loop.clock(), this->Servers, this->Loads,
-                Parts.Channels, this->Config.Zone, this->Self),
+      Placement(Parts.Loop.clock(), this->Servers, this->Loads, Parts.Channels,
+                this->Config.Zone, this->Self),
       Peers(Parts.Loop.clock(), this->Loads, this->Crashes, this->Self),
       Settings(Parts.Adapter, Parts.Log,
                [this](const ServingSettings &Adopted) {
@@ -95,9 +94,9 @@
               Parts.Ids, Parts.Adapter.backendDialect(), Parts.Log,
               this->Stats}),
       Book(Parts.Log), Jobs(Parts.Loop, Parts.Store, Parts.Ids, Parts.Log),
-      Runner({Parts.Loop, Parts.Channels, this->Jobs, this->Book,
-              this->Servers, this->Loads, this->Placement, this->Crashes,
-              this->Detector, Parts.Adapter.backendDialect(), Parts.Log, this->Stats,
+      Runner({Parts.Loop, Parts.Channels, this->Jobs, this->Book, this->Servers,
+              this->Loads, this->Placement, this->Crashes, this->Detector,
+              Parts.Adapter.backendDialect(), Parts.Log, this->Stats,
               [this] { return this->Settings.current(); },
               [this] { return this->JobFeed.storeMillis(); },
               [this] { return this->Peers.isAnyUrgent(); }, this->Self}),
@@ -131,6 +130,8 @@
                [this](const std::vector<StoredRow> &Rows) {
                  this->jobRows(Rows, false);
                }}),
+      Registry(Parts.Store, Parts.Log, this->PeerAddress, this->Self,
+               [this] { return this->JobFeed.storeMillis(); }),
       Digests(Parts.Loop), StartedAt(Parts.Loop.clock().now()) {}
 
 Result<void> ServingNode::start() {
@@ -139,11 +140,10 @@
         this->Ready.listen(this->Config.ReadyAddress),
         this->MetricsServer.listen(this->Config.Ip + ":" +
                                    std::to_string(this->Config.MetricsPort)),
-        this->Digests.open(this->PeerAddress,
-                           [this](const std::string &From,
-                                  std::string_view Bytes) {
-                             this->digestReceived(From, Bytes);
-                           })})
+        this->Digests.open(this->PeerAddress, [this](const std::string &From,
+                                                     std::string_view Bytes) {
+          this->digestReceived(From, Bytes);
+        })})
     if (!Opened)
       return Opened;
   // Without this address the others only do not learn from this VM.
@@ -159,7 +159,7 @@
   Loop.every(SchedulePeriod, [this] { this->tick(); });
   Loop.every(TakeoverPeriod, [this] { this->takeJobs(); });
   Loop.every(AskPeriod, [this] { this->askPeers(); });
-  Loop.every(NodeRowPeriod, [this] { this->writeNodeRow(); });
+  Loop.every(RegistryPeriod, [this] { this->refreshRegistry(); });
   this->With.Log.log(LogLevel::Info, "The node starts.",
                      {{"incarnation", this->Self},
                       {"zone", this->Config.Zone},
@@ -169,8 +169,7 @@
 }
 
 bool ServingNode::isReady() const {
-  return this->Settings.current() && this->ServersKnown &&
-         !this->StoppingSince;
+  return this->Settings.current() && this->ServersKnown && !this->StoppingSince;
 }
 
 void ServingNode::ReadyHandler::requested(CallerId Id, RawRequest) {
@@ -297,8 +296,7 @@
 }
 
 std::optional<ServerEntry> ServingNode::readServer(const StoredRow &Row) {
-  Result<ServerEntry> Entry =
-      this->With.Adapter.readServer(Row.Key, Row.Value);
+  Result<ServerEntry> Entry = this->With.Adapter.readServer(Row.Key, Row.Value);
   if (Entry)
     return std::move(*Entry);
   this->With.Log.log(LogLevel::Warning, "A server's entry names no server.",
@@ -319,7 +317,8 @@
   const Instant Now = this->With.Loop.clock().now();
   this->With.Log.log(LogLevel::Info, "The servers were listed.",
                      {{"servers", Entries.size()}, {"after_gap", Gap}});
-  this->Servers.replace(std::move(Entries), Gap ? Now + MissingServerTime : Now);
+  this->Servers.replace(std::move(Entries),
+                        Gap ? Now + MissingServerTime : Now);
   this->ServersKnown = true;
   this->limitConnections();
 }
@@ -351,50 +350,19 @@
 
 void ServingNode::jobRows(const std::vector<StoredRow> &Rows, bool Listed) {
   for (const StoredRow &Row : Rows)
-    if (Row.Key.starts_with(NodePrefix))
-      this->nodeRow(Row);
+    this->Registry.update(Row);
+  this->Peers.setListed(this->Registry.addresses());
   const std::vector<std::string> Changed =
       Listed ? this->Book.replace(Rows) : this->Book.update(Rows);
   if (Listed && !std::exchange(this->JobsKnown, true))
-    this->writeNodeRow();
+    this->refreshRegistry();
   this->Runner.headsChanged(Changed);
   this->Api.headsChanged(Changed);
 }
 
-void ServingNode::nodeRow(const StoredRow &Row) {
-  const std::string Address = Row.Key.substr(NodePrefix.size());
-  if (Row.Removed)
-    this->NodeRows.erase(Address);
-  else if (Address != this->PeerAddress)
-    this->NodeRows[Address] = this->JobFeed.storeMillis();
-  std::vector<std::string> Addresses;
-  for (const auto &[Known, RefreshedAt] : this->NodeRows)
-    if (this->JobFeed.storeMillis() - RefreshedAt < NodeRowLifeMs)
-      Addresses.push_back(Known);
-  this->Peers.setListed(std::move(Addresses));
-}
-
-void ServingNode::writeNodeRow() {
-  if (!this->JobsKnown || this->StoppingSince)
-    return;
-  RowTransaction Change;
-  Change.Part = JobStore::Part;
-  Change.Writes = {{JobStore::HeadTable,
-                    std::string(NodePrefix) + this->PeerAddress, this->Self}};
-  for (auto Each = this->NodeRows.begin(); Each != this->NodeRows.end();) {
-    const bool Old = this->JobFeed.storeMillis() - Each->second > NodeRowLifeMs;
-    if (Old)
-      Change.Removals.push_back(
-          {JobStore::HeadTable, std::string(NodePrefix) + Each->first});
-    Each = Old ? this->NodeRows.erase(Each) : std::next(Each);
-  }
-  this->With.Store.transact(std::move(Change), [this](TransactionResult Made) {
-    if (Made.Outcome != TransactionOutcome::Committed)
-      this->With.Log.log(LogLevel::Warning,
-                         "This node's row was not refreshed.",
-                         {{"outcome", toName(Made.Outcome)},
-                          {"detail", Made.Detail}});
-  });
+void ServingNode::refreshRegistry() {
+  if (this->JobsKnown && !this->StoppingSince)
+    this->Registry.refresh();
 }
 
 void ServingNode::sendDigests(bool ToAllZones) {
@@ -452,16 +420,15 @@
   const auto IsAlive = [this](const std::string &Incarnation) {
     return this->Peers.isAlive(Incarnation);
   };
-  for (const std::string &JobId : this->Takeover.choose(
-           this->Book.all(), this->Peers.alive(), IsAlive)) {
+  for (const std::string &JobId :
+       this->Takeover.choose(this->Book.all(), this->Peers.alive(), IsAlive)) {
     if (!this->Claiming.insert(JobId).second)
       continue;
     const KnownJob Known = *this->Book.find(JobId);
     JobHead Head = Known.Head;
-    this->With.Log.log(LogLevel::Info, "A job has no living owner.",
-                       {{"job", JobId},
-                        {"owner", Head.Owner},
-                        {"epoch", Head.Epoch}});
+    this->With.Log.log(
+        LogLevel::Info, "A job has no living owner.",
+        {{"job", JobId}, {"owner", Head.Owner}, {"epoch", Head.Epoch}});
     Head.Owner = this->Self;
     ++Head.Epoch;
     this->Jobs.change(JobId, Head, Known.Version, {}, 0, {},
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -8,6 +8,7 @@
 #include "Node/DeploymentAdapter.h"
 #include "Node/DigestPort.h"
 #include "Node/NodeConfig.h"
+#include "Node/NodeRegistry.h"
 #include "Node/PeerBook.h"
 #include "Node/PeerView.h"
 #include "Node/SettingsKeeper.h"
@@ -94,8 +95,7 @@
   void serversListed(const std::vector<StoredRow> &Rows, bool Gap);
   std::optional<ServerEntry> readServer(const StoredRow &Row);
   void jobRows(const std::vector<StoredRow> &Rows, bool Listed);
-  void nodeRow(const StoredRow &Row);
-  void writeNodeRow();
+  void refreshRegistry();
   void sendDigests(bool ToAllZones);
   void digestReceived(const std::string &From, std::string_view Bytes);
   void tick();
@@ -131,11 +131,9 @@
   RowFeed SettingsFeed;
   RowFeed ServerFeed;
   RowFeed JobFeed;
+  NodeRegistry Registry;
   DigestPort Digests;
   std::set<std::string> Claiming;
-  /// Other VMs as the store lists them: address and the store's time of their
-  /// last refresh.
-  std::map<std::string, std::int64_t> NodeRows;
   /// The list of servers as it was read, for VMs that cannot read it.
   std::map<std::string, StoredRow> ServerRows;
   bool ServersKnown = false;
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -57,9 +57,9 @@
 }
 
 void BackendConnection::connect() {
-  this->Channel = bufferevent_socket_new(
-      this->Owner.Loop.base(), -1,
-      BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  this->Channel =
+      bufferevent_socket_new(this->Owner.Loop.base(), -1,
+                             BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb(
       this->Channel,
       [](bufferevent *, void *Self) {
@@ -194,10 +194,9 @@
 
 void BackendConnection::headRead(RawHead Head) {
   this->HeadSeen = true;
-  this->Skipping =
-      !this->Order.EchoHeader.empty() &&
-      !Head.header(this->Order.EchoHeader).empty() &&
-      Head.header(this->Order.EchoHeader) != this->Order.EchoValue;
+  this->Skipping = !this->Order.EchoHeader.empty() &&
+                   !Head.header(this->Order.EchoHeader).empty() &&
+                   Head.header(this->Order.EchoHeader) != this->Order.EchoValue;
   if (this->Skipping)
     return;
   this->Reusable = Head.KeepAlive;
--- a/Source/RawHttp/CallerServer.cpp
+++ b/Source/RawHttp/CallerServer.cpp
@@ -41,7 +41,9 @@
   this->Listener = evconnlistener_new_bind(
       this->Loop.base(),
       [](evconnlistener *, evutil_socket_t Descriptor, sockaddr *, int,
-         void *Self) { static_cast<CallerServer *>(Self)->accepted(Descriptor); },
+         void *Self) {
+        static_cast<CallerServer *>(Self)->accepted(Descriptor);
+      },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
       ListenBacklog, reinterpret_cast<const sockaddr *>(&*Bound),
       sizeof(*Bound));
--- a/Source/RawHttp/RawMessage.cpp
+++ b/Source/RawHttp/RawMessage.cpp
@@ -9,9 +9,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> HopByHopNames = {
-    "connection", "keep-alive",       "proxy-connection",
-    "te",         "trailer",          "transfer-encoding",
-    "upgrade",    "proxy-authenticate", "proxy-authorization"};
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "proxy-authenticate",
+    "proxy-authorization"};
 
 char lower(char Letter) {
   return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
@@ -38,10 +44,9 @@
 }
 
 bool isHopByHop(std::string_view Name) {
-  return std::any_of(HopByHopNames.begin(), HopByHopNames.end(),
-                     [&](std::string_view Known) {
-                       return equalsIgnoringCase(Name, Known);
-                     });
+  return std::any_of(
+      HopByHopNames.begin(), HopByHopNames.end(),
+      [&](std::string_view Known) { return equalsIgnoringCase(Name, Known); });
 }
 
 void appendHeader(std::string &Out, std::string_view Name,
--- a/Source/Rows/RowFeed.cpp
+++ b/Source/Rows/RowFeed.cpp
@@ -102,8 +102,7 @@
   this->Store.changes(
       this->Table, this->Version, FollowWait, [this](Result<RowPage> Page) {
         if (!Page) {
-          this->failed(Page.error(),
-                       Page.error().Code == ErrorCode::NotFound);
+          this->failed(Page.error(), Page.error().Code == ErrorCode::NotFound);
           return;
         }
         this->answered(*Page);
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -69,8 +69,7 @@
   Call.Route = Route;
   const HttpHeaders &Headers = Call.Request.Headers;
   Call.RequestId = rawHeader(Headers, this->With.Dialect.RequestId);
-  Call.Service = pickService(
-      Route, hash64(Call.RequestId));
+  Call.Service = pickService(Route, hash64(Call.RequestId));
   Call.Fingerprint =
       CrashRecord::fingerprint(Call.Request.Target, Call.Request.Body);
   Call.Arrived = this->With.Loop.clock().now();
@@ -146,9 +145,9 @@
     return;
   }
   if (Call.Runs == 0 && Call.Refusals == 0)
-    if (const std::optional<Duration> Return = this->Overload.refuse(
-            Call.Route, Call.Service, Choice, Call.CallerTime,
-            this->With.Ids.number())) {
+    if (const std::optional<Duration> Return =
+            this->Overload.refuse(Call.Route, Call.Service, Choice,
+                                  Call.CallerTime, this->With.Ids.number())) {
       this->refuse(Call, "it could not be served in time", *Return);
       return;
     }
@@ -167,8 +166,9 @@
   this->With.Loop.cancel(Call.StallTimer);
   Call.StallTimer = 0;
   const Duration Limit =
-      Call.Answer ? LeastStall
-                  : std::max(LeastStall, Call.Route.TargetLatency * StallTargets);
+      Call.Answer
+          ? LeastStall
+          : std::max(LeastStall, Call.Route.TargetLatency * StallTargets);
   Call.StallTimer = this->With.Loop.after(
       Limit, [this, Caller = Call.Caller] { this->stalled(Caller); });
 }
@@ -329,17 +329,16 @@
 void OnlineService::tryAgain(OnlineCall &Call, std::string_view Why) {
   this->With.Loop.cancel(std::exchange(Call.StallTimer, 0));
   Call.Events.reset();
-  this->With.Log.log(LogLevel::Info, "A send did not succeed.",
-                     {{"request", Call.RequestId},
-                      {"server", Call.Server},
-                      {"reason", Why},
-                      {"possible_runs", Call.Runs},
-                      {"refusals", Call.Refusals},
-                      {"waited_ms", toMillis(this->With.Loop.clock().now() -
-                                             Call.Arrived)}});
-  const bool May =
-      Call.Runs == 0 ||
-      (Call.Route.mayRepeat() && Call.Runs < Call.Route.MaxAttempts);
+  this->With.Log.log(
+      LogLevel::Info, "A send did not succeed.",
+      {{"request", Call.RequestId},
+       {"server", Call.Server},
+       {"reason", Why},
+       {"possible_runs", Call.Runs},
+       {"refusals", Call.Refusals},
+       {"waited_ms", toMillis(this->With.Loop.clock().now() - Call.Arrived)}});
+  const bool May = Call.Runs == 0 || (Call.Route.mayRepeat() &&
+                                      Call.Runs < Call.Route.MaxAttempts);
   if (!May)
     this->fail(Call, BadGateway, Why);
   else if (this->With.Crashes.isBarred(Call.Fingerprint))
@@ -374,8 +373,7 @@
 
 void OnlineService::pauseAndTryAgain(OnlineCall &Call) {
   const Instant Now = this->With.Loop.clock().now();
-  const std::size_t Servers =
-      this->With.Servers.usable(Call.Service).size();
+  const std::size_t Servers = this->With.Servers.usable(Call.Service).size();
   const bool AllTried = Call.Tried.size() >= Servers;
   if (!AllTried) {
     this->tryAgain(Call, "the server did not take the request");
@@ -403,11 +401,11 @@
 void OnlineService::refuse(OnlineCall &Call, std::string_view Why,
                            Duration RetryAfter) {
   this->endSend(Call, true);
-  this->With.Callers.reply(Call.Caller, Unavailable,
-                           {{this->With.Dialect.RequestId, Call.RequestId},
-                            {this->With.Dialect.RetryAfter,
-                             secondsText(RetryAfter)}},
-                           Why);
+  this->With.Callers.reply(
+      Call.Caller, Unavailable,
+      {{this->With.Dialect.RequestId, Call.RequestId},
+       {this->With.Dialect.RetryAfter, secondsText(RetryAfter)}},
+      Why);
   this->end(Call, Unavailable, Why);
 }
 
@@ -444,8 +442,7 @@
   const std::string Label = "{route=\"" + Call.Route.Name + "\",status=\"" +
                             std::to_string(Status) + "\"}";
   this->With.Stats.add("requests_total" + Label);
-  this->With.Stats.observe("request_seconds{route=\"" + Call.Route.Name +
-                               "\"}",
+  this->With.Stats.observe("request_seconds{route=\"" + Call.Route.Name + "\"}",
                            toMillis(Now - Call.Arrived) / 1000.0);
   this->Calls.erase(Call.Caller);
 }
--- a/Source/Serving/OverloadPolicy.cpp
+++ b/Source/Serving/OverloadPolicy.cpp
@@ -40,8 +40,8 @@
   if (Mean == this->MeanMicros.end() || Choice.Waiting <= 0)
     return Duration(0);
   // A slot comes free every mean time divided by the slots.
-  return Duration(static_cast<std::int64_t>(
-      Mean->second * Choice.Waiting / Choice.Server->Entry.Slots));
+  return Duration(static_cast<std::int64_t>(Mean->second * Choice.Waiting /
+                                            Choice.Server->Entry.Slots));
 }
 
 std::optional<Duration>
@@ -54,14 +54,13 @@
   Duration &Full = this->FullTime[Route.Name];
   Full = std::max(Full, *Remaining);
   const bool FirstAttempt = Full - *Remaining <= FirstAttemptSlack;
-  const auto Allowed = static_cast<double>(Route.TargetLatency.count()) *
-                       WaitShare;
+  const auto Allowed =
+      static_cast<double>(Route.TargetLatency.count()) * WaitShare;
   if (!FirstAttempt ||
       static_cast<double>(this->expectedWait(Service, Choice).count()) <=
           Allowed)
     return std::nullopt;
-  const double Longest =
-      static_cast<double>(Remaining->count()) / HonouredPart;
+  const double Longest = static_cast<double>(Remaining->count()) / HonouredPart;
   const double Part =
       EarliestReturn + (1 - EarliestReturn) *
                            static_cast<double>(Random % SpreadSteps) /
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -26,9 +26,8 @@
     : Time(Time), Servers(Servers), Loads(Loads), Channels(Channels),
       Zone(std::move(Zone)), Self(std::move(Self)) {}
 
-Placement
-PlacementPolicy::forOnline(std::string_view Service,
-                           const std::set<std::string> &Tried) const {
+Placement PlacementPolicy::forOnline(std::string_view Service,
+                                     const std::set<std::string> &Tried) const {
   Placement Best;
   // Smaller is better, from the most to the least important reason.
   std::tuple<bool, bool, int, bool, int, bool, int, std::uint64_t> BestRank;
@@ -45,8 +44,7 @@
         std::max(0, Use.Online + Use.Batch + 1 + SpareSlots - Slots);
     const std::tuple Rank(Tried.contains(Server->Entry.Id),
                           Server->AvoidedUntil > Now, Waiting,
-                          Server->Entry.Zone != this->Zone,
-                          Displaced,
+                          Server->Entry.Zone != this->Zone, Displaced,
                           !this->Channels.hasIdle(Server->Entry.Address),
                           Use.Online, hash64(Server->Entry.Id + this->Self));
     if (!Best.Server || Rank < BestRank) {
@@ -57,9 +55,8 @@
   return Best;
 }
 
-const KnownServer *
-PlacementPolicy::forBatch(std::string_view Service,
-                          int LeaveFree) const {
+const KnownServer *PlacementPolicy::forBatch(std::string_view Service,
+                                             int LeaveFree) const {
   const KnownServer *Best = nullptr;
   std::tuple<bool, int, std::uint64_t> BestRank;
   const Instant Now = this->Time.now();
--- a/Source/Serving/ServingSettings.cpp
+++ b/Source/Serving/ServingSettings.cpp
@@ -50,8 +50,9 @@
       return Share.Service;
     Point -= Share.Weight;
   }
-  return Route.Services.empty() ? std::string_view()
-                                : std::string_view(Route.Services.back().Service);
+  return Route.Services.empty()
+             ? std::string_view()
+             : std::string_view(Route.Services.back().Service);
 }
 
 } // namespace turmericpass
--- a/Source/Telemetry/LogSink.h
+++ b/Source/Telemetry/LogSink.h
@@ -10,7 +10,8 @@
 void logToStandardOutput();
 
 /// Writes one finished line to standard error, or to standard output if
-/// logToStandardOutput() was called, through Boost.Log; set up on the first call.
+/// logToStandardOutput() was called, through Boost.Log; set up on the first
+/// call.
 void writeLogLine(const std::string &Line);
 
 } // namespace turmericpass
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -68,8 +68,7 @@
   cr_assert_eq(Bench.submit(1, "j", "5"), 202);
   cr_assert_eq(Bench.submit(2, "j", "5"), 202);
   cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 1);
-  cr_assert(
-      runUntil(Bench.Loop, [&] { return !Bench.Channels.All.empty(); }));
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Channels.All.empty(); }));
   Bench.Runner.schedule();
   cr_assert_eq(Bench.Channels.All.size(), 1);
 }
@@ -107,12 +106,11 @@
   cr_assert_eq(Bench.submit(3, "l", "4"), 202);
   // Another VM, which has not seen the two jobs.
   JobBook OtherBook(Bench.Log);
-  JobRunner OtherRunner({Bench.Loop, Bench.Channels, Bench.Store, OtherBook,
-                         Bench.Servers, Bench.Loads, Bench.Placement,
-                         Bench.Crashes, Bench.Detector, Bench.Dialect,
-                         Bench.Log, Bench.Stats,
-                         [&] { return &Bench.Settings; }, [] { return 0; },
-                         [] { return false; }, "other"});
+  JobRunner OtherRunner(
+      {Bench.Loop, Bench.Channels, Bench.Store, OtherBook, Bench.Servers,
+       Bench.Loads, Bench.Placement, Bench.Crashes, Bench.Detector,
+       Bench.Dialect, Bench.Log, Bench.Stats, [&] { return &Bench.Settings; },
+       [] { return 0; }, [] { return false; }, "other"});
   JobApi Other({Bench.Loop, Bench.Callers, Bench.Store, OtherBook, OtherRunner,
                 Bench.Dialect, Bench.Calls, Bench.Log, Bench.Stats,
                 [] { return 0; }, [] { return true; }, "other"});
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -102,9 +102,8 @@
   Bench.Channels.body(1, "id: 0\ndata: a\n\n");
   Bench.Runner.release();
   cr_assert(Bench.Channels.Cancelled.contains(1));
-  cr_assert(runUntil(Bench.Loop, [&] {
-    return Bench.Book.find("j")->Head.Owner.empty();
-  }));
+  cr_assert(runUntil(Bench.Loop,
+                     [&] { return Bench.Book.find("j")->Head.Owner.empty(); }));
   cr_assert_eq(Bench.Rows.count(JobStore::DataTable, "run/j/"), 1);
 }
 
@@ -165,9 +164,8 @@
                        [&](JobStore::ChangeOutcome) { Accepts = true; });
     cr_assert(runUntil(Bench.Loop, [&] { return Accepts; }));
     Bench.Runner.own(JobId);
-    cr_assert(runUntil(Bench.Loop, [&] {
-      return !Bench.Runner.find(JobId)->Items.empty();
-    }));
+    cr_assert(runUntil(
+        Bench.Loop, [&] { return !Bench.Runner.find(JobId)->Items.empty(); }));
   }
   // Each end of an item frees the one slot for the next.
   for (SendId Id = 1; Id <= 16; ++Id) {
@@ -188,7 +186,7 @@
   Bench.StoreNow = 100'000;
   Bench.OthersAreUrgent = true;
   Bench.Servers.update({"s1", "model", "127.0.0.1:1", "a", 3, false, 1});
-  cr_assert_not(Bench.startJob("j", 3));
+  cr_assert(Bench.startJob("j", 3, 1));
   cr_assert_eq(Bench.Channels.All.size(), 1);
   Bench.OthersAreUrgent = false;
   Bench.Runner.schedule();
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -95,11 +95,12 @@
   cr_assert(Good);
   cr_assert(Good->Leaving);
   cr_assert_eq(Good->BornMillis, 5);
-  for (const char *Bad :
-       {"\xff\xfe", "7", "{}",
-        R"({"service":"m","address":"a","zone":"a","slots":"8","state":"ready"})",
-        R"({"service":"m","address":"a","zone":"a","slots":8,"state":"odd"})",
-        R"({"service":"","address":"a","zone":"a","slots":8,"state":"ready"})"})
+  for (
+      const char *Bad :
+      {"\xff\xfe", "7", "{}",
+       R"({"service":"m","address":"a","zone":"a","slots":"8","state":"ready"})",
+       R"({"service":"m","address":"a","zone":"a","slots":8,"state":"odd"})",
+       R"({"service":"","address":"a","zone":"a","slots":8,"state":"ready"})"})
     cr_assert_not(Adapter.readServer("i-1", Bad), "%s", Bad);
 }
 
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -174,9 +174,8 @@
     Bench.start(7, RequestKind::Idempotent);
     Bench.Channels.fail(Id, SendFailure::Unanswered);
     // The server is asked, and does not accept the connection.
-    cr_assert(runUntil(Bench.Loop, [&] {
-      return Bench.Channels.All.size() == Id + 1;
-    }));
+    cr_assert(runUntil(Bench.Loop,
+                       [&] { return Bench.Channels.All.size() == Id + 1; }));
     Bench.Channels.fail(Id + 1, SendFailure::NotSent);
   }
   const std::size_t Before = Bench.Channels.All.size();
@@ -193,9 +192,8 @@
     Bench.start(7, RequestKind::Idempotent);
     cr_assert_eq(Bench.Channels.All.size(), Id, "sent at %zu", std::size_t(Id));
     Bench.Channels.fail(Id, SendFailure::Unanswered);
-    cr_assert(runUntil(Bench.Loop, [&] {
-      return Bench.Channels.All.size() == Id + 1;
-    }));
+    cr_assert(runUntil(Bench.Loop,
+                       [&] { return Bench.Channels.All.size() == Id + 1; }));
     Bench.Channels.head(Id + 1, 200);
     Bench.Channels.done(Id + 1);
   }
--- a/Tests/Serving/OverloadPolicyTest.cpp
+++ b/Tests/Serving/OverloadPolicyTest.cpp
@@ -42,8 +42,8 @@
   for (Duration At{}; At < 29s; ++Asked) {
     const bool InWave = At % 5800ms < 2400ms;
     Arrivals.push({At, CallerTime, false});
-    At += Duration(static_cast<std::int64_t>(1e6 / Capacity /
-                                             (InWave ? 1.4 : 0.3)));
+    At += Duration(
+        static_cast<std::int64_t>(1e6 / Capacity / (InWave ? 1.4 : 0.3)));
   }
   OverloadPolicy Policy;
   const RouteSettings Route = streamRoute();
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -49,10 +49,8 @@
       Answer = this->apply(Change);
     if (Fault == RowFault::AnswerLost || Fault == RowFault::MadeLate)
       Answer = TransactionResult();
-    this->Loop.after(Duration(0),
-                     [Answer = std::move(Answer), Done = std::move(Done)] {
-                       Done(Answer);
-                     });
+    this->Loop.after(Duration(0), [Answer = std::move(Answer),
+                                   Done = std::move(Done)] { Done(Answer); });
   }
 
   /// Makes the transactions that were held back.
@@ -78,10 +76,8 @@
     }
     if (Page)
       Page->Version = this->Version;
-    this->Loop.after(Duration(0),
-                     [Page = std::move(Page), Done = std::move(Done)] {
-                       Done(Page);
-                     });
+    this->Loop.after(Duration(0), [Page = std::move(Page),
+                                   Done = std::move(Done)] { Done(Page); });
   }
 
   void changes(std::string, std::uint64_t, Duration, PageDone) override {}
@@ -89,8 +85,8 @@
   /// Writes a row without any condition, as the operator does.
   void put(const std::string &Table, const std::string &Part,
            const std::string &Key, const std::string &Value) {
-    this->Rows[{Table, Part, Key}] = {Table, Part,  Key,
-                                      Value, ++this->Version, false};
+    this->Rows[{Table, Part, Key}] = {Table,           Part, Key, Value,
+                                      ++this->Version, false};
   }
 
   std::size_t count(const std::string &Table, const std::string &KeyPrefix) {
@@ -106,8 +102,7 @@
     TransactionResult Answer;
     bool Holds = true;
     for (const RowCondition &Each : Change.Conditions) {
-      const auto Found =
-          this->Rows.find({Each.Table, Change.Part, Each.Key});
+      const auto Found = this->Rows.find({Each.Table, Change.Part, Each.Key});
       const bool Absent = Found == this->Rows.end();
       if ((Absent ? 0 : Found->second.Version) != Each.Version)
         Holds = false;
--- a/Tests/Support/OnlineBench.h
+++ b/Tests/Support/OnlineBench.h
@@ -77,8 +77,9 @@
         rawHeader(Channels.All[Id - 1].Order.Request.Headers, Name));
   }
   void stream(SendId Id, std::string_view Bytes) {
-    Channels.head(Id, 200, {{"Content-Type", "text/event-stream"},
-                            {"Stamp", "of " + std::to_string(Id)}});
+    Channels.head(Id, 200,
+                  {{"Content-Type", "text/event-stream"},
+                   {"Stamp", "of " + std::to_string(Id)}});
     Channels.body(Id, Bytes);
   }
 };
--- a/Tests/Support/RawPeer.h
+++ b/Tests/Support/RawPeer.h
@@ -45,7 +45,9 @@
   }
 
   /// Returns the descriptor of a waiting connection, or -1.
-  int accept() { return ::accept4(this->Descriptor, nullptr, nullptr, SOCK_NONBLOCK); }
+  int accept() {
+    return ::accept4(this->Descriptor, nullptr, nullptr, SOCK_NONBLOCK);
+  }
 
   void connect(std::uint16_t Port) {
     this->Descriptor = socket(AF_INET, SOCK_STREAM, 0);
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -63,8 +63,10 @@
     Servers.update({"s1", "model", "127.0.0.1:1", "a", 8, false, 1});
   }
 
-  /// Accepts a job of \p Count items and lets the runner start them.
-  bool startJob(const std::string &JobId, std::size_t Count) {
+  /// Accepts a job of \p Count items and lets the runner start them, or as many
+  /// as \p Slots allows.
+  bool startJob(const std::string &JobId, std::size_t Count,
+                std::size_t Slots = 100) {
     JobHead Head;
     Head.Host = "h";
     Head.Target = "/";
@@ -84,7 +86,7 @@
                  });
     const std::size_t Before = Channels.All.size();
     return runUntil(Loop, [&] {
-      return Accepted && Channels.All.size() == Before + Count;
+      return Accepted && Channels.All.size() == Before + std::min(Count, Slots);
     });
   }
 
