BatchJobs: Save the progress of items and finish those that came far

The progress of items is written down every 1.5 s now, on condition that the job has not changed hands. Of the items of a job the one that came farthest starts first, and those that came least far give way.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -1,5 +1,6 @@
 #include "BatchJobs/JobRunner.h"
 
+#include "BatchJobs/ItemRequest.h"
 #include "Core/Hash.h"
 #include "Loop/EventLoop.h"
 #include "Serving/CrashDetector.h"
@@ -46,10 +47,6 @@
 /// How long one commit is tried before its outcome is looked at again.
 constexpr Duration CommitTime = std::chrono::seconds(3);
 
-/// Time that an engine is given for an item: it has no caller that waits.
-constexpr std::string_view ItemRemainingMs = "60000";
-
-constexpr Duration ConnectTime = std::chrono::milliseconds(400);
 /// The pause before a commit that was not made is tried again.
 constexpr Duration CommitRetryPause = std::chrono::milliseconds(300);
 
@@ -155,27 +152,31 @@
 }
 
 void JobRunner::yieldSlots() {
-  std::map<std::string, int> ToYield;
-  for (const auto &[Id, Server] : this->With.Servers.all())
-    if (const int Count = this->With.Loads.batchToYield(Id, Server.Entry.Slots))
-      ToYield.emplace(Id, Count);
   const Instant Now = this->With.Loop.clock().now();
+  std::vector<std::pair<std::uint64_t, ItemKey>> Running;
   for (auto &[JobId, Job] : this->Jobs)
     for (std::size_t I = 0; I < Job.Items.size(); ++I) {
       ItemRun &Run = Job.Items[I];
-      if (Run.Sent == 0)
-        continue;
-      const auto Yield = ToYield.find(Run.Server);
-      if (Yield != ToYield.end() && Yield->second > 0) {
-        --Yield->second;
-        this->With.Stats.add("items_yielded_total");
-        this->postpone({JobId, I}, Run, YieldPause, "callers need the slot");
-      } else if (Now - Run.LastEventAt > ItemStall) {
+      if (Run.Sent != 0 && Now - Run.LastEventAt > ItemStall) {
         this->With.Servers.failed(Run.Server);
         this->postpone({JobId, I}, Run, Duration(0),
                        "the server sent nothing for too long");
       }
+      if (Run.Sent != 0)
+        Running.push_back({Run.LastEvent.value_or(0), {JobId, I}});
     }
+  // Those that came least far give way, so that the others get done.
+  std::sort(Running.begin(), Running.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  for (const auto &[Events, Key] : Running) {
+    ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
+    const KnownServer *Server = this->With.Servers.find(Run.Server);
+    if (!Server ||
+        this->With.Loads.batchToYield(Run.Server, Server->Entry.Slots) == 0)
+      continue;
+    this->With.Stats.add("items_yielded_total");
+    this->postpone(Key, Run, YieldPause, "callers need the slot");
+  }
 }
 
 std::vector<std::string> JobRunner::jobsByDue() const {
@@ -231,11 +232,12 @@
   int Started = 0;
   for (const std::string &JobId : this->jobsByDue()) {
     OwnedJob &Job = this->Jobs.at(JobId);
-    for (std::size_t I = 0; I < Job.Items.size() && Started < Most; ++I) {
+    for (std::size_t I : Job.waitingItems()) {
       ItemRun &Run = Job.Items[I];
-      if (Run.State != ItemState::Pending || Run.NotBefore > Now ||
-          this->canBeOnTime(Job, Run) != OnTime)
+      if (Run.NotBefore > Now || this->canBeOnTime(Job, Run) != OnTime)
         continue;
+      if (Started >= Most)
+        return Started;
       if (!this->startItem({JobId, I}, Job, Run, LeaveFree)) {
         this->Urgent = this->Urgent || OnTime;
         return Started;
@@ -264,27 +266,8 @@
       pickService(*Route, hash64(Run.Item.Id)), LeaveFree);
   if (!Server)
     return false;
-  SendOrder Order;
-  Order.Address = Server->Entry.Address;
-  Order.ConnectTime = ConnectTime;
-  Order.EchoHeader = this->With.Dialect.RequestId;
-  Order.EchoValue = Run.Item.Id;
-  Order.Request.Method = "POST";
-  Order.Request.Target = Run.Item.Target;
-  Order.Request.Body = Run.Item.Body;
-  Order.Request.Headers = {
-      {"Host", Job.Head.Host},
-      {this->With.Dialect.RequestId, Run.Item.Id},
-      {this->With.Dialect.ExpectedServer, Server->Entry.Id},
-      {this->With.Dialect.RemainingMs, std::string(ItemRemainingMs)}};
-  for (const auto &Header : Run.Item.Headers)
-    if (!isHopByHop(Header.first) &&
-        !equalsIgnoringCase(Header.first, "Content-Length") &&
-        !equalsIgnoringCase(Header.first, "Host"))
-      Order.Request.Headers.push_back(Header);
-  if (Run.LastEvent)
-    Order.Request.Headers.emplace_back(this->With.Dialect.LastEventId,
-                                       std::to_string(*Run.LastEvent));
+  SendOrder Order =
+      makeItemRequest(Job.Head, Run, Server->Entry, this->With.Dialect);
   Run.Server = Server->Entry.Id;
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
@@ -473,12 +456,23 @@
     });
 }
 
+void JobRunner::saveProgress() {
+  for (auto &[JobId, Job] : this->Jobs) {
+    // A commit in flight changes the head's version.
+    if (Job.Committing)
+      continue;
+    const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
+    if (!Progress.empty())
+      this->With.Store.saveProgress(JobId, Job.Version, Progress);
+  }
+}
+
 void JobRunner::release() {
   this->Releasing = true;
   for (auto &[JobId, Job] : this->Jobs) {
     for (ItemRun &Run : Job.Items)
       this->stop(Run, true);
-    const std::vector<ItemProgress> Progress = Job.progress();
+    const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
     JobHead Head = Job.headAfterCommit();
     Head.Owner.clear();
     this->With.Log.log(LogLevel::Info, "A job is handed over.",
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -60,6 +60,10 @@
   /// Gives slots back that callers need and starts items on free ones.
   void schedule();
 
+  /// Writes down how far the items came, so that little is done again if this
+  /// VM is lost.
+  void saveProgress();
+
   /// Stops all items and hands the jobs to other VMs, with what their items
   /// have produced so far.
   void release();
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -161,6 +161,17 @@
   this->attempt(std::move(Tried));
 }
 
+void JobStore::saveProgress(const std::string &JobId, std::uint64_t Version,
+                            const std::vector<ItemProgress> &Progress) {
+  RowTransaction Change;
+  Change.Part = Part;
+  Change.Conditions = {{HeadTable, JobBook::headKey(JobId), Version}};
+  for (const ItemProgress &Item : Progress)
+    addValue(Change, progressPrefix(JobId) + positionKey(Item.Index),
+             encodeProgress(Item));
+  this->Rows.transact(std::move(Change), [](TransactionResult) {});
+}
+
 void JobStore::attempt(std::shared_ptr<Attempt> Tried) {
   RowTransaction Change = Tried->Change;
   this->Rows.transact(std::move(Change), [this, Tried = std::move(Tried)](
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -52,6 +52,11 @@
               const std::vector<ItemProgress> &Progress, Instant Until,
               JobBook &Book, ChangeDone Done);
 
+  /// Writes \p Progress if the head still has \p Version. A failure only costs
+  /// work that is done again, so nobody is told.
+  void saveProgress(const std::string &JobId, std::uint64_t Version,
+                    const std::vector<ItemProgress> &Progress);
+
   using HeadDone = std::function<void(Result<const KnownJob *>)>;
   /// Reads the head from the store into \p Book; NotFound if there is none.
   void readHead(const std::string &JobId, JobBook &Book, HeadDone Done);
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -33,16 +33,31 @@
   return After;
 }
 
-std::vector<ItemProgress> OwnedJob::progress() const {
+std::vector<ItemProgress> OwnedJob::takeUnsavedProgress() {
   std::vector<ItemProgress> Begun;
   for (std::size_t I = 0; I < this->Items.size(); ++I) {
-    const ItemRun &Run = this->Items[I];
+    ItemRun &Run = this->Items[I];
     const bool Open =
         Run.State == ItemState::Pending || Run.State == ItemState::Running;
-    if (Open && Run.LastEvent && Run.Output.size() <= MostProgressBytes)
-      Begun.push_back({I, *Run.LastEvent, Run.Output});
+    if (!Open || !Run.LastEvent || Run.LastEvent == Run.SavedEvent ||
+        Run.Output.size() > MostProgressBytes)
+      continue;
+    Run.SavedEvent = Run.LastEvent;
+    Begun.push_back({I, *Run.LastEvent, Run.Output});
   }
   return Begun;
 }
 
+std::vector<std::size_t> OwnedJob::waitingItems() const {
+  std::vector<std::size_t> Waiting;
+  for (std::size_t I = 0; I < this->Items.size(); ++I)
+    if (this->Items[I].State == ItemState::Pending)
+      Waiting.push_back(I);
+  std::stable_sort(Waiting.begin(), Waiting.end(),
+                   [this](std::size_t A, std::size_t B) {
+                     return this->Items[A].LastEvent > this->Items[B].LastEvent;
+                   });
+  return Waiting;
+}
+
 } // namespace turmericpass
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -42,6 +42,8 @@
   /// The data of the events so far.
   std::string Output;
   std::optional<std::uint64_t> LastEvent;
+  /// The last event whose progress is in the store.
+  std::optional<std::uint64_t> SavedEvent;
   /// How long the sends before the present one ran.
   Duration RunTime{0};
   /// Events of the present send.
@@ -67,8 +69,13 @@
   /// The head after a commit of all results that wait for theirs.
   JobHead headAfterCommit() const;
 
-  /// How far the items came that have no result yet.
-  std::vector<ItemProgress> progress() const;
+  /// How far the items came that have no result yet, as far as that is not in
+  /// the store. Marks it as saved.
+  std::vector<ItemProgress> takeUnsavedProgress();
+
+  /// The places of the waiting items, those that came farthest first: they
+  /// need the least to be done.
+  std::vector<std::size_t> waitingItems() const;
 };
 
 } // namespace turmericpass
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -22,6 +22,10 @@
 constexpr Duration FarDigestPause = std::chrono::milliseconds(5);
 constexpr Duration IdleDigestPause = std::chrono::milliseconds(400);
 
+/// How often the progress of items is written down; as much is done again at
+/// most when a VM is lost.
+constexpr Duration ProgressPeriod = std::chrono::milliseconds(1500);
+
 /// The pace of decisions on batch items.
 constexpr Duration SchedulePeriod = std::chrono::milliseconds(20);
 constexpr Duration TakeoverPeriod = std::chrono::milliseconds(300);
@@ -158,6 +162,7 @@
   EventLoop &Loop = this->With.Loop;
   Loop.every(SchedulePeriod, [this] { this->tick(); });
   Loop.every(TakeoverPeriod, [this] { this->takeJobs(); });
+  Loop.every(ProgressPeriod, [this] { this->Runner.saveProgress(); });
   Loop.every(AskPeriod, [this] { this->askPeers(); });
   Loop.every(RegistryPeriod, [this] { this->refreshRegistry(); });
   this->With.Log.log(LogLevel::Info, "The node starts.",
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -107,6 +107,36 @@
   cr_assert_eq(Bench.Rows.count(JobStore::DataTable, "run/j/"), 1);
 }
 
+// Guards against the loss of what items have produced when their VM is killed.
+Test(JobRunner, SavedProgressIsWhereAnotherVmGoesOn) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  Bench.Channels.head(1, 200);
+  Bench.Channels.body(1, "id: 0\ndata: a\n\n");
+  Bench.Runner.saveProgress();
+  Bench.Runner.saveProgress();
+  cr_assert_eq(Bench.Rows.Transactions, 2, "unchanged progress is not saved");
+  JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Book,
+                   Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
+                   Bench.Detector, Bench.Dialect, Bench.Log, Bench.Stats,
+                   [&] { return &Bench.Settings; }, [] { return 0; },
+                   [] { return false; }, "other"});
+  const KnownJob Known = *Bench.Book.find("j");
+  JobHead Head = Known.Head;
+  Head.Owner = "other";
+  ++Head.Epoch;
+  Bench.Store.change("j", Head, Known.Version, {}, 0, {},
+                     Bench.Time.now() + std::chrono::seconds(5), Bench.Book,
+                     [&](JobStore::ChangeOutcome) { Other.own("j"); });
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 2; }));
+  cr_assert_str_eq(
+      std::string(
+          rawHeader(Bench.Channels.last().Order.Request.Headers, "After"))
+          .c_str(),
+      "0");
+}
+
 // Guards against callers that wait because batch items keep every slot.
 Test(JobRunner, ItemsGiveWayToCallers) {
   RunnerBench Bench;
