--- a/Source/Programs/NodeMain.cpp
+++ b/Source/Programs/NodeMain.cpp
@@ -1,6 +1,7 @@
 #include "Loop/EventLoop.h"
 #include "Node/ServingNode.h"
 #include "RawHttp/TcpBackendChannels.h"
+#include "Telemetry/BoundedLogger.h"
 #include "Telemetry/JsonLogger.h"
 #include "Telemetry/LogSink.h"
 #include "platform/PlatformAdapter.h"
@@ -20,6 +21,9 @@
 
 constexpr int ExitRefused = 1;
 
+/// The busiest recorded second of a node had some 60 lines.
+constexpr int LogLinesPerSecond = 200;
+
 int runNode(const std::string &Path) {
   const BootClock Time;
   const Result<NodeConfig> Config = readNodeConfig(Path);
@@ -27,7 +31,8 @@
     std::cerr << Config.error().Message << '\n';
     return ExitRefused;
   }
-  JsonLogger Log(Time, "turmericpass-node", Config->Name, LogLevel::Info);
+  JsonLogger Lines(Time, "turmericpass-node", Config->Name, LogLevel::Info);
+  BoundedLogger Log(Time, Lines, LogLinesPerSecond, standardOutputIsReady);
   EventLoop Loop(Time);
   TcpBackendChannels Channels(Loop);
   const PlatformAdapter Adapter;
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -148,6 +148,16 @@
     if (const std::optional<Duration> Return =
             this->Overload.refuse(Call.Route, Call.Service, Choice,
                                   Call.CallerTime, this->With.Ids.number())) {
+      this->With.Log.log(
+          LogLevel::Info, "A request is turned away.",
+          {{"request", Call.RequestId},
+           {"server", Server->Entry.Id},
+           {"waiting", Choice.Waiting},
+           {"slots", Server->Entry.Slots},
+           {"expected_wait_ms",
+            toMillis(this->Overload.expectedWait(Call.Service, Choice))},
+           {"target_ms", toMillis(Call.Route.TargetLatency)},
+           {"retry_after_ms", toMillis(*Return)}});
       this->refuse(Call, "it could not be served in time", *Return);
       return;
     }
--- a/Source/Telemetry/LogSink.cpp
+++ b/Source/Telemetry/LogSink.cpp
@@ -6,6 +6,8 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <iostream>
+#include <poll.h>
+#include <unistd.h>
 
 namespace turmericpass {
 
@@ -24,6 +26,11 @@
 
 } // namespace
 
+bool standardOutputIsReady() {
+  pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
+}
+
 void logToStandardOutput() { ToStandardOutput = true; }
 
 void writeLogLine(const std::string &Line) {
--- a/Source/Telemetry/LogSink.h
+++ b/Source/Telemetry/LogSink.h
@@ -9,6 +9,9 @@
 /// line, if at all.
 void logToStandardOutput();
 
+/// Whether standard output takes a line without waiting.
+bool standardOutputIsReady();
+
 /// Writes one finished line to standard error, or to standard output if
 /// logToStandardOutput() was called, through Boost.Log; set up on the first
 /// call.
