--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -114,6 +114,10 @@
 JobStore::JobStore(EventLoop &Loop, RowStore &Rows, IdSource &Ids, Logger &Log)
     : Loop(Loop), Rows(Rows), Ids(Ids), Log(Log) {}
 
+std::vector<std::string> JobStore::dataPrefixes(const std::string &JobId) {
+  return {itemsPrefix(JobId), resultsPrefix(JobId), progressPrefix(JobId)};
+}
+
 void JobStore::accept(const std::string &JobId, JobHead Head,
                       const std::vector<JobItem> &Items, Instant Until,
                       JobBook &Book, ChangeDone Done) {
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -26,6 +26,9 @@
   static constexpr const char *DataTable = "turmericpass-job-data";
   static constexpr const char *Part = "jobs";
 
+  /// What the keys of the job's rows in the data table begin with.
+  static std::vector<std::string> dataPrefixes(const std::string &JobId);
+
   JobStore(EventLoop &Loop, RowStore &Rows, IdSource &Ids, Logger &Log);
 
   enum class ChangeOutcome {
--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -131,6 +131,8 @@
   Config.StoreWritesPerSecond =
       Reader.number("store_writes_per_s", 1, 1'000'000);
   Config.StoreReadsPerSecond = Reader.number("store_reads_per_s", 1, 1'000'000);
+  Config.JobKeepTime = std::chrono::milliseconds(static_cast<std::int64_t>(
+      Reader.number("keep_jobs_s", 1, 31'536'000) * 1000));
   Config.StopTime = std::chrono::milliseconds(
       static_cast<std::int64_t>(Reader.number("stop_time_s", 1, 3600) * 1000));
   Reader.rejectUnknownKeys();
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "Node/ServingNode.h"
 
 #include "Core/Hash.h"
+#include "Node/NodeTimes.h"
 #include "Telemetry/Logger.h"
 
 #include <algorithm>
@@ -14,57 +15,10 @@
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 
-/// The pace of digests inside the zone while this VM's load changes.
-constexpr Duration DigestPause = std::chrono::milliseconds(20);
-/// The pace of digests to other zones is this for each VM, since traffic
-/// between zones is dear and grows with the square of the VMs; and the slowest
-/// pace.
-constexpr Duration FarDigestPause = std::chrono::milliseconds(5);
-constexpr Duration IdleDigestPause = std::chrono::milliseconds(400);
-
-/// How often the progress of items is written down; as much is done again at
-/// most when a VM is lost.
-constexpr Duration ProgressPeriod = std::chrono::milliseconds(1500);
-
-/// The pace of decisions on batch items.
-constexpr Duration SchedulePeriod = std::chrono::milliseconds(20);
-constexpr Duration TakeoverPeriod = std::chrono::milliseconds(300);
-
-/// Jobs of silent VMs are left alone so long after the start, until the others
-/// have been heard.
-constexpr Duration LearnTime = std::chrono::milliseconds(1500);
-
-/// The pace at which this VM refreshes its row in the store.
-constexpr Duration RegistryPeriod = std::chrono::seconds(5);
-
-/// Servers whose entries are missing after the store was away are used for so
-/// long; live servers have written them again by then.
-constexpr Duration MissingServerTime = std::chrono::milliseconds(2200);
-
-/// The balancer needs two misses, a second apart, to send no more callers.
-constexpr Duration LeaveRotationTime = std::chrono::milliseconds(2600);
-/// When no more connections are accepted. The balancer may send callers to a
-/// stopping VM for as long as most VMs of its zone stop, and their requests
-/// would not end before the SIGKILL.
-constexpr Duration StopAcceptingTime = std::chrono::milliseconds(3200);
-/// Kept off the time of the SIGKILL.
-constexpr Duration StopMargin = std::chrono::milliseconds(300);
-constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
-
-/// The pauses between two answers with changes. Settings and leaving servers
-/// have a bound of two seconds; heads of jobs change with each result, and
-/// every VM reads every change.
-constexpr Duration UrgentChangePause = std::chrono::milliseconds(15);
-constexpr Duration JobChangePause = std::chrono::milliseconds(120);
-
-/// The pace at which a VM that does not see the store asks others.
-constexpr Duration AskPeriod = std::chrono::milliseconds(500);
-
-constexpr Duration ClaimTime = std::chrono::seconds(1);
-
 /// The share of a server's connections that one VM may use is at least this.
 constexpr std::size_t LeastConnections = 8;
 
+/// Crashing requests that a digest names at most.
 constexpr std::size_t SharedCrashes = 32;
 
 } // namespace
@@ -110,6 +64,8 @@
            [this] { return this->JobFeed.storeMillis(); },
            [this] { return this->JobFeed.isCurrent(); }, this->Self}),
       Takeover(Parts.Loop.clock(), this->Self),
+      Cleaner(Parts.Store, this->Book, Parts.Log,
+              this->Config.JobKeepTime + CleanMargin),
       SettingsFeed(Parts.Loop, Parts.Store, Parts.Log,
                    Parts.Adapter.tables().SettingsTable, "", UrgentChangePause,
                    {[this](const std::vector<StoredRow> &Rows, bool) {
@@ -163,6 +119,7 @@
   Loop.every(SchedulePeriod, [this] { this->tick(); });
   Loop.every(TakeoverPeriod, [this] { this->takeJobs(); });
   Loop.every(ProgressPeriod, [this] { this->Runner.saveProgress(); });
+  Loop.every(CleanPeriod, [this] { this->cleanJobs(); });
   Loop.every(AskPeriod, [this] { this->askPeers(); });
   Loop.every(RegistryPeriod, [this] { this->refreshRegistry(); });
   this->With.Log.log(LogLevel::Info, "The node starts.",
@@ -446,6 +403,18 @@
   }
 }
 
+void ServingNode::cleanJobs() {
+  if (this->StoppingSince || !this->JobFeed.isCurrent())
+    return;
+  std::vector<std::string> Nodes = this->Peers.alive();
+  Nodes.push_back(this->Self);
+  const int Own = static_cast<int>(Nodes.size()) - 1;
+  this->Cleaner.clean(this->JobFeed.storeMillis(),
+                      [&](const std::string &JobId) {
+                        return rendezvousPick(JobId, Nodes) == Own;
+                      });
+}
+
 void ServingNode::reload(const NodeConfig &Changed) {
   this->Config.Seeds = Changed.Seeds;
   this->Config.StopTime = Changed.StopTime;
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_NODE_SERVINGNODE_H
 
 #include "BatchJobs/JobApi.h"
+#include "BatchJobs/JobCleaner.h"
 #include "BatchJobs/JobRunner.h"
 #include "BatchJobs/JobTakeover.h"
 #include "Core/IdSource.h"
@@ -100,6 +101,7 @@
   void digestReceived(const std::string &From, std::string_view Bytes);
   void tick();
   void takeJobs();
+  void cleanJobs();
   void checkStop();
 
   NodeParts With;
@@ -128,6 +130,7 @@
   JobRunner Runner;
   JobApi Api;
   JobTakeover Takeover;
+  JobCleaner Cleaner;
   RowFeed SettingsFeed;
   RowFeed ServerFeed;
   RowFeed JobFeed;
