--- a/Source/BatchJobs/JobLoader.cpp
+++ b/Source/BatchJobs/JobLoader.cpp
@@ -35,8 +35,9 @@
 
 } // namespace
 
-void JobLoader::retry(const std::string &JobId, bool IsNew, Wanted StillWanted,
-                      Loaded Done, const Error &Why) {
+void JobLoader::retry(const std::string &JobId, bool IsNew,
+                      const Wanted &StillWanted, const Loaded &Done,
+                      const Error &Why) {
   this->Log.log(LogLevel::Warning, "A job could not be read.",
                 {{"job", JobId}, {"reason", Why.Message}});
   this->Loop.after(RetryPause, [this, JobId, IsNew, StillWanted, Done] {
@@ -45,8 +46,8 @@
   });
 }
 
-void JobLoader::load(const std::string &JobId, bool IsNew, Wanted StillWanted,
-                     Loaded Done) {
+void JobLoader::load(const std::string &JobId, bool IsNew,
+                     const Wanted &StillWanted, const Loaded &Done) {
   const auto Retry = [=, this](const Error &Why) {
     this->retry(JobId, IsNew, StillWanted, Done, Why);
   };
--- a/Source/BatchJobs/JobLoader.h
+++ b/Source/BatchJobs/JobLoader.h
@@ -26,12 +26,12 @@
 
   /// Reads job \p JobId, again and again until it succeeds or is not wanted
   /// any more. A job that \p IsNew has neither results nor progress.
-  void load(const std::string &JobId, bool IsNew, Wanted StillWanted,
-            Loaded Done);
+  void load(const std::string &JobId, bool IsNew, const Wanted &StillWanted,
+            const Loaded &Done);
 
 private:
-  void retry(const std::string &JobId, bool IsNew, Wanted StillWanted,
-             Loaded Done, const Error &Why);
+  void retry(const std::string &JobId, bool IsNew, const Wanted &StillWanted,
+             const Loaded &Done, const Error &Why);
 
   EventLoop &Loop;
   JobStore &Store;
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -186,6 +186,7 @@
       ByDue.emplace_back(Job.Head.AcceptedMillis, JobId);
   std::sort(ByDue.begin(), ByDue.end());
   std::vector<std::string> JobIds;
+  JobIds.reserve(ByDue.size());
   for (auto &[Accepted, JobId] : ByDue)
     JobIds.push_back(std::move(JobId));
   return JobIds;
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -173,13 +173,13 @@
   for (const ItemProgress &Item : Progress)
     addValue(Change, progressPrefix(JobId) + positionKey(Item.Index),
              encodeProgress(Item));
-  this->Rows.transact(std::move(Change), [](TransactionResult) {});
+  this->Rows.transact(std::move(Change), [](const TransactionResult &) {});
 }
 
 void JobStore::attempt(std::shared_ptr<Attempt> Tried) {
   RowTransaction Change = Tried->Change;
   this->Rows.transact(std::move(Change), [this, Tried = std::move(Tried)](
-                                             TransactionResult Answer) {
+                                             const TransactionResult &Answer) {
     if (Answer.Outcome == TransactionOutcome::Unknown)
       Tried->MayBeMade = true;
     const bool Final = Answer.Outcome == TransactionOutcome::Committed ||
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -108,7 +108,7 @@
       return Opened;
   // Without this address the others only do not learn from this VM.
   if (!this->Config.ControlAddress.empty())
-    if (const Result<void> Opened =
+    if (Result<void> Opened =
             this->ViewServer.listen(this->Config.ControlAddress);
         !Opened)
       return Opened;
--- a/Source/RawHttp/CallerConnection.cpp
+++ b/Source/RawHttp/CallerConnection.cpp
@@ -64,8 +64,8 @@
   while (this->Now == Phase::Reading && evbuffer_get_length(Input) > 0) {
     this->LastProgress = this->Server.Loop.clock().now();
     const std::size_t Available = evbuffer_get_contiguous_space(Input);
-    const auto *Bytes =
-        reinterpret_cast<const char *>(evbuffer_pullup(Input, Available));
+    const auto *Bytes = reinterpret_cast<const char *>(
+        evbuffer_pullup(Input, static_cast<ev_ssize_t>(Available)));
     const MessageReader::Step Step =
         this->Reader.feed(std::string_view(Bytes, Available));
     evbuffer_drain(Input, Step.Used);
--- a/Source/RawHttp/TcpBackendChannels.cpp
+++ b/Source/RawHttp/TcpBackendChannels.cpp
@@ -107,7 +107,8 @@
 
 void TcpBackendChannels::sweep() {
   const Instant Now = this->Loop.clock().now();
-  for (auto &[Address, From] : this->Pools)
+  for (auto &Each : this->Pools) {
+    Pool &From = Each.second;
     std::erase_if(From.Idle, [&](std::uint64_t Id) {
       const auto Found = this->Connections.find(Id);
       if (Found != this->Connections.end() && Found->second->isFresh(Now))
@@ -115,6 +116,7 @@
       From.Open -= this->Connections.erase(Id);
       return true;
     });
+  }
 }
 
 } // namespace turmericpass
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -54,7 +54,7 @@
     runUntil(Loop, [&] { return Callers.Answers[Caller].Complete; });
     return Callers.Answers[Caller].Status;
   }
-  int call(CallerId Caller, JobCall Call) {
+  int call(CallerId Caller, const JobCall &Call) {
     Api.handle(Caller, Call, "r");
     return answer(Caller);
   }
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -175,17 +175,20 @@
   cr_assert(Bench.startJob("blocker", 1));
   Bench.StoreNow = 100'000;
   std::map<std::string, std::size_t> Started;
-  for (const auto &[JobId, Accepted] :
-       std::map<std::string, std::int64_t>{{"late", 0}, {"fresh", 99'000}}) {
+  const std::map<std::string, std::int64_t> Backlog = {{"late", 0},
+                                                       {"fresh", 99'000}};
+  for (const auto &Each : Backlog) {
+    const std::string &JobId = Each.first;
     JobHead Head;
     Head.Host = "h";
     Head.Target = "/";
     Head.Route = "jobs";
     Head.Owner = "self";
     Head.Epoch = 1;
-    Head.AcceptedMillis = Accepted;
+    Head.AcceptedMillis = Each.second;
     Head.TotalItems = 20;
     std::vector<JobItem> Items;
+    Items.reserve(20);
     for (int I = 0; I < 20; ++I)
       Items.push_back({JobId + std::to_string(I), "/" + JobId, {}, "b", 1});
     bool Accepts = false;
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -44,7 +44,8 @@
     Change.Part = "p";
     Change.Conditions = {{"t", "k", 3}};
     Change.Writes = {{"t", "k", "value"}};
-    Store.transact(Change, [this](TransactionResult Told) { Result = Told; });
+    Store.transact(Change,
+                   [this](const TransactionResult &Told) { Result = Told; });
   }
   TransactionOutcome answer(int Status, std::string_view Body) {
     Channels.head(1, Status);
@@ -77,12 +78,12 @@
 // Guards against a document that is used although a part of it is wrong.
 Test(PlatformConfig, WrongDocumentsAreMalformed) {
   const PlatformAdapter Adapter;
+  const char *const UnknownKind =
+      R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",
+          "path_prefix":"/","kind":"odd","service":"s"}]})";
   for (const char *Bad :
-       {"", "{", "[]", "{\"version\":\"x\",\"routes\":[],\"services\":[]}",
-        "{\"version\":1,\"routes\":[{}],\"services\":[]}",
-        "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
-        "\"path_prefix\":\"/\",\"kind\":\"odd\",\"service\":\"s\"}],"
-        "\"services\":[]}"})
+       {"", "{", "[]", R"({"version":"x","routes":[],"services":[]})",
+        R"({"version":1,"routes":[{}],"services":[]})", UnknownKind})
     cr_assert_not(Adapter.readSettings(Bad), "%s", Bad);
 }
 
--- a/Tests/Support/RawPeer.h
+++ b/Tests/Support/RawPeer.h
@@ -37,7 +37,9 @@
     this->Descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in Address = loopback(0);
     socklen_t Length = sizeof(Address);
-    bind(this->Descriptor, reinterpret_cast<sockaddr *>(&Address), Length);
+    // A failure of these calls shows as port 0, which no test can reach.
+    (void)bind(this->Descriptor, reinterpret_cast<sockaddr *>(&Address),
+               Length);
     ::listen(this->Descriptor, 16);
     getsockname(this->Descriptor, reinterpret_cast<sockaddr *>(&Address),
                 &Length);
@@ -52,8 +54,10 @@
   void connect(std::uint16_t Port) {
     this->Descriptor = socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in Address = loopback(Port);
-    ::connect(this->Descriptor, reinterpret_cast<const sockaddr *>(&Address),
-              sizeof(Address));
+    // A failure shows as a connection that nobody accepts.
+    (void)::connect(this->Descriptor,
+                    reinterpret_cast<const sockaddr *>(&Address),
+                    sizeof(Address));
   }
 
   void write(std::string_view Bytes) {
