Programs: Read a settings file that changed without a signal

The file's time is looked at every 2 s. The name of the platform's variable moves to platform/. Tried by hand: a changed and a broken file, each logged, the broken one with the settings kept.

--- a/Source/Programs/NodeMain.cpp
+++ b/Source/Programs/NodeMain.cpp
@@ -9,21 +9,29 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
 #include <string>
+#include <utility>
 
 using namespace turmericpass;
 
 namespace {
 
-/// The variable that holds the path of the settings file.
-constexpr const char *SettingsVariable = "TURMERICPASS_CONFIG";
-
 constexpr int ExitRefused = 1;
 
 /// The busiest recorded second of a node had some 60 lines.
 constexpr int LogLinesPerSecond = 200;
 
+/// How often the settings file is looked at.
+constexpr Duration FileCheckPeriod = std::chrono::seconds(2);
+
+/// Returns when \p Path was written, or the least time if that is not known.
+std::filesystem::file_time_type writeTime(const std::string &Path) {
+  std::error_code Ignored;
+  return std::filesystem::last_write_time(Path, Ignored);
+}
+
 int runNode(const std::string &Path) {
   const BootClock Time;
   const Result<NodeConfig> Config = readNodeConfig(Path);
@@ -45,12 +53,20 @@
   }
   Loop.onSignal(SIGTERM, [&] { Node.stop(); });
   Loop.onSignal(SIGINT, [&] { Node.stop(); });
-  Loop.onSignal(SIGHUP, [&] {
+  const auto Reload = [&] {
     if (const Result<NodeConfig> Changed = readNodeConfig(Path))
       Node.reload(*Changed);
     else
       Log.log(LogLevel::Error, Changed.error().Message,
               {{"kept", "the settings before"}});
+  };
+  Loop.onSignal(SIGHUP, Reload);
+  // The file may also change without a signal.
+  std::filesystem::file_time_type ReadAt = writeTime(Path);
+  Loop.every(FileCheckPeriod, [&] {
+    const auto WrittenAt = writeTime(Path);
+    if (std::exchange(ReadAt, WrittenAt) != WrittenAt)
+      Reload();
   });
   Loop.run();
   return 0;
@@ -59,11 +75,11 @@
 } // namespace
 
 int main(int ArgCount, char **Args) {
-  const char *Path = std::getenv(SettingsVariable);
+  const char *Path = std::getenv(PlatformAdapter::SettingsVariable);
   if (ArgCount > 2 || (!Path && ArgCount < 2)) {
     std::cerr << "usage: turmericpass-node [SETTINGS]\n"
-              << "Without SETTINGS the path is read from " << SettingsVariable
-              << ".\n";
+              << "Without SETTINGS the path is read from "
+              << PlatformAdapter::SettingsVariable << ".\n";
     return 2;
   }
   logToStandardOutput();
