BatchJobs: Correct a version that a store's answer gave too new

Cause: a store may answer a transaction with its newest version instead of the one that the rows got. The owner of a job then held a version that the row never had, took every conflict's row for an older one and tried the same commit for ever. A head or admission row that the same transaction wrote now corrects the version.

--- a/Source/BatchJobs/JobBook.cpp
+++ b/Source/BatchJobs/JobBook.cpp
@@ -22,6 +22,11 @@
   return std::string(AdmissionPrefix) + Route;
 }
 
+std::string JobBook::admissionValue(std::uint64_t AcceptedTokens,
+                                    const std::string &WriteId) {
+  return std::to_string(AcceptedTokens) + " " + WriteId;
+}
+
 std::vector<std::string> JobBook::replace(const std::vector<StoredRow> &Rows) {
   std::set<std::string> Listed;
   for (const StoredRow &Row : Rows)
@@ -50,8 +55,9 @@
     Admission &Known = this->Admissions[Row.Key.substr(AdmissionPrefix.size())];
     if (Row.Removed)
       Known = Admission();
-    else if (Row.Version > Known.Version)
-      Known = {Row.Version, std::strtoull(Row.Value.c_str(), nullptr, 10)};
+    else if (Row.Version > Known.Version || Row.Value == Known.Value)
+      Known = {Row.Version, std::strtoull(Row.Value.c_str(), nullptr, 10),
+               Row.Value};
     return;
   }
   if (!Row.Key.starts_with(HeadPrefix))
@@ -63,7 +69,7 @@
     return;
   }
   KnownJob &Known = this->Jobs[JobId];
-  if (Row.Version <= Known.Version)
+  if (Row.Version == Known.Version)
     return;
   Result<JobHead> Head = decodeHead(Row.Value);
   if (!Head) {
@@ -71,6 +77,10 @@
                   {{"job", JobId}, {"version", Row.Version}});
     return;
   }
+  // A store may answer a transaction with a newer version than the one that its
+  // rows got. A row that the same transaction wrote shows the right one.
+  if (Row.Version < Known.Version && Head->WriteId != Known.Head.WriteId)
+    return;
   Known = {std::move(*Head), Row.Version};
   Changed.push_back(JobId);
 }
--- a/Source/BatchJobs/JobBook.h
+++ b/Source/BatchJobs/JobBook.h
@@ -38,6 +38,8 @@
     std::uint64_t Version = 0;
     /// The tokens of all jobs that were ever accepted and are in the store.
     std::uint64_t AcceptedTokens = 0;
+    /// The row's value: the tokens, and what names the transaction.
+    std::string Value;
   };
   Admission admission(const std::string &Route) const;
 
@@ -48,6 +50,9 @@
   /// Keys of the rows in the table of heads.
   static std::string headKey(const std::string &JobId);
   static std::string admissionKey(const std::string &Route);
+  /// The value of an admission row. \p WriteId names the transaction.
+  static std::string admissionValue(std::uint64_t AcceptedTokens,
+                                    const std::string &WriteId);
 
 private:
   void apply(const StoredRow &Row, std::vector<std::string> &Changed);
--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -83,8 +83,9 @@
   const std::string Route = Known->Head.Route;
   const JobBook::Admission Before = this->Book.admission(Route);
   const std::uint64_t Tokens = Known->Head.TotalTokens;
-  const std::string Left = std::to_string(
-      Before.AcceptedTokens > Tokens ? Before.AcceptedTokens - Tokens : 0);
+  const std::string Left = JobBook::admissionValue(
+      Before.AcceptedTokens > Tokens ? Before.AcceptedTokens - Tokens : 0,
+      "without " + JobId);
   RowTransaction Change;
   Change.Part = JobStore::Part;
   Change.Conditions = {
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -133,9 +133,11 @@
   const JobBook::Admission Before = Book.admission(Head.Route);
   Change.Conditions = {{HeadTable, JobBook::headKey(JobId), 0},
                        {HeadTable, Key, Before.Version}};
-  Change.Writes = {{HeadTable, JobBook::headKey(JobId), encodeHead(Head)},
-                   {HeadTable, Key,
-                    std::to_string(Before.AcceptedTokens + Head.TotalTokens)}};
+  Change.Writes = {
+      {HeadTable, JobBook::headKey(JobId), encodeHead(Head)},
+      {HeadTable, Key,
+       JobBook::admissionValue(Before.AcceptedTokens + Head.TotalTokens,
+                               Head.WriteId)}};
   addValue(Change, itemsPrefix(JobId), encodeItems(Items));
   this->attempt(std::move(Tried));
 }
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -12,7 +12,8 @@
 } // namespace
 
 void OwnedJob::adoptHead(const KnownJob &Known) {
-  if (Known.Version <= this->Version)
+  const bool SameWrite = Known.Head.WriteId == this->Head.WriteId;
+  if (Known.Version <= this->Version && !SameWrite)
     return;
   const auto Landed = static_cast<std::ptrdiff_t>(
       std::min<std::uint64_t>(Known.Head.ListedItems - this->Head.ListedItems,
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -88,6 +88,23 @@
   cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 2);
 }
 
+// Guards against jobs that are never committed, and acceptances that never
+// succeed, when the store answers with a newer version than the rows got. Found
+// by the soak, seeds 11 and 14.
+Test(JobApi, NewerVersionInAnAnswerIsCorrectedByAConflict) {
+  ApiBench Bench;
+  Bench.Rows.AnsweredAhead = 3;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  cr_assert_eq(Bench.submit(2, "k", "5"), 202);
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 2; }));
+  Bench.complete(1);
+  Bench.complete(2);
+  cr_assert(runUntil(Bench.Loop, [&] { return Bench.Runner.owned() == 0; }));
+  cr_assert_eq(Bench.results("j").size(), 1);
+  cr_assert_eq(Bench.results("k").size(), 1);
+}
+
 // Guards against callers that wait for a store which is known to be away.
 Test(JobApi, WithoutTheStoreSubmissionsAreRefusedAtOnce) {
   ApiBench Bench;
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -29,6 +29,9 @@
 
   /// Faults of the next transactions, in order.
   std::deque<RowFault> Faults;
+  /// How much newer the version in an answer is than that of the rows, as when
+  /// other transactions were made meanwhile.
+  std::uint64_t AnsweredAhead = 0;
   /// Reads fail while it is set.
   bool Away = false;
   int Transactions = 0;
@@ -115,10 +118,12 @@
     }
     Answer.Current.clear();
     Answer.Outcome = TransactionOutcome::Committed;
-    Answer.Version = ++this->Version;
+    ++this->Version;
     for (const RowWrite &Each : Change.Writes)
       this->Rows[{Each.Table, Change.Part, Each.Key}] = {
-          Each.Table, Change.Part, Each.Key, Each.Value, Answer.Version, false};
+          Each.Table, Change.Part, Each.Key, Each.Value, this->Version, false};
+    this->Version += this->AnsweredAhead;
+    Answer.Version = this->Version;
     for (const RowRemoval &Each : Change.Removals)
       this->Rows.erase({Each.Table, Change.Part, Each.Key});
     return Answer;
