BatchJobs: Prepare both kinds of a job's change in one place

JobStore::accept() and change() set up the same transaction on a job's head, line by line; prepare() does it for both. Behaviour stays as it is.

--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -118,46 +118,48 @@
   return {itemsPrefix(JobId), resultsPrefix(JobId), progressPrefix(JobId)};
 }
 
-void JobStore::accept(const std::string &JobId, JobHead Head,
-                      const std::vector<JobItem> &Items, Instant Until,
-                      JobBook &Book, ChangeDone Done) {
+std::shared_ptr<JobStore::Attempt>
+JobStore::prepare(const std::string &JobId, JobHead Head, std::uint64_t Version,
+                  Instant Until, JobBook &Book, ChangeDone Done) {
   auto Tried = std::make_shared<Attempt>();
   Tried->JobId = JobId;
   Tried->WriteId = Head.WriteId = this->Ids.shortId();
   Tried->Until = Until;
   Tried->Book = &Book;
   Tried->Done = std::move(Done);
+  Tried->Change.Part = Part;
+  Tried->Change.Conditions = {{HeadTable, JobBook::headKey(JobId), Version}};
+  Tried->Change.Writes = {
+      {HeadTable, JobBook::headKey(JobId), encodeHead(Head)}};
+  return Tried;
+}
+
+void JobStore::accept(const std::string &JobId, const JobHead &Head,
+                      const std::vector<JobItem> &Items, Instant Until,
+                      JobBook &Book, ChangeDone Done) {
+  std::shared_ptr<Attempt> Tried =
+      this->prepare(JobId, Head, 0, Until, Book, std::move(Done));
   RowTransaction &Change = Tried->Change;
-  Change.Part = Part;
   const std::string Key = JobBook::admissionKey(Head.Route);
   const JobBook::Admission Before = Book.admission(Head.Route);
-  Change.Conditions = {{HeadTable, JobBook::headKey(JobId), 0},
-                       {HeadTable, Key, Before.Version}};
-  Change.Writes = {
-      {HeadTable, JobBook::headKey(JobId), encodeHead(Head)},
+  Change.Conditions.push_back({HeadTable, Key, Before.Version});
+  Change.Writes.push_back(
       {HeadTable, Key,
        JobBook::admissionValue(Before.AcceptedTokens + Head.TotalTokens,
-                               Head.WriteId)}};
+                               Tried->WriteId)});
   addValue(Change, itemsPrefix(JobId), encodeItems(Items));
   this->attempt(std::move(Tried));
 }
 
-void JobStore::change(const std::string &JobId, JobHead Head,
+void JobStore::change(const std::string &JobId, const JobHead &Head,
                       std::uint64_t Version,
                       const std::vector<ItemResult> &Results,
                       std::uint64_t First,
                       const std::vector<ItemProgress> &Progress, Instant Until,
                       JobBook &Book, ChangeDone Done) {
-  auto Tried = std::make_shared<Attempt>();
-  Tried->JobId = JobId;
-  Tried->WriteId = Head.WriteId = this->Ids.shortId();
-  Tried->Until = Until;
-  Tried->Book = &Book;
-  Tried->Done = std::move(Done);
+  std::shared_ptr<Attempt> Tried =
+      this->prepare(JobId, Head, Version, Until, Book, std::move(Done));
   RowTransaction &Change = Tried->Change;
-  Change.Part = Part;
-  Change.Conditions = {{HeadTable, JobBook::headKey(JobId), Version}};
-  Change.Writes = {{HeadTable, JobBook::headKey(JobId), encodeHead(Head)}};
   for (const ItemResult &Item : Results)
     addValue(Change, resultsPrefix(JobId) + positionKey(First++),
              encodeResult(Item));
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -44,16 +44,16 @@
 
   /// Writes a new job on condition that its route's admission row is as \p Book
   /// has it and that there is no such job. Tries until \p Until.
-  void accept(const std::string &JobId, JobHead Head,
+  void accept(const std::string &JobId, const JobHead &Head,
               const std::vector<JobItem> &Items, Instant Until, JobBook &Book,
               ChangeDone Done);
 
   /// Replaces the head whose version is \p Version, and writes \p Results from
   /// position \p First on and \p Progress.
-  void change(const std::string &JobId, JobHead Head, std::uint64_t Version,
-              const std::vector<ItemResult> &Results, std::uint64_t First,
-              const std::vector<ItemProgress> &Progress, Instant Until,
-              JobBook &Book, ChangeDone Done);
+  void change(const std::string &JobId, const JobHead &Head,
+              std::uint64_t Version, const std::vector<ItemResult> &Results,
+              std::uint64_t First, const std::vector<ItemProgress> &Progress,
+              Instant Until, JobBook &Book, ChangeDone Done);
 
   /// Writes \p Progress if the head still has \p Version. A failure only costs
   /// work that is done again, so nobody is told.
@@ -79,6 +79,10 @@
 private:
   struct Attempt;
   struct RangeRead;
+  /// Begins a transaction that writes \p Head over the one with \p Version.
+  std::shared_ptr<Attempt> prepare(const std::string &JobId, JobHead Head,
+                                   std::uint64_t Version, Instant Until,
+                                   JobBook &Book, ChangeDone Done);
   void attempt(std::shared_ptr<Attempt> Tried);
   void concluded(Attempt &Tried, const TransactionResult &Answer);
   void readRange(std::shared_ptr<RangeRead> Reading, std::string From);
