BatchJobs: Keep every transaction within the store's limits

A job of up to 200 items whose results waited for the store to come back could then never list any of them, and a submission of more than about 700 KB was never accepted.

The store's limits are now a part of RowStore, the length of a value comes from the platform's settings, results and progress go in as many transactions as they need, and items that do not fit with their acceptance are written before it. Acceptances had a state for a try that may have been made; no path could reach it, so it is gone.

--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -109,13 +109,13 @@
 
 void JobApi::tryAccept(const std::shared_ptr<Submission> &Job) {
   const std::string &Route = Job->Head.Route;
-  if (!this->With.IsBookCurrent() && !Job->MayBeAccepted) {
+  if (!this->With.IsBookCurrent()) {
     this->answer(Job->Caller, Unavailable, Job->JobId,
                  "the store is out of reach");
     return;
   }
   const std::uint64_t Waiting = this->With.Book.waitingTokens(Route);
-  if (Job->MaxWaitingTokens != 0 && !Job->MayBeAccepted &&
+  if (Job->MaxWaitingTokens != 0 &&
       Waiting + Job->Head.TotalTokens > Job->MaxWaitingTokens) {
     this->With.Log.log(LogLevel::Info, "A job does not fit.",
                        {{"job", Job->JobId},
@@ -153,8 +153,7 @@
     this->With.Runner.own(Job->JobId);
     return;
   }
-  if (Outcome == JobStore::ChangeOutcome::Unknown)
-    Job->MayBeAccepted = true;
+  // A try that was overtaken can never be made any more: versions only grow.
   const bool TimeLeft =
       this->With.Loop.clock().now() + AdmissionPause < Job->Until;
   if (Outcome == JobStore::ChangeOutcome::Overtaken && TimeLeft) {
@@ -164,7 +163,7 @@
   }
   // A refusal promises that nothing runs, so it is no answer while the
   // transaction may still be made.
-  if (Job->MayBeAccepted)
+  if (Outcome == JobStore::ChangeOutcome::Unknown)
     this->answer(Job->Caller, OutcomeUnknown, Job->JobId,
                  "the store did not say whether the job is accepted");
   else
--- a/Source/BatchJobs/JobApi.h
+++ b/Source/BatchJobs/JobApi.h
@@ -59,7 +59,6 @@
     std::uint64_t MaxWaitingTokens = 0;
     Instant Until;
     Instant Arrived;
-    bool MayBeAccepted = false;
   };
   struct Reader {
     JobCall Call;
--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -13,9 +13,6 @@
 /// store's rate.
 constexpr std::size_t MostAtOnce = 2;
 
-/// The platform takes 100 entries in a transaction.
-constexpr std::size_t RowsAtOnce = 90;
-
 } // namespace
 
 void JobCleaner::clean(
@@ -45,7 +42,8 @@
   Range.Part = JobStore::Part;
   Range.From = Prefixes[Kind];
   Range.To = Prefixes[Kind] + '\x7f';
-  Range.Limit = RowsAtOnce;
+  // The condition on the head is an entry as well.
+  Range.Limit = this->Rows.limits().Entries - 1;
   this->Rows.read(
       std::move(Range),
       [this, JobId, Kind, Version = Known->Version](Result<RowPage> Page) {
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -422,12 +422,29 @@
   if (Job.Committing || Job.Uncommitted.empty())
     return;
   Job.Committing = true;
-  this->With.Store.change(
-      JobId, Job.headAfterCommit(), Job.Version, Job.Uncommitted,
-      Job.Head.ListedItems, {}, this->With.Loop.clock().now() + CommitTime,
-      this->With.Book, [this, JobId](JobStore::ChangeOutcome Outcome) {
-        this->committed(JobId, Outcome);
-      });
+  this->commitResults(JobId, Job, Job.Head.Owner, {},
+                      [this, JobId](JobStore::ChangeOutcome Outcome) {
+                        this->committed(JobId, Outcome);
+                      });
+}
+
+std::size_t JobRunner::commitResults(const std::string &JobId,
+                                     const OwnedJob &Job,
+                                     const std::string &Owner,
+                                     const std::vector<ItemProgress> &Progress,
+                                     JobStore::ChangeDone Done) {
+  // After the store was away more results may wait than one change takes.
+  const std::size_t Count = this->With.Store.fittingResults(Job.Uncommitted);
+  const std::vector<ItemResult> Results(Job.Uncommitted.begin(),
+                                        Job.Uncommitted.begin() +
+                                            static_cast<std::ptrdiff_t>(Count));
+  JobHead Head = Job.headAfterCommit(Count);
+  Head.Owner = Owner;
+  this->With.Store.change(JobId, Head, Job.Version, Results,
+                          Job.Head.ListedItems, Progress,
+                          this->With.Loop.clock().now() + CommitTime,
+                          this->With.Book, std::move(Done));
+  return Count;
 }
 
 void JobRunner::committed(const std::string &JobId,
@@ -474,16 +491,13 @@
     for (ItemRun &Run : Job.Items)
       this->stop(Run, true);
     const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
-    JobHead Head = Job.headAfterCommit();
-    Head.Owner.clear();
+    const std::size_t Committed = this->commitResults(
+        JobId, Job, "", Progress, [](JobStore::ChangeOutcome) {});
     this->With.Log.log(LogLevel::Info, "A job is handed over.",
                        {{"job", JobId},
                         {"begun", Progress.size()},
-                        {"uncommitted", Job.Uncommitted.size()}});
-    this->With.Store.change(JobId, Head, Job.Version, Job.Uncommitted,
-                            Job.Head.ListedItems, Progress,
-                            this->With.Loop.clock().now() + CommitTime,
-                            this->With.Book, [](JobStore::ChangeOutcome) {});
+                        {"finished", Job.Uncommitted.size()},
+                        {"committed", Committed}});
   }
   this->Jobs.clear();
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -111,6 +111,12 @@
   void finish(const ItemKey &Key, ItemRun &Run, bool Succeeded,
               std::string_view Why);
   void commit(const std::string &JobId);
+  /// Commits as many of the waiting results as one change takes, with the job
+  /// owned by \p Owner after it. Returns how many these are.
+  std::size_t commitResults(const std::string &JobId, const OwnedJob &Job,
+                            const std::string &Owner,
+                            const std::vector<ItemProgress> &Progress,
+                            JobStore::ChangeDone Done);
   void committed(const std::string &JobId, JobStore::ChangeOutcome Outcome);
   const RouteSettings *routeOf(const OwnedJob &Job) const;
 
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -1,79 +1,20 @@
 #include "BatchJobs/JobStore.h"
 
+#include "BatchJobs/JobData.h"
 #include "Core/IdSource.h"
 #include "Loop/EventLoop.h"
 #include "Telemetry/Logger.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 
 namespace turmericpass {
 
 namespace {
 
-/// Values longer than this are cut into several rows. The platform bounds a
-/// row to 64 KiB in base64, which is 48 KiB of bytes.
-constexpr std::size_t RowBytes = std::size_t{44} << 10U;
-
 /// The pause between two tries of a transaction.
 constexpr Duration RetryPause = std::chrono::milliseconds(60);
 
-std::string numbered(const char *Format, unsigned long long Number) {
-  char Text[24];
-  std::snprintf(Text, sizeof(Text), Format, Number);
-  return Text;
-}
-
-std::string itemsPrefix(const std::string &JobId) {
-  return "in/" + JobId + "/";
-}
-
-std::string resultsPrefix(const std::string &JobId) {
-  return "out/" + JobId + "/";
-}
-
-std::string progressPrefix(const std::string &JobId) {
-  return "run/" + JobId + "/";
-}
-
-std::string positionKey(std::uint64_t Position) {
-  return numbered("%06llu/", Position);
-}
-
-/// Returns the first key after all keys that begin with \p Prefix.
-std::string prefixEnd(std::string Prefix) {
-  ++Prefix.back();
-  return Prefix;
-}
-
-/// Writes \p Value in as many rows as it needs, under keys with a common
-/// beginning and in order.
-void addValue(RowTransaction &Change, const std::string &Prefix,
-              const std::string &Value) {
-  for (std::size_t At = 0, Part = 0; At < Value.size() || Part == 0;
-       At += RowBytes, ++Part)
-    Change.Writes.push_back({JobStore::DataTable,
-                             Prefix + numbered("%03llu", Part),
-                             Value.substr(At, RowBytes)});
-}
-
-/// Puts values together again that addValue() wrote. The part of a key up to
-/// its last slash names a value.
-std::vector<std::string> joinValues(const std::vector<StoredRow> &Rows) {
-  std::vector<std::string> Values;
-  std::string_view Last;
-  for (const StoredRow &Row : Rows) {
-    const std::string_view Name =
-        std::string_view(Row.Key).substr(0, Row.Key.rfind('/'));
-    if (Name != Last || Values.empty())
-      Values.emplace_back();
-    Values.back() += Row.Value;
-    Last = Name;
-  }
-  return Values;
-}
-
 template <typename T, typename F>
 Result<std::vector<T>> decodeAll(const Result<std::vector<StoredRow>> &Rows,
                                  F Decode) {
@@ -147,8 +88,61 @@
       {HeadTable, Key,
        JobBook::admissionValue(Before.AcceptedTokens + Head.TotalTokens,
                                Tried->WriteId)});
-  addValue(Change, itemsPrefix(JobId), encodeItems(Items));
-  this->attempt(std::move(Tried));
+  const std::vector<RowWrite> ItemRows = splitValue(
+      DataTable, itemsPrefix(JobId), encodeItems(Items), this->Rows.limits());
+  if (addIfItFits(Change, ItemRows, this->Rows.limits()))
+    this->attempt(std::move(Tried));
+  else
+    this->storeAhead(std::move(Tried), ItemRows);
+}
+
+void JobStore::storeAhead(std::shared_ptr<Attempt> Accepting,
+                          const std::vector<RowWrite> &ItemRows) {
+  auto Ahead = std::make_shared<Attempt>();
+  Ahead->JobId = Accepting->JobId;
+  Ahead->Until = Accepting->Until;
+  Ahead->Book = Accepting->Book;
+  Ahead->Change.Part = Part;
+  // The rows of a job that exists are not written again.
+  Ahead->Change.Conditions = {
+      {HeadTable, JobBook::headKey(Accepting->JobId), 0}};
+  std::size_t Fitting = 0;
+  while (Fitting < ItemRows.size() &&
+         addIfItFits(Ahead->Change, {ItemRows[Fitting]}, this->Rows.limits()))
+    ++Fitting;
+  const std::vector<RowWrite> Rest(
+      ItemRows.begin() + static_cast<std::ptrdiff_t>(Fitting), ItemRows.end());
+  Ahead->Done = [this, Accepting, Rest](ChangeOutcome Outcome) {
+    // Without its head the job does not exist, so nothing was accepted.
+    if (Outcome != ChangeOutcome::Done)
+      Accepting->Done(Outcome == ChangeOutcome::Overtaken
+                          ? ChangeOutcome::Overtaken
+                          : ChangeOutcome::NotDone);
+    else if (Rest.empty())
+      this->attempt(Accepting);
+    else
+      this->storeAhead(Accepting, Rest);
+  };
+  this->attempt(std::move(Ahead));
+}
+
+std::size_t
+JobStore::fittingResults(const std::vector<ItemResult> &Results) const {
+  const RowLimits &Limits = this->Rows.limits();
+  // The head is a condition and a write.
+  std::size_t Entries = 2;
+  std::size_t Bytes = Limits.ValueBytes;
+  std::size_t Fitting = 0;
+  for (const ItemResult &Item : Results) {
+    const std::size_t Size = encodeResult(Item).size();
+    Entries += std::max<std::size_t>(1, (Size + Limits.ValueBytes - 1) /
+                                            Limits.ValueBytes);
+    Bytes += Size;
+    if (Entries > Limits.Entries || Bytes > Limits.TransactionBytes)
+      break;
+    ++Fitting;
+  }
+  return Fitting;
 }
 
 void JobStore::change(const std::string &JobId, const JobHead &Head,
@@ -161,23 +155,43 @@
       this->prepare(JobId, Head, Version, Until, Book, std::move(Done));
   RowTransaction &Change = Tried->Change;
   for (const ItemResult &Item : Results)
-    addValue(Change, resultsPrefix(JobId) + positionKey(First++),
-             encodeResult(Item));
+    for (RowWrite &Row :
+         splitValue(DataTable, resultsPrefix(JobId) + positionKey(First++),
+                    encodeResult(Item), this->Rows.limits()))
+      Change.Writes.push_back(std::move(Row));
+  // Progress that does not fit costs work that is done again, no result.
   for (const ItemProgress &Item : Progress)
-    addValue(Change, progressPrefix(JobId) + positionKey(Item.Index),
-             encodeProgress(Item));
+    if (!addIfItFits(Change, this->progressRows(JobId, Item),
+                     this->Rows.limits()))
+      break;
   this->attempt(std::move(Tried));
 }
 
+std::vector<RowWrite> JobStore::progressRows(const std::string &JobId,
+                                             const ItemProgress &Item) const {
+  return splitValue(DataTable, progressPrefix(JobId) + positionKey(Item.Index),
+                    encodeProgress(Item), this->Rows.limits());
+}
+
 void JobStore::saveProgress(const std::string &JobId, std::uint64_t Version,
                             const std::vector<ItemProgress> &Progress) {
-  RowTransaction Change;
-  Change.Part = Part;
-  Change.Conditions = {{HeadTable, JobBook::headKey(JobId), Version}};
-  for (const ItemProgress &Item : Progress)
-    addValue(Change, progressPrefix(JobId) + positionKey(Item.Index),
-             encodeProgress(Item));
-  this->Rows.transact(std::move(Change), [](const TransactionResult &) {});
+  RowTransaction Empty;
+  Empty.Part = Part;
+  Empty.Conditions = {{HeadTable, JobBook::headKey(JobId), Version}};
+  RowTransaction Change = Empty;
+  const auto Send = [this](RowTransaction &Full) {
+    if (!Full.Writes.empty())
+      this->Rows.transact(std::move(Full), [](const TransactionResult &) {});
+  };
+  for (const ItemProgress &Item : Progress) {
+    const std::vector<RowWrite> Rows = this->progressRows(JobId, Item);
+    if (addIfItFits(Change, Rows, this->Rows.limits()))
+      continue;
+    Send(Change);
+    Change = Empty;
+    addIfItFits(Change, Rows, this->Rows.limits());
+  }
+  Send(Change);
 }
 
 void JobStore::attempt(std::shared_ptr<Attempt> Tried) {
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -43,13 +43,18 @@
   using ChangeDone = std::function<void(ChangeOutcome)>;
 
   /// Writes a new job on condition that its route's admission row is as \p Book
-  /// has it and that there is no such job. Tries until \p Until.
+  /// has it and that there is no such job. Items that do not fit into the same
+  /// transaction are written before it. Tries until \p Until.
   void accept(const std::string &JobId, const JobHead &Head,
               const std::vector<JobItem> &Items, Instant Until, JobBook &Book,
               ChangeDone Done);
 
+  /// Returns how many of \p Results, from the first one on, fit into one
+  /// change().
+  std::size_t fittingResults(const std::vector<ItemResult> &Results) const;
+
   /// Replaces the head whose version is \p Version, and writes \p Results from
-  /// position \p First on and \p Progress.
+  /// position \p First on and as much of \p Progress as fits.
   void change(const std::string &JobId, const JobHead &Head,
               std::uint64_t Version, const std::vector<ItemResult> &Results,
               std::uint64_t First, const std::vector<ItemProgress> &Progress,
@@ -83,6 +88,11 @@
   std::shared_ptr<Attempt> prepare(const std::string &JobId, JobHead Head,
                                    std::uint64_t Version, Instant Until,
                                    JobBook &Book, ChangeDone Done);
+  /// Writes \p ItemRows and then attempts \p Accepting.
+  void storeAhead(std::shared_ptr<Attempt> Accepting,
+                  const std::vector<RowWrite> &ItemRows);
+  std::vector<RowWrite> progressRows(const std::string &JobId,
+                                     const ItemProgress &Item) const;
   void attempt(std::shared_ptr<Attempt> Tried);
   void concluded(Attempt &Tried, const TransactionResult &Answer);
   void readRange(std::shared_ptr<RangeRead> Reading, std::string From);
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -24,12 +24,12 @@
   this->Head = Known.Head;
 }
 
-JobHead OwnedJob::headAfterCommit() const {
+JobHead OwnedJob::headAfterCommit(std::size_t Count) const {
   JobHead After = this->Head;
-  After.ListedItems += this->Uncommitted.size();
-  for (const ItemResult &Done : this->Uncommitted)
+  After.ListedItems += Count;
+  for (std::size_t I = 0; I < Count; ++I)
     for (const ItemRun &Run : this->Items)
-      if (Run.Item.Id == Done.ItemId)
+      if (Run.Item.Id == this->Uncommitted[I].ItemId)
         After.ListedTokens += Run.Item.Tokens;
   return After;
 }
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -66,8 +66,9 @@
   /// those known here came with an own commit whose answer was lost.
   void adoptHead(const KnownJob &Known);
 
-  /// The head after a commit of all results that wait for theirs.
-  JobHead headAfterCommit() const;
+  /// The head after a commit of the first \p Count results that wait for
+  /// theirs.
+  JobHead headAfterCommit(std::size_t Count) const;
 
   /// How far the items came that have no result yet, as far as that is not in
   /// the store. Marks it as saved.
--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::int64_t MostPort = 65535;
 
+/// The head of a job must fit into one row.
+constexpr double LeastRowBytes = 4096;
+
 /// Takes values out of a table, and notes each fault with its place.
 class ConfigReader {
 public:
@@ -131,6 +134,8 @@
   Config.StoreWritesPerSecond =
       Reader.number("store_writes_per_s", 1, 1'000'000);
   Config.StoreReadsPerSecond = Reader.number("store_reads_per_s", 1, 1'000'000);
+  Config.StoreRowBytes = static_cast<std::size_t>(
+      Reader.number("store_row_bytes", LeastRowBytes, 1 << 30));
   Config.JobKeepTime = std::chrono::milliseconds(static_cast<std::int64_t>(
       Reader.number("keep_jobs_s", 1, 31'536'000) * 1000));
   Config.StopTime = std::chrono::milliseconds(
--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -32,6 +32,8 @@
   /// Calls per second that all VMs together may make.
   double StoreWritesPerSecond = 0;
   double StoreReadsPerSecond = 0;
+  /// The longest value of a row in the store, as it is sent.
+  std::size_t StoreRowBytes = 65536;
   /// How long after its acceptance a finished job stays readable.
   Duration JobKeepTime = std::chrono::minutes(10);
   /// The time between SIGTERM and SIGKILL.
--- a/Source/Programs/NodeMain.cpp
+++ b/Source/Programs/NodeMain.cpp
@@ -44,7 +44,8 @@
   EventLoop Loop(Time);
   TcpBackendChannels Channels(Loop);
   const PlatformAdapter Adapter;
-  PlatformRowStore Store(Loop, Channels, Config->StoreAddress);
+  PlatformRowStore Store(Loop, Channels, Config->StoreAddress,
+                         Config->StoreRowBytes);
   IdSource Ids(IdSource::randomSeed());
   ServingNode Node({Loop, Channels, Store, Adapter, Ids, Log}, *Config);
   if (const Result<void> Started = Node.start(); !Started) {
--- a/Source/Rows/RowStore.h
+++ b/Source/Rows/RowStore.h
@@ -95,6 +95,16 @@
   std::size_t Limit = 500;
 };
 
+/// What the store takes at most in one transaction and in one row.
+struct RowLimits {
+  /// Conditions, writes and removals of a transaction, added up.
+  std::size_t Entries = 100;
+  /// Values of a transaction, added up, in bytes.
+  std::size_t TransactionBytes = std::size_t{700} << 10U;
+  /// The value of one row, in bytes.
+  std::size_t ValueBytes = std::size_t{48} << 10U;
+};
+
 /// The transactional store that all VMs share. Its answers are linearizable.
 /// Errors of reads: Unavailable (refused or not reached), Timeout, Malformed.
 class RowStore {
@@ -104,6 +114,9 @@
 
   virtual ~RowStore() = default;
 
+  /// A transaction beyond these limits is never made.
+  virtual const RowLimits &limits() const = 0;
+
   virtual void transact(RowTransaction Change, TransactDone Done) = 0;
   virtual void read(RowRange Range, PageDone Done) = 0;
 
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -12,6 +12,9 @@
 
 /// Submissions of one item with the size that the body names.
 struct PlainDialect : public JobDialect {
+  /// The bytes of the item's body.
+  std::size_t BodyBytes = 1;
+
   std::optional<JobCall> readCall(const RawRequest &) const override {
     return std::nullopt;
   }
@@ -19,8 +22,11 @@
   readSubmission(const RawRequest &Request) const override {
     if (Request.Body.empty())
       return failure(ErrorCode::InvalidArgument, "It has no items.");
-    return std::vector<JobItem>{
-        {"item", "/x", {}, "b", std::stoull(Request.Body)}};
+    return std::vector<JobItem>{{"item",
+                                 "/x",
+                                 {},
+                                 std::string(this->BodyBytes, 'b'),
+                                 std::stoull(Request.Body)}};
   }
   std::string
   writeResults(std::uint64_t Total, std::uint64_t First,
@@ -213,3 +219,45 @@
   Jobs.at("job1").Head.Ended = true;
   cr_assert_eq(A.choose(Jobs, {"b"}, IsAlive).size(), 14);
 }
+
+// Guards against a job that can never be accepted because its items do not fit
+// into one transaction.
+Test(JobApi, JobBeyondOneTransactionIsAccepted) {
+  ApiBench Bench;
+  Bench.Calls.BodyBytes = std::size_t{3} << 20U;
+  cr_assert_eq(Bench.submit(1, "j", "5"), 202);
+  cr_assert_eq(Bench.Rows.Oversized, 0);
+  JobCall Call;
+  Call.Kind = JobCallKind::ReadItem;
+  Call.JobId = "j";
+  Call.ItemId = "item";
+  cr_assert_eq(Bench.call(2, Call), 200);
+  cr_assert_eq(Bench.Callers.Answers[2].Body.size(), Bench.Calls.BodyBytes);
+}
+
+// Guards against a large job whose items are written and whose acceptance is
+// not, yet which runs or is said to have been accepted.
+Test(JobApi, LargeJobWithoutItsAcceptanceIsRefused) {
+  ApiBench Bench;
+  Bench.Calls.BodyBytes = std::size_t{1} << 20U;
+  Bench.Rows.Faults = std::deque<RowFault>(100, RowFault::Refused);
+  Bench.Rows.Faults.push_front(RowFault::AnswerLost);
+  cr_assert_eq(Bench.submit(1, "j", "5", "800"), 503);
+  cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 0);
+  Bench.Rows.Faults.clear();
+  cr_assert_eq(Bench.submit(2, "j", "5"), 202);
+}
+
+// Guards against more tokens than may wait, accepted by a try after one that
+// had no answer while another job took the room.
+Test(JobApi, LimitHoldsForATryAfterALostAnswer) {
+  ApiBench Bench;
+  Bench.Route.MaxWaitingTokens = 10;
+  Bench.Rows.Faults = {RowFault::MadeLate};
+  Bench.Rows.put(JobStore::HeadTable, JobStore::Part,
+                 JobBook::admissionKey("jobs"),
+                 JobBook::admissionValue(8, "other"));
+  cr_assert_eq(Bench.submit(1, "j", "5"), 429);
+  Bench.Rows.applyLate();
+  cr_assert_eq(Bench.Rows.count(JobStore::HeadTable, "job/"), 0);
+}
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -225,3 +225,58 @@
   Bench.Runner.schedule();
   cr_assert_eq(Bench.Channels.All.size(), 3);
 }
+
+namespace {
+
+/// Starts a job of \p Count items, all at once, and plays one event of each.
+void beginAll(RunnerBench &Bench, std::size_t Count) {
+  Bench.Servers.update({"s1", "model", "127.0.0.1:1", "a", 400, false, 1});
+  cr_assert(Bench.startJob("j", Count, Count));
+  for (SendId Id = 1; Id <= Count; ++Id) {
+    Bench.Channels.head(Id, 200, {{"Content-Type", "text/event-stream"}});
+    Bench.Channels.body(Id, "id: 0\ndata: a\n\n");
+  }
+}
+
+} // namespace
+
+// Guards against results that are never listed because more of them waited,
+// after the store was away, than one transaction takes.
+Test(JobRunner, ResultsBeyondOneTransactionAreListedInSeveral) {
+  constexpr std::size_t Count = 180;
+  RunnerBench Bench;
+  beginAll(Bench, Count);
+  // The first commit is held up while the other items end.
+  for (SendId Id = 1; Id <= Count; ++Id)
+    Bench.Channels.done(Id);
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
+  cr_assert_eq(Bench.Rows.Oversized, 0);
+  cr_assert_eq(Bench.results("j").size(), Count);
+}
+
+// Guards against progress that is not saved because more items have begun than
+// one transaction takes.
+Test(JobRunner, ProgressBeyondOneTransactionIsSavedInSeveral) {
+  RunnerBench Bench;
+  beginAll(Bench, 180);
+  Bench.Runner.saveProgress();
+  cr_assert(runUntil(Bench.Loop, [&] {
+    return Bench.Rows.count(JobStore::DataTable, "run/j/") == 180;
+  }));
+  cr_assert_eq(Bench.Rows.Oversized, 0);
+}
+
+// Guards against a job that cannot be handed over because it has more results
+// and progress than one transaction takes.
+Test(JobRunner, LargeJobIsHandedOver) {
+  RunnerBench Bench;
+  beginAll(Bench, 180);
+  for (SendId Id = 1; Id <= 120; ++Id)
+    Bench.Channels.done(Id);
+  Bench.Runner.release();
+  cr_assert(runUntil(Bench.Loop, [&] {
+    const KnownJob *Known = Bench.Book.find("j");
+    return Known && Known->Head.ListedItems > 0;
+  }));
+  cr_assert_eq(Bench.Rows.Oversized, 0);
+}
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -26,6 +26,7 @@
 store = "127.0.0.1:5"
 store_writes_per_s = 800
 store_reads_per_s = 2000.0
+store_row_bytes = 65536
 keep_jobs_s = 120
 stop_time_s = 8
 )";
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -36,7 +36,7 @@
   BootClock Time;
   EventLoop Loop{Time};
   FakeChannels Channels;
-  PlatformRowStore Store{Loop, Channels, "127.0.0.1:1"};
+  PlatformRowStore Store{Loop, Channels, "127.0.0.1:1", 65536};
   std::optional<TransactionResult> Result;
 
   StoreBench() {
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -71,7 +71,7 @@
                       'seeds = ["127.0.1.1:%d"]\n' % CONTROL +
                       f'store = "127.0.0.1:{self.store_port}"\n'
                       "store_writes_per_s = 800\nstore_reads_per_s = 2000\n"
-                      "keep_jobs_s = 120\nstop_time_s = 8\n")
+                      "store_row_bytes = 65536\nkeep_jobs_s = 120\nstop_time_s = 8\n")
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen([self.program, self.settings],
                                             stdout=log, stderr=log)
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -32,12 +32,24 @@
   /// How much newer the version in an answer is than that of the rows, as when
   /// other transactions were made meanwhile.
   std::uint64_t AnsweredAhead = 0;
+  /// What the store takes; it answers nothing to a transaction beyond them,
+  /// and does not make it.
+  RowLimits Limits;
+  int Oversized = 0;
   /// Reads fail while it is set.
   bool Away = false;
   int Transactions = 0;
 
+  const RowLimits &limits() const override { return this->Limits; }
+
   void transact(RowTransaction Change, TransactDone Done) override {
     ++this->Transactions;
+    if (!this->fits(Change)) {
+      ++this->Oversized;
+      this->Loop.after(Duration(0),
+                       [Done = std::move(Done)] { Done(TransactionResult()); });
+      return;
+    }
     RowFault Fault = RowFault::None;
     if (!this->Faults.empty()) {
       Fault = this->Faults.front();
@@ -101,6 +113,19 @@
   }
 
 private:
+  bool fits(const RowTransaction &Change) const {
+    std::size_t Bytes = 0;
+    for (const RowWrite &Row : Change.Writes) {
+      if (Row.Value.size() > this->Limits.ValueBytes)
+        return false;
+      Bytes += Row.Value.size();
+    }
+    return Bytes <= this->Limits.TransactionBytes &&
+           Change.Conditions.size() + Change.Writes.size() +
+                   Change.Removals.size() <=
+               this->Limits.Entries;
+  }
+
   TransactionResult apply(const RowTransaction &Change) {
     TransactionResult Answer;
     bool Holds = true;
