Telemetry: Serve latencies as histograms

Cause: the users ask for latency histograms; the page had quantiles of each node, which cannot be added up over nodes. Samples are counted in buckets around the users' targets and time limits, and the estimates of quantiles stay beside them under a name of their own.

--- a/Source/Telemetry/Metrics.cpp
+++ b/Source/Telemetry/Metrics.cpp
@@ -18,6 +18,11 @@
 
 constexpr std::array<double, 3> Quantiles = {0.5, 0.95, 0.99};
 
+/// Upper bounds of the buckets, in seconds. They lie closely around the users'
+/// targets of 0.3 to 0.8 s and their time limits of 3 to 5 s.
+constexpr std::array<double, 14> BucketBounds = {
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3, 5, 10, 30};
+
 using Accumulator =
     acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum,
                                             acc::tag::extended_p_square>>;
@@ -51,8 +56,19 @@
 
 } // namespace
 
-struct Metrics::Summary {
+struct Metrics::Histogram {
   Accumulator Values{acc::extended_p_square_probabilities = Quantiles};
+  /// Samples up to each bound, without those up to the bound before it.
+  std::array<std::uint64_t, BucketBounds.size()> Buckets{};
+
+  void add(double Value) {
+    this->Values(Value);
+    for (std::size_t I = 0; I < BucketBounds.size(); ++I)
+      if (Value <= BucketBounds[I]) {
+        ++this->Buckets[I];
+        return;
+      }
+  }
 };
 
 Metrics::Metrics() = default;
@@ -67,10 +83,10 @@
 }
 
 void Metrics::observe(const std::string &Name, double Value) {
-  std::unique_ptr<Summary> &Entry = this->Summaries[Name];
+  std::unique_ptr<Histogram> &Entry = this->Histograms[Name];
   if (!Entry)
-    Entry = std::make_unique<Summary>();
-  Entry->Values(Value);
+    Entry = std::make_unique<Histogram>();
+  Entry->add(Value);
 }
 
 double Metrics::value(const std::string &Name) const {
@@ -92,19 +108,32 @@
     renderType(Out, Typed, Name, "gauge");
     Out << Prefix << Name << ' ' << Value << '\n';
   }
-  for (const auto &[Name, Entry] : this->Summaries) {
-    renderType(Out, Typed, Name, "summary");
+  for (const auto &[Name, Entry] : this->Histograms) {
+    renderType(Out, Typed, Name, "histogram");
+    const std::string Bucket = withSuffix(Name, "_bucket");
+    std::uint64_t Below = 0;
+    for (std::size_t I = 0; I < BucketBounds.size(); ++I) {
+      Below += Entry->Buckets[I];
+      std::ostringstream Label;
+      Label << "le=\"" << BucketBounds[I] << '"';
+      Out << Prefix << withLabel(Bucket, Label.str()) << ' ' << Below << '\n';
+    }
+    const std::size_t Count = acc::count(Entry->Values);
+    Out << Prefix << withLabel(Bucket, "le=\"+Inf\"") << ' ' << Count << '\n'
+        << Prefix << withSuffix(Name, "_sum") << ' ' << acc::sum(Entry->Values)
+        << '\n'
+        << Prefix << withSuffix(Name, "_count") << ' ' << Count << '\n';
+  }
+  for (const auto &[Name, Entry] : this->Histograms) {
+    const std::string Quantile = withSuffix(Name, "_quantile");
+    renderType(Out, Typed, Quantile, "gauge");
     for (std::size_t I = 0; I < Quantiles.size(); ++I) {
       std::ostringstream Label;
       Label << "quantile=\"" << Quantiles[I] << '"';
-      Out << Prefix << withLabel(Name, Label.str()) << ' '
+      Out << Prefix << withLabel(Quantile, Label.str()) << ' '
           << acc::extended_p_square(Entry->Values)[static_cast<long>(I)]
           << '\n';
     }
-    Out << Prefix << withSuffix(Name, "_sum") << ' ' << acc::sum(Entry->Values)
-        << '\n'
-        << Prefix << withSuffix(Name, "_count") << ' '
-        << acc::count(Entry->Values) << '\n';
   }
   return Out.str();
 }
--- a/Source/Telemetry/Metrics.h
+++ b/Source/Telemetry/Metrics.h
@@ -7,7 +7,7 @@
 
 namespace turmericpass {
 
-/// Counters, gauges and summaries of one process. A name may carry labels as
+/// Counters, gauges and histograms of one process. A name may carry labels as
 /// Prometheus writes them, such as `requests_total{class="check"}`.
 class Metrics {
 public:
@@ -19,8 +19,8 @@
   void add(const std::string &Name, double By = 1);
   void set(const std::string &Name, double Value);
 
-  /// Adds a sample to a summary with the quantiles 0.5, 0.95 and 0.99.
-  /// Durations are in seconds.
+  /// Adds a sample, a duration in seconds, to a histogram. Estimates of the
+  /// quantiles 0.5, 0.95 and 0.99 are given beside its buckets.
   void observe(const std::string &Name, double Value);
 
   /// Returns the value of a counter or gauge, 0 if there is none.
@@ -30,11 +30,11 @@
   std::string render() const;
 
 private:
-  struct Summary;
+  struct Histogram;
 
   std::map<std::string, double> Counters;
   std::map<std::string, double> Gauges;
-  std::map<std::string, std::unique_ptr<Summary>> Summaries;
+  std::map<std::string, std::unique_ptr<Histogram>> Histograms;
 };
 
 } // namespace turmericpass
