--- a/Source/BatchJobs/ItemOrder.h
+++ b/Source/BatchJobs/ItemOrder.h
@@ -15,8 +15,9 @@
 /// first; the others get one start in eight, so that none waits for ever.
 class ItemOrder {
 public:
-  /// An item has run for \p RunTime and had \p Events events.
-  void finished(Duration RunTime, std::uint64_t Events);
+  /// An item has run for \p RunTime within \p Elapsed since its first start,
+  /// and had \p Events events.
+  void finished(Duration RunTime, Duration Elapsed, std::uint64_t Events);
 
   /// Whether an item that is due in \p Left and has had \p Events events can
   /// be on time if it starts now.
@@ -32,6 +33,9 @@
   static constexpr int LatePeriod = 8;
 
   double MeanMicros = 0;
+  /// How many times longer than its run an item takes from its first start to
+  /// its end, since it gives way to callers meanwhile.
+  double MeanStretch = 0;
   double MeanEvents = 0;
   int StartsSinceLate = 0;
 };
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -12,7 +12,6 @@
 #include "Telemetry/Metrics.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace turmericpass {
@@ -179,19 +178,6 @@
   }
 }
 
-std::vector<std::string> JobRunner::jobsByDue() const {
-  std::vector<std::pair<std::int64_t, std::string>> ByDue;
-  for (const auto &[JobId, Job] : this->Jobs)
-    if (!Job.Loading)
-      ByDue.emplace_back(Job.Head.AcceptedMillis, JobId);
-  std::sort(ByDue.begin(), ByDue.end());
-  std::vector<std::string> JobIds;
-  JobIds.reserve(ByDue.size());
-  for (auto &[Accepted, JobId] : ByDue)
-    JobIds.push_back(std::move(JobId));
-  return JobIds;
-}
-
 void JobRunner::giveUpExpired() {
   const std::int64_t StoreNow = this->With.StoreMillis();
   for (auto &[JobId, Job] : this->Jobs) {
@@ -216,44 +202,39 @@
 
 void JobRunner::startItems() {
   this->giveUpExpired();
-  if (this->Order.isLateTurn())
-    this->startWaiting(false, 1, 0);
+  std::vector<ItemKey> OnTime;
+  std::vector<ItemKey> Late;
+  for (ItemKey &Key :
+       waitingItems(this->Jobs, this->With.Loop.clock().now())) {
+    const OwnedJob &Job = this->Jobs.at(Key.JobId);
+    const bool Can = this->canBeOnTime(Job, Job.Items[Key.Index]);
+    (Can ? OnTime : Late).push_back(std::move(Key));
+  }
+  if (this->Order.isLateTurn() && !Late.empty() &&
+      this->startItem(Late.front(), 0)) {
+    this->Order.started(false);
+    Late.erase(Late.begin());
+  }
   this->Urgent = false;
-  constexpr int NoLimit = std::numeric_limits<int>::max();
-  this->startWaiting(true, NoLimit, 0);
+  for (const ItemKey &Key : OnTime) {
+    this->Urgent = !this->startItem(Key, 0);
+    if (this->Urgent)
+      return;
+    this->Order.started(true);
+  }
   // Urgent items elsewhere may wait for other reasons than a lack of slots, so
   // late ones are held back only where slots are scarce.
-  if (!this->Urgent)
-    this->startWaiting(false, NoLimit,
-                       this->With.OthersAreUrgent() ? SlotsForUrgent : 0);
-}
-
-int JobRunner::startWaiting(bool OnTime, int Most, int LeaveFree) {
-  const Instant Now = this->With.Loop.clock().now();
-  int Started = 0;
-  for (const std::string &JobId : this->jobsByDue()) {
-    OwnedJob &Job = this->Jobs.at(JobId);
-    for (std::size_t I : Job.waitingItems()) {
-      ItemRun &Run = Job.Items[I];
-      if (Run.NotBefore > Now || this->canBeOnTime(Job, Run) != OnTime)
-        continue;
-      if (Started >= Most)
-        return Started;
-      if (!this->startItem({JobId, I}, Job, Run, LeaveFree)) {
-        this->Urgent = this->Urgent || OnTime;
-        return Started;
-      }
-      if (Run.State != ItemState::Running)
-        continue;
-      ++Started;
-      this->Order.started(OnTime);
-    }
+  const int LeaveFree = this->With.OthersAreUrgent() ? SlotsForUrgent : 0;
+  for (const ItemKey &Key : Late) {
+    if (!this->startItem(Key, LeaveFree))
+      return;
+    this->Order.started(false);
   }
-  return Started;
 }
 
-bool JobRunner::startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run,
-                          int LeaveFree) {
+bool JobRunner::startItem(const ItemKey &Key, int LeaveFree) {
+  const OwnedJob &Job = this->Jobs.at(Key.JobId);
+  ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
   const RouteSettings *Route = this->routeOf(Job);
   if (!Route)
     return true;
@@ -273,6 +254,8 @@
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
   Run.StartedAt = Run.LastEventAt = this->With.Loop.clock().now();
+  if (!Run.FirstStartedAt)
+    Run.FirstStartedAt = Run.StartedAt;
   Run.Sent = this->With.Channels.send(std::move(Order), *this);
   this->Sends.emplace(Run.Sent, Key);
   this->With.Loads.startBatch(Run.Server);
@@ -375,7 +358,9 @@
   this->With.Crashes.answered(
       CrashRecord::fingerprint(Run->Item.Target, Run->Item.Body));
   this->stop(*Run, false);
-  this->Order.finished(Run->RunTime, Run->LastEvent.value_or(0));
+  this->Order.finished(Run->RunTime,
+                       this->With.Loop.clock().now() - *Run->FirstStartedAt,
+                       Run->LastEvent.value_or(0));
   this->finish(Key, *Run, true, "complete");
   this->schedule();
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -3,7 +3,7 @@
 
 #include "BatchJobs/ItemOrder.h"
 #include "BatchJobs/JobLoader.h"
-#include "BatchJobs/OwnedJob.h"
+#include "BatchJobs/WaitingItems.h"
 #include "Serving/BackendDialect.h"
 #include "Serving/ServingSettings.h"
 
@@ -78,12 +78,6 @@
   const OwnedJob *find(const std::string &JobId) const;
 
 private:
-  /// Names an item: its job and its place among the job's items.
-  struct ItemKey {
-    std::string JobId;
-    std::size_t Index = 0;
-  };
-
   void answerHead(SendId Id, const RawHead &Head) override;
   void answerBody(SendId Id, std::string_view Bytes) override;
   void answerDone(SendId Id) override;
@@ -95,15 +89,11 @@
   ItemRun *itemOf(SendId Id, ItemKey &Key);
   void yieldSlots();
   void startItems();
-  /// Starts waiting items that can be on time, or those that cannot, until
-  /// every server has only \p LeaveFree free slots or \p Most have started.
-  /// Returns how many started.
-  int startWaiting(bool OnTime, int Most, int LeaveFree);
   void giveUpExpired();
-  std::vector<std::string> jobsByDue() const;
   bool canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const;
-  bool startItem(const ItemKey &Key, OwnedJob &Job, ItemRun &Run,
-                 int LeaveFree);
+  /// Starts a waiting item at a server that keeps \p LeaveFree free slots after
+  /// it, or puts it off. Returns false if no server has a slot for it.
+  bool startItem(const ItemKey &Key, int LeaveFree);
   void stop(ItemRun &Run, bool CloseConnection);
   void postpone(const ItemKey &Key, ItemRun &Run, Duration Pause,
                 std::string_view Why);
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -49,16 +49,4 @@
   return Begun;
 }
 
-std::vector<std::size_t> OwnedJob::waitingItems() const {
-  std::vector<std::size_t> Waiting;
-  for (std::size_t I = 0; I < this->Items.size(); ++I)
-    if (this->Items[I].State == ItemState::Pending)
-      Waiting.push_back(I);
-  std::stable_sort(Waiting.begin(), Waiting.end(),
-                   [this](std::size_t A, std::size_t B) {
-                     return this->Items[A].LastEvent > this->Items[B].LastEvent;
-                   });
-  return Waiting;
-}
-
 } // namespace turmericpass
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -33,6 +33,8 @@
   SendId Sent = 0;
   std::string Server;
   Instant StartedAt;
+  /// When the first send began.
+  std::optional<Instant> FirstStartedAt;
   Instant LastEventAt;
   /// Not started before.
   Instant NotBefore;
@@ -73,10 +75,6 @@
   /// How far the items came that have no result yet, as far as that is not in
   /// the store. Marks it as saved.
   std::vector<ItemProgress> takeUnsavedProgress();
-
-  /// The places of the waiting items, those that came farthest first: they
-  /// need the least to be done.
-  std::vector<std::size_t> waitingItems() const;
 };
 
 } // namespace turmericpass
--- /dev/null
+++ b/Source/BatchJobs/WaitingItems.cpp
@@ -0,0 +1,35 @@
+#include "BatchJobs/WaitingItems.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace turmericpass {
+
+std::vector<ItemKey>
+waitingItems(const std::map<std::string, OwnedJob> &Jobs, Instant Now) {
+  struct Candidate {
+    std::uint64_t Events;
+    std::int64_t AcceptedMillis;
+    ItemKey Key;
+  };
+  std::vector<Candidate> Candidates;
+  for (const auto &[JobId, Job] : Jobs)
+    for (std::size_t I = 0; I < Job.Items.size(); ++I)
+      if (const ItemRun &Run = Job.Items[I];
+          Run.State == ItemState::Pending && Run.NotBefore <= Now)
+        Candidates.push_back({Run.LastEvent.value_or(0),
+                              Job.Head.AcceptedMillis,
+                              {JobId, I}});
+  std::stable_sort(Candidates.begin(), Candidates.end(),
+                   [](const Candidate &A, const Candidate &B) {
+                     return std::tie(B.Events, A.AcceptedMillis) <
+                            std::tie(A.Events, B.AcceptedMillis);
+                   });
+  std::vector<ItemKey> Ordered;
+  Ordered.reserve(Candidates.size());
+  for (Candidate &Each : Candidates)
+    Ordered.push_back(std::move(Each.Key));
+  return Ordered;
+}
+
+} // namespace turmericpass
