Serving: Bound the queue of callers that have come back

Cause: in a burst of four to six times the usual traffic first attempts are told to come back, and every one that came back was sent, whatever waited at the servers. The queue grew to two seconds, in which everyone behind it was late or ran out of time, also after the burst.

A request that has come back is refused if it would wait for more than three target latencies. Callers come back in the last 15 instead of 40 percent of the wait that they honour: waves last 2.4 s, and those that come back sooner meet the same wave. Ruled out in the experiment: a bound of 0.75 and 1.5 targets serves more on time but refuses callers in waves too, where the bound of three refuses nobody.

--- a/Source/Serving/OverloadPolicy.cpp
+++ b/Source/Serving/OverloadPolicy.cpp
@@ -15,6 +15,10 @@
 /// rest is for its prompt and the way.
 constexpr double WaitShare = 0.75;
 
+/// How many target latencies a request may wait that has come back. A longer
+/// queue makes everyone behind it late as well, long after the wave.
+constexpr double ReturnedWaitTargets = 3;
+
 /// Two attempts of a caller are told apart by the time that it has left; less
 /// than this is the time on the way.
 constexpr Duration FirstAttemptSlack = std::chrono::milliseconds(150);
@@ -23,7 +27,7 @@
 constexpr int HonouredPart = 3;
 /// Callers come back spread over the last part of the wait that they honour,
 /// so that they do not make a wave of their own.
-constexpr double EarliestReturn = 0.6;
+constexpr double EarliestReturn = 0.85;
 constexpr std::uint64_t SpreadSteps = 1000;
 
 } // namespace
@@ -54,11 +58,10 @@
   Duration &Full = this->FullTime[Route.Name];
   Full = std::max(Full, *Remaining);
   const bool FirstAttempt = Full - *Remaining <= FirstAttemptSlack;
-  const auto Allowed =
-      static_cast<double>(Route.TargetLatency.count()) * WaitShare;
-  if (!FirstAttempt ||
-      static_cast<double>(this->expectedWait(Service, Choice).count()) <=
-          Allowed)
+  const double Allowed = static_cast<double>(Route.TargetLatency.count()) *
+                         (FirstAttempt ? WaitShare : ReturnedWaitTargets);
+  if (static_cast<double>(this->expectedWait(Service, Choice).count()) <=
+      Allowed)
     return std::nullopt;
   const double Longest = static_cast<double>(Remaining->count()) / HonouredPart;
   const double Part =
--- a/Tests/Serving/OverloadPolicyTest.cpp
+++ b/Tests/Serving/OverloadPolicyTest.cpp
@@ -94,6 +94,20 @@
   cr_assert_gt(With, Without, "with %f, without %f", With, Without);
 }
 
+// Guards against a queue that goes on growing with callers that have come back,
+// and in which everyone is late long after the burst.
+Test(OverloadPolicy, CallersThatCameBackDoNotQueueWithoutEnd) {
+  OverloadPolicy Policy;
+  const RouteSettings Route = streamRoute();
+  KnownServer Known;
+  Known.Entry.Slots = Slots;
+  Policy.served("m", Work);
+  cr_assert_not(Policy.refuse(Route, "m", {&Known, 0}, CallerTime, 1));
+  const Duration Left = CallerTime - 1s;
+  cr_assert_not(Policy.refuse(Route, "m", {&Known, 7}, Left, 1));
+  cr_assert(Policy.refuse(Route, "m", {&Known, 9}, Left, 1));
+}
+
 // Guards against a caller that is turned away a second time, and against one
 // that is turned away although it would be on time.
 Test(OverloadPolicy, OnlyFirstAttemptsThatWouldBeLateAreRefused) {
