Programs, Telemetry: Explain an id from the logs of nodes

Cause: turmericpass-node writes a line for each decision, but the command line could only ask the daemons, so that an operator had to search the logs of all nodes by hand.

--- a/Source/Programs/CliMain.cpp
+++ b/Source/Programs/CliMain.cpp
@@ -22,7 +22,8 @@
      "show FOLDER [--history] [--out DIR]: the settings in the platform"},
     {"status", runStatus, "status FOLDER: the zones and their nodes"},
     {"explain", runExplain,
-     "explain ID --settings FOLDER: what was decided about something"},
+     "explain ID --settings FOLDER | --logs FILE...: what was decided about "
+     "something"},
     {"drain", runDrain,
      "drain NAME --settings FOLDER [--undo]: no new work for a server or node"},
     {"submit", runSubmit,
--- a/Source/Programs/CliOperator.cpp
+++ b/Source/Programs/CliOperator.cpp
@@ -4,9 +4,12 @@
 #include "Programs/CliCommands.h"
 #include "Programs/CliFleet.h"
 #include "Programs/CliSupport.h"
+#include "Telemetry/LogStory.h"
 
 #include <array>
 #include <cstdlib>
+#include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -18,6 +21,33 @@
                                                "batcher", "controller"};
 constexpr int OkStatus = 200;
 
+/// Prints what \p Files say about \p Id. Lines that name it are marked.
+ExitStatus explainFromLogs(const std::string &Id,
+                           const std::vector<std::string> &Files) {
+  LogStory Story(Id);
+  for (const std::string &File : Files) {
+    std::ifstream In(File);
+    if (!In)
+      return refuse(
+          {ErrorCode::NotFound, "The log " + File +
+                                    " cannot be read; name files that "
+                                    "hold the standard output of nodes."});
+    Story.read(In);
+  }
+  const std::vector<LogStory::Entry> Told = Story.tell();
+  if (Told.empty())
+    return refuse({ErrorCode::NotFound,
+                   "No line names " + Id + "; give the logs of all nodes."});
+  for (const LogStory::Entry &Each : Told)
+    std::cout << (Each.Direct ? "* " : "  ") << std::setw(8) << std::showpos
+              << Each.TimeMillis - Told.front().TimeMillis << std::noshowpos
+              << " ms  " << Each.Node << "  " << Each.Message << ' '
+              << Each.Details << '\n';
+  if (Story.skipped() > 0)
+    std::cerr << Story.skipped() << " lines were no log lines.\n";
+  return ExitStatus::Done;
+}
+
 options::options_description describeSettings() {
   options::options_description Described("Options");
   Described.add_options()("settings", options::value<std::string>()->required(),
@@ -108,12 +138,23 @@
 }
 
 ExitStatus runExplain(const CliWords &Words) {
-  options::options_description Described = describeSettings();
+  options::options_description Described("Options");
   Described.add_options()("ID", options::value<std::string>()->required(),
-                          "a request, job, server or node");
+                          "a request, job, item, server or node")(
+      "settings", options::value<std::string>(),
+      "the settings folder of daemons to ask")(
+      "logs", options::value<std::vector<std::string>>()->multitoken(),
+      "files with the logs of nodes to read instead");
   const auto Values = parseCommand("explain", "ID", Described, Words);
   if (!Values)
     return Values.error();
+  if (Values->count("logs") > 0)
+    return explainFromLogs((*Values)["ID"].as<std::string>(),
+                           (*Values)["logs"].as<std::vector<std::string>>());
+  if (Values->count("settings") == 0) {
+    std::cerr << "turmericpass explain: give --settings or --logs\n";
+    return ExitStatus::Usage;
+  }
   const std::optional<CliFolder> Folder =
       loadFolder((*Values)["settings"].as<std::string>());
   if (!Folder)
--- a/Source/Serving/OverloadPolicy.h
+++ b/Source/Serving/OverloadPolicy.h
@@ -18,9 +18,9 @@
 /// The load pattern that it answers: waves of some seconds that exceed the
 /// slots, with room after them. Served in order of arrival, every request of
 /// the wave would be late. A request that cannot be on time is told at once to
-/// come back when the wave has passed. One that has come back is served, late if
-/// need be, unless a burst of several times what the servers serve has made a
-/// queue in which it and everyone behind it would wait for long.
+/// come back when the wave has passed. One that has come back is served, late
+/// if need be, unless a burst of several times what the servers serve has made
+/// a queue in which it and everyone behind it would wait for long.
 class OverloadPolicy {
 public:
   /// A request of \p Service took \p Time at its server.
