--- a/Source/Node/PeerBook.cpp
+++ b/Source/Node/PeerBook.cpp
@@ -83,11 +83,11 @@
                      });
 }
 
-std::vector<PeerBook::Source> PeerBook::informed() const {
-  std::vector<Source> Found;
+std::vector<std::string> PeerBook::informed() const {
+  std::vector<std::string> Found;
   for (const auto &[Incarnation, Known] : this->Peers)
     if (!Known.Silent && Known.Digest.StoreInReach)
-      Found.push_back({Known.Address, Known.Digest.SettingsVersion});
+      Found.push_back(Known.Address);
   return Found;
 }
 
--- a/Source/Node/PeerBook.h
+++ b/Source/Node/PeerBook.h
@@ -48,12 +48,8 @@
   /// Whether \p Incarnation was heard lately or is this VM's own.
   bool isAlive(const std::string &Incarnation) const;
 
-  struct Source {
-    std::string Address;
-    std::uint64_t SettingsVersion = 0;
-  };
-  /// The VMs that see the store as it is now, with their settings' versions.
-  std::vector<Source> informed() const;
+  /// The addresses of the VMs that see the store as it is now.
+  std::vector<std::string> informed() const;
 
 private:
   struct Peer {
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -39,9 +39,16 @@
                [this](const ServingSettings &Adopted) {
                  this->settingsAdopted(Adopted);
                }),
-      Front(Parts.Loop, *this), ReadyAnswers(*this),
-      Ready(Parts.Loop, this->ReadyAnswers), MetricsAnswers(*this),
-      MetricsServer(Parts.Loop, this->MetricsAnswers), ViewAnswers(*this),
+      Front(Parts.Loop, *this),
+      ReadyAnswers(
+          [this](CallerId Id, const RawRequest &) { this->answerReady(Id); }),
+      Ready(Parts.Loop, this->ReadyAnswers),
+      MetricsAnswers(
+          [this](CallerId Id, const RawRequest &) { this->answerMetrics(Id); }),
+      MetricsServer(Parts.Loop, this->MetricsAnswers),
+      ViewAnswers([this](CallerId Id, const RawRequest &Request) {
+        this->answerView(Id, Request);
+      }),
       ViewServer(Parts.Loop, this->ViewAnswers),
       Views(Parts.Loop, Parts.Channels,
             [this](const std::string &From, const StoreView &View) {
@@ -134,28 +141,28 @@
   return this->Settings.current() && this->ServersKnown && !this->StoppingSince;
 }
 
-void ServingNode::ReadyHandler::requested(CallerId Id, RawRequest) {
-  const bool Ready = this->Node.isReady();
-  this->Node.Ready.reply(Id, Ready ? Ok : Unavailable, {},
-                         Ready ? "ready" : "not ready");
+void ServingNode::answerReady(CallerId Id) {
+  const bool Ready = this->isReady();
+  this->Ready.reply(Id, Ready ? Ok : Unavailable, {},
+                    Ready ? "ready" : "not ready");
 }
 
-void ServingNode::MetricsHandler::requested(CallerId Id, RawRequest) {
-  this->Node.MetricsServer.reply(
-      Id, Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
-      this->Node.Stats.render());
+void ServingNode::answerMetrics(CallerId Id) {
+  this->MetricsServer.reply(Id, Ok,
+                            {{"Content-Type", "text/plain; version=0.0.4"}},
+                            this->Stats.render());
 }
 
-void ServingNode::ViewHandler::requested(CallerId Id, RawRequest Request) {
-  if (Request.Target != PeerViewClient::Path || !this->Node.seesStore()) {
-    this->Node.ViewServer.reply(Id, Unavailable, {}, "the store is not seen");
+void ServingNode::answerView(CallerId Id, const RawRequest &Request) {
+  if (Request.Target != PeerViewClient::Path || !this->seesStore()) {
+    this->ViewServer.reply(Id, Unavailable, {}, "the store is not seen");
     return;
   }
   StoreView View;
-  View.Settings = this->Node.Settings.document();
-  for (const auto &[Server, Row] : this->Node.ServerRows)
+  View.Settings = this->Settings.document();
+  for (const auto &[Server, Row] : this->ServerRows)
     View.Servers.push_back(Row);
-  this->Node.ViewServer.reply(Id, Ok, {}, encodeView(View));
+  this->ViewServer.reply(Id, Ok, {}, encodeView(View));
 }
 
 bool ServingNode::seesStore() const {
@@ -170,9 +177,8 @@
   const std::string Port = this->Config.ControlAddress.substr(
       this->Config.ControlAddress.find(':') + 1);
   std::vector<std::string> Candidates;
-  for (const PeerBook::Source &Peer : this->Peers.informed())
-    Candidates.push_back(Peer.Address.substr(0, Peer.Address.find(':') + 1) +
-                         Port);
+  for (const std::string &Peer : this->Peers.informed())
+    Candidates.push_back(Peer.substr(0, Peer.find(':') + 1) + Port);
   if (Candidates.empty())
     Candidates = this->Config.Seeds;
   std::erase(Candidates, this->Config.ControlAddress);
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -6,6 +6,7 @@
 #include "BatchJobs/JobRunner.h"
 #include "BatchJobs/JobTakeover.h"
 #include "Core/IdSource.h"
+#include "Node/AnswerHandler.h"
 #include "Node/DeploymentAdapter.h"
 #include "Node/DigestPort.h"
 #include "Node/NodeConfig.h"
@@ -53,38 +54,10 @@
   void callerLeft(CallerId Id) override;
 
   /// Answers the balancer, which asks whether this VM takes callers.
-  class ReadyHandler : public CallerHandler {
-  public:
-    explicit ReadyHandler(ServingNode &Node) : Node(Node) {}
-    void requested(CallerId Id, RawRequest Request) override;
-    void callerLeft(CallerId) override {}
-
-  private:
-    ServingNode &Node;
-  };
-
-  /// Gives metrics out.
-  class MetricsHandler : public CallerHandler {
-  public:
-    explicit MetricsHandler(ServingNode &Node) : Node(Node) {}
-    void requested(CallerId Id, RawRequest Request) override;
-    void callerLeft(CallerId) override {}
-
-  private:
-    ServingNode &Node;
-  };
-
+  void answerReady(CallerId Id);
+  void answerMetrics(CallerId Id);
   /// Tells other VMs what the store says, if this one sees it.
-  class ViewHandler : public CallerHandler {
-  public:
-    explicit ViewHandler(ServingNode &Node) : Node(Node) {}
-    void requested(CallerId Id, RawRequest Request) override;
-    void callerLeft(CallerId) override {}
-
-  private:
-    ServingNode &Node;
-  };
-
+  void answerView(CallerId Id, const RawRequest &Request);
   bool isReady() const;
   bool seesStore() const;
   void askPeers();
@@ -117,11 +90,11 @@
   PeerBook Peers;
   SettingsKeeper Settings;
   CallerServer Front;
-  ReadyHandler ReadyAnswers;
+  AnswerHandler ReadyAnswers;
   CallerServer Ready;
-  MetricsHandler MetricsAnswers;
+  AnswerHandler MetricsAnswers;
   CallerServer MetricsServer;
-  ViewHandler ViewAnswers;
+  AnswerHandler ViewAnswers;
   CallerServer ViewServer;
   PeerViewClient Views;
   OnlineService Online;
