BatchJobs, platform: Leave room for several rows in a transaction

Cause, found in reading: a store that allows rows as large as a call (row_bytes of 1 MiB) left no room for a head beside a result, so that no result would ever be committed, and items that are written ahead would never fit. A row takes a quarter of a call at most, and a commit tries one result in any case. The new test fails without the bound (1,048,576 bytes).

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -204,8 +204,7 @@
   this->giveUpExpired();
   std::vector<ItemKey> OnTime;
   std::vector<ItemKey> Late;
-  for (ItemKey &Key :
-       waitingItems(this->Jobs, this->With.Loop.clock().now())) {
+  for (ItemKey &Key : waitingItems(this->Jobs, this->With.Loop.clock().now())) {
     const OwnedJob &Job = this->Jobs.at(Key.JobId);
     const bool Can = this->canBeOnTime(Job, Job.Items[Key.Index]);
     (Can ? OnTime : Late).push_back(std::move(Key));
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -106,6 +106,7 @@
   // The rows of a job that exists are not written again.
   Ahead->Change.Conditions = {
       {HeadTable, JobBook::headKey(Accepting->JobId), 0}};
+  // RowLimits leaves room for several rows of any size in a transaction.
   std::size_t Fitting = 0;
   while (Fitting < ItemRows.size() &&
          addIfItFits(Ahead->Change, {ItemRows[Fitting]}, this->Rows.limits()))
@@ -138,7 +139,10 @@
     Entries += std::max<std::size_t>(1, (Size + Limits.ValueBytes - 1) /
                                             Limits.ValueBytes);
     Bytes += Size;
-    if (Entries > Limits.Entries || Bytes > Limits.TransactionBytes)
+    const bool Fits =
+        Entries <= Limits.Entries && Bytes <= Limits.TransactionBytes;
+    // One is tried in any case, so that a commit never waits for nothing.
+    if (!Fits && Fitting > 0)
       break;
     ++Fitting;
   }
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -50,7 +50,7 @@
               ChangeDone Done);
 
   /// Returns how many of \p Results, from the first one on, fit into one
-  /// change().
+  /// change(); at least one if there is one.
   std::size_t fittingResults(const std::vector<ItemResult> &Results) const;
 
   /// Replaces the head whose version is \p Version, and writes \p Results from
--- a/Source/BatchJobs/WaitingItems.cpp
+++ b/Source/BatchJobs/WaitingItems.cpp
@@ -5,8 +5,8 @@
 
 namespace turmericpass {
 
-std::vector<ItemKey>
-waitingItems(const std::map<std::string, OwnedJob> &Jobs, Instant Now) {
+std::vector<ItemKey> waitingItems(const std::map<std::string, OwnedJob> &Jobs,
+                                  Instant Now) {
   struct Candidate {
     std::uint64_t Events;
     std::int64_t AcceptedMillis;
@@ -17,9 +17,8 @@
     for (std::size_t I = 0; I < Job.Items.size(); ++I)
       if (const ItemRun &Run = Job.Items[I];
           Run.State == ItemState::Pending && Run.NotBefore <= Now)
-        Candidates.push_back({Run.LastEvent.value_or(0),
-                              Job.Head.AcceptedMillis,
-                              {JobId, I}});
+        Candidates.push_back(
+            {Run.LastEvent.value_or(0), Job.Head.AcceptedMillis, {JobId, I}});
   std::stable_sort(Candidates.begin(), Candidates.end(),
                    [](const Candidate &A, const Candidate &B) {
                      return std::tie(B.Events, A.AcceptedMillis) <
--- a/Source/BatchJobs/WaitingItems.h
+++ b/Source/BatchJobs/WaitingItems.h
@@ -19,8 +19,8 @@
 /// they are to start: first those that have begun, the one that came farthest
 /// first, since it needs the least to be done; then the others by the age of
 /// their jobs.
-std::vector<ItemKey>
-waitingItems(const std::map<std::string, OwnedJob> &Jobs, Instant Now);
+std::vector<ItemKey> waitingItems(const std::map<std::string, OwnedJob> &Jobs,
+                                  Instant Now);
 
 } // namespace turmericpass
 
--- a/Source/Rows/RowStore.h
+++ b/Source/Rows/RowStore.h
@@ -101,7 +101,7 @@
   std::size_t Entries = 100;
   /// Values of a transaction, added up, in bytes.
   std::size_t TransactionBytes = std::size_t{700} << 10U;
-  /// The value of one row, in bytes.
+  /// The value of one row, in bytes; at most a quarter of a transaction.
   std::size_t ValueBytes = std::size_t{48} << 10U;
 };
 
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -204,3 +204,18 @@
   cr_assert_not(decodeBase64("abc"));
   cr_assert_not(decodeBase64("a?=="));
 }
+
+// Guards against a store that allows rows as large as a whole call: a head and
+// a result would never fit into one transaction.
+Test(PlatformRowStore, RowsLeaveRoomInACall) {
+  BootClock Time;
+  EventLoop Loop(Time);
+  FakeChannels Channels;
+  for (const std::size_t RowBytes : {4096U, 65536U, 1U << 20U, 1U << 30U}) {
+    const PlatformRowStore Store(Loop, Channels, "127.0.0.1:1", RowBytes);
+    const RowLimits &Limits = Store.limits();
+    cr_assert_leq(Limits.ValueBytes * 4, RowBytes * 3, "%zu", RowBytes);
+    cr_assert_leq(Limits.ValueBytes * 4, Limits.TransactionBytes, "%zu",
+                  RowBytes);
+  }
+}
