--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -93,10 +93,10 @@
   if (addIfItFits(Change, ItemRows, this->Rows.limits()))
     this->attempt(std::move(Tried));
   else
-    this->storeAhead(std::move(Tried), ItemRows);
+    this->storeAhead(Tried, ItemRows);
 }
 
-void JobStore::storeAhead(std::shared_ptr<Attempt> Accepting,
+void JobStore::storeAhead(const std::shared_ptr<Attempt> &Accepting,
                           const std::vector<RowWrite> &ItemRows) {
   auto Ahead = std::make_shared<Attempt>();
   Ahead->JobId = Accepting->JobId;
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -89,7 +89,7 @@
                                    std::uint64_t Version, Instant Until,
                                    JobBook &Book, ChangeDone Done);
   /// Writes \p ItemRows and then attempts \p Accepting.
-  void storeAhead(std::shared_ptr<Attempt> Accepting,
+  void storeAhead(const std::shared_ptr<Attempt> &Accepting,
                   const std::vector<RowWrite> &ItemRows);
   std::vector<RowWrite> progressRows(const std::string &JobId,
                                      const ItemProgress &Item) const;
