RawHttp, Serving, BatchJobs: Bound what servers send without end

Interim heads and trailers did not count towards the limit of a head. A stream was cut after a fixed pause, however slow its pace, and one that may not be repeated was held to its deadline by a byte now and then. A second copy of an answer without the echo header was taken for the answer to the next request.

Change: AnswerMemory bounds an answer, an event, an output and all held answers together; the server has to wait while its caller does not read. StallPolicy follows the pace of a stream. Connections with unread input are not used again, and an answer that does not name its request fails. Callers' bodies beyond the limit are rejected at once, and a byte now and then is no progress.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -3,6 +3,7 @@
 #include "BatchJobs/ItemRequest.h"
 #include "Core/Hash.h"
 #include "Loop/EventLoop.h"
+#include "Serving/AnswerMemory.h"
 #include "Serving/CrashCounter.h"
 #include "Serving/CrashDetector.h"
 #include "Serving/LoadTracker.h"
@@ -241,6 +242,7 @@
   const RouteSettings *Route = this->routeOf(Job);
   if (!Route)
     return true;
+  const Instant Now = this->Dependencies.Loop.clock().now();
   const std::uint64_t Fingerprint =
       CrashCounter::fingerprint(Run.Item.Target, Run.Item.Body);
   if (this->Dependencies.Crashes.isBlocked(Fingerprint)) {
@@ -249,7 +251,9 @@
     return true;
   }
   const KnownServer *Server = this->Dependencies.Placement.chooseBatchServer(
-      pickService(*Route, hash64(Run.Item.Id)), ReservedSlots);
+      pickService(*Route, hash64(Run.Item.Id)), ReservedSlots,
+      hash64(Run.Item.Id,
+             static_cast<std::uint64_t>(Now.time_since_epoch().count())));
   if (!Server)
     return false;
   BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server->Entry,
@@ -257,7 +261,7 @@
   Run.Server = Server->Entry.Id;
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
-  Run.StartedAt = Run.LastEventAt = this->Dependencies.Loop.clock().now();
+  Run.StartedAt = Run.LastEventAt = Now;
   if (!Run.FirstStartedAt)
     Run.FirstStartedAt = Run.StartedAt;
   Run.ActiveSend = this->Dependencies.Channels.send(std::move(Order), *this);
@@ -351,6 +355,15 @@
     ++Run->NewEvents;
     Run->LastEventAt = this->Dependencies.Loop.clock().now();
   }
+  if (Run->Output.size() > AnswerMemory::MaxOutputBytes ||
+      Run->Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes) {
+    // The output of a server that does not stop is of no use.
+    Run->LastEventId.reset();
+    Run->Output.clear();
+    this->Dependencies.Servers.recordFailure(Run->Server);
+    this->Dependencies.Stats.add("answers_oversized_total");
+    this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is too large");
+  }
 }
 
 void JobRunner::answerDone(SendId Id) {
--- a/Source/RawHttp/BackendChannels.h
+++ b/Source/RawHttp/BackendChannels.h
@@ -64,6 +64,10 @@
   /// request afterwards.
   virtual void cancel(SendId Id) = 0;
 
+  /// Stops or resumes reading the answer of the request, so that a server that
+  /// sends faster than its bytes are used has to wait.
+  virtual void setReading(SendId Id, bool Reading) = 0;
+
   /// Closes the idle connections to \p Address.
   virtual void forget(const std::string &Address) = 0;
 
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -3,10 +3,12 @@
 #include "Loop/EventLoop.h"
 #include "RawHttp/SocketOptions.h"
 
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace turmericpass {
@@ -118,6 +120,22 @@
   bufferevent_write(this->Channel, Bytes.data(), Bytes.size());
 }
 
+bool BackendConnection::hasUnreadInput() const {
+  char Byte = 0;
+  const ssize_t Count =
+      recv(bufferevent_getfd(this->Channel), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void BackendConnection::setReading(bool Reading) {
+  if (!this->Connected)
+    return;
+  if (Reading)
+    bufferevent_enable(this->Channel, EV_READ);
+  else
+    bufferevent_disable(this->Channel, EV_READ);
+}
+
 void BackendConnection::handleEvent(short Events) {
   if (Events & BEV_EVENT_CONNECTED) {
     this->Connected = true;
@@ -175,7 +193,7 @@
     const MessageReader::Step Step =
         this->Reader.feed(std::string_view(Bytes, Available));
     evbuffer_drain(Input, Step.Consumed);
-    Outcome = Step.Outcome;
+    Outcome = this->UnidentifiedAnswer ? ReadOutcome::Invalid : Step.Outcome;
     if (Outcome == ReadOutcome::Complete && this->SkippingAnswer) {
       this->SkippingAnswer = false;
       this->HeadReceived = false;
@@ -195,17 +213,26 @@
       this->Reusable = false;
     this->completeAnswer();
   } else if (Outcome == ReadOutcome::Invalid) {
-    this->fail(SendFailure::AnswerTruncated, "not an HTTP/1.1 answer");
+    this->fail(SendFailure::AnswerTruncated,
+               this->UnidentifiedAnswer ? "the answer does not name its request"
+                                        : "not an HTTP/1.1 answer");
   }
 }
 
 void BackendConnection::onHead(RawHead Head) {
   this->HeadReceived = true;
+  const std::string_view Echo =
+      this->CurrentRequest.EchoHeader.empty()
+          ? std::string_view()
+          : Head.header(this->CurrentRequest.EchoHeader);
+  // Once a server has echoed the header, an answer without it is not known to
+  // belong to the current request.
+  this->UnidentifiedAnswer = Echo.empty() && this->ServerEchoes &&
+                             !this->CurrentRequest.EchoHeader.empty();
   this->SkippingAnswer =
-      !this->CurrentRequest.EchoHeader.empty() &&
-      !Head.header(this->CurrentRequest.EchoHeader).empty() &&
-      Head.header(this->CurrentRequest.EchoHeader) !=
-          this->CurrentRequest.EchoValue;
+      this->UnidentifiedAnswer ||
+      (!Echo.empty() && Echo != this->CurrentRequest.EchoValue);
+  this->ServerEchoes = this->ServerEchoes || !Echo.empty();
   if (this->SkippingAnswer)
     return;
   this->Reusable = Head.KeepAlive;
@@ -227,6 +254,8 @@
   Channels.Sends.erase(EndedSend);
   this->CurrentRequest = BackendRequest();
   this->UsableUntil = Channels.Loop.clock().now() + this->IdleLimit;
+  // The server's end of the connection is noticed by reading.
+  this->setReading(true);
   if (this->Reusable)
     Channels.addIdleConnection(*this);
   else
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -20,6 +20,9 @@
 
   void start(SendId Send, BackendRequest Request, SendHandler &Handler);
 
+  /// Stops or resumes reading the answer.
+  void setReading(bool Reading);
+
   /// Ends the current request. Returns true if the connection is processing
   /// input: the object must then not be destroyed yet, and the connection
   /// removes itself once the input is processed.
@@ -27,6 +30,9 @@
 
   /// Returns whether the connection may carry another request at \p Now.
   bool isReusable(Instant Now) const { return Now < this->UsableUntil; }
+  /// Returns whether the server has sent bytes or closed the connection since
+  /// the last answer.
+  bool hasUnreadInput() const;
 
 private:
   void onHead(RawHead Head) override;
@@ -55,6 +61,10 @@
   /// The current answer belongs to an earlier request.
   bool SkippingAnswer = false;
   bool Reusable = false;
+  /// An answer on this connection had the echo header.
+  bool ServerEchoes = false;
+  /// The current answer lacks the echo header although the server echoes.
+  bool UnidentifiedAnswer = false;
   bool ProcessingInput = false;
   bool DestroyAfterInput = false;
   Duration IdleLimit;
--- a/Source/RawHttp/CallerConnection.cpp
+++ b/Source/RawHttp/CallerConnection.cpp
@@ -17,6 +17,13 @@
 /// before the answer is read.
 constexpr Duration LingerTime = std::chrono::seconds(1);
 
+/// When fewer bytes than this wait to be sent, the handler may send more.
+constexpr std::size_t OutputLowMark = std::size_t{32} << 10U;
+
+/// The number of bytes of a body that count as progress. A caller that sends a
+/// byte now and then would otherwise hold its request forever.
+constexpr std::size_t MinProgressBytes = 512;
+
 constexpr int RequestTimeoutStatus = 408;
 constexpr int BadRequestStatus = 400;
 constexpr int BodyTooLargeStatus = 413;
@@ -45,6 +52,7 @@
           static_cast<CallerConnection *>(Self)->handleDisconnect();
       },
       this);
+  bufferevent_setwatermark(this->Channel, EV_WRITE, OutputLowMark, 0);
   bufferevent_enable(this->Channel, EV_READ | EV_WRITE);
 }
 
@@ -66,7 +74,9 @@
   this->ProcessingInput = true;
   while (this->CurrentPhase == Phase::Reading &&
          evbuffer_get_length(Input) > 0) {
-    this->LastProgress = this->Server.Loop.clock().now();
+    if (!this->Reader.isInsideMessage())
+      this->RequestStartedAt = this->LastProgress =
+          this->Server.Loop.clock().now();
     const std::size_t Available = evbuffer_get_contiguous_space(Input);
     const auto *Bytes = reinterpret_cast<const char *>(
         evbuffer_pullup(Input, static_cast<ev_ssize_t>(Available)));
@@ -78,6 +88,11 @@
                                          : BadRequestStatus);
       break;
     }
+    // The rest of the body may be of any length.
+    if (this->TooLarge && this->CurrentPhase == Phase::Reading) {
+      this->rejectRequest(BodyTooLargeStatus);
+      break;
+    }
   }
   this->ProcessingInput = false;
   if (this->DestroyAfterInput)
@@ -89,6 +104,9 @@
   this->Request.Target = std::move(Head.Target);
   this->Request.Headers = std::move(Head.Headers);
   this->CallerKeepsAlive = Head.KeepAlive;
+  this->HeadComplete = true;
+  this->BytesSinceProgress = 0;
+  this->LastProgress = this->Server.Loop.clock().now();
   this->TooLarge =
       Head.ContentLength.value_or(0) > this->Server.Limits.BodyBytes;
 }
@@ -98,9 +116,15 @@
     this->TooLarge = true;
   if (!this->TooLarge)
     this->Request.Body.append(Bytes);
+  this->BytesSinceProgress += Bytes.size();
+  if (this->BytesSinceProgress >= MinProgressBytes) {
+    this->BytesSinceProgress = 0;
+    this->LastProgress = this->Server.Loop.clock().now();
+  }
 }
 
 void CallerConnection::onMessageComplete() {
+  this->HeadComplete = false;
   if (this->TooLarge) {
     this->rejectRequest(BodyTooLargeStatus);
     return;
@@ -151,6 +175,10 @@
   evbuffer_add(Output, "\r\n", 2);
 }
 
+std::size_t CallerConnection::unsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(this->Channel));
+}
+
 void CallerConnection::finish() {
   if (this->Chunked && !this->IsHeadMethod)
     bufferevent_write(this->Channel, "0\r\n\r\n", 5);
@@ -172,9 +200,10 @@
 void CallerConnection::handleOutputWritten() {
   // libevent calls this for the first time when the connection opens, before
   // anything is written.
-  if (this->CurrentPhase == Phase::Closing &&
-      evbuffer_get_length(bufferevent_get_output(this->Channel)) == 0)
+  if (this->CurrentPhase == Phase::Closing && this->unsentBytes() == 0)
     this->closeGracefully();
+  else if (this->CurrentPhase == Phase::Answering)
+    this->Server.Handler.callerCaughtUp(this->CurrentRequest);
 }
 
 void CallerConnection::closeGracefully() {
@@ -199,7 +228,9 @@
     if (SinceProgress >= Limits.IdleTime)
       this->closeGracefully();
   } else if (this->CurrentPhase == Phase::Reading &&
-             SinceProgress >= Limits.RequestTime) {
+             Now - (this->HeadComplete ? this->LastProgress
+                                       : this->RequestStartedAt) >=
+                 Limits.RequestTime) {
     this->rejectRequest(RequestTimeoutStatus);
   }
 }
--- a/Source/RawHttp/CallerConnection.h
+++ b/Source/RawHttp/CallerConnection.h
@@ -18,6 +18,8 @@
   void sendHead(int Status, const HttpHeaders &Headers,
                 std::optional<std::uint64_t> Length);
   void sendPiece(std::string_view Bytes);
+  /// Returns the number of bytes that were not sent yet.
+  std::size_t unsentBytes() const;
   void finish();
   void abortAnswer();
 
@@ -67,6 +69,11 @@
   bool Chunked = false;
   bool IsHeadMethod = false;
   Instant LastProgress;
+  /// The time of the first byte of the current request.
+  Instant RequestStartedAt;
+  /// The number of body bytes since LastProgress was updated.
+  std::size_t BytesSinceProgress = 0;
+  bool HeadComplete = false;
   /// Input is being processed, so the object must not be destroyed.
   bool ProcessingInput = false;
   bool DestroyAfterInput = false;
--- a/Source/RawHttp/CallerPort.h
+++ b/Source/RawHttp/CallerPort.h
@@ -24,6 +24,9 @@
   /// Called when the caller closed its connection before the answer was
   /// complete. Further calls of CallerPort for \p Id have no effect.
   virtual void callerDisconnected(CallerId Id) = 0;
+
+  /// Called when the caller has read most of the bytes that were sent to it.
+  virtual void callerCaughtUp(CallerId Id) { (void)Id; }
 };
 
 /// Sends answers to callers. Calls for the id of an unknown or finished request
@@ -42,6 +45,9 @@
                         std::optional<std::uint64_t> Length) = 0;
   virtual void sendPiece(CallerId Id, std::string_view Bytes) = 0;
 
+  /// Returns the number of bytes that the caller has not read yet.
+  virtual std::size_t unsentBytes(CallerId Id) const = 0;
+
   /// Completes an answer that was started by sendHead().
   virtual void finish(CallerId Id) = 0;
 
--- a/Source/RawHttp/CallerServer.cpp
+++ b/Source/RawHttp/CallerServer.cpp
@@ -89,6 +89,16 @@
     Connection->sendPiece(Bytes);
 }
 
+std::size_t CallerServer::unsentBytes(CallerId Id) const {
+  const auto Request = this->Requests.find(Id);
+  if (Request == this->Requests.end())
+    return 0;
+  const auto Connection = this->Connections.find(Request->second);
+  return Connection == this->Connections.end()
+             ? 0
+             : Connection->second->unsentBytes();
+}
+
 void CallerServer::finish(CallerId Id) {
   if (CallerConnection *Connection = this->findConnection(Id))
     Connection->finish();
--- a/Source/RawHttp/CallerServer.h
+++ b/Source/RawHttp/CallerServer.h
@@ -55,6 +55,7 @@
   void sendHead(CallerId Id, int Status, const HttpHeaders &Headers,
                 std::optional<std::uint64_t> Length) override;
   void sendPiece(CallerId Id, std::string_view Bytes) override;
+  std::size_t unsentBytes(CallerId Id) const override;
   void finish(CallerId Id) override;
   void abortAnswer(CallerId Id) override;
 
--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -37,6 +37,9 @@
 
 namespace {
 
+/// The size of the status line of an interim answer.
+constexpr std::size_t InterimHeadBytes = 25;
+
 template <typename State> State &stateOf(http_parser *Parser) {
   return *static_cast<State *>(Parser->data);
 }
@@ -57,9 +60,10 @@
   Settings.on_header_field = [](http_parser *P, const char *At,
                                 std::size_t Length) {
     State &S = stateOf<State>(P);
-    // Trailers after a chunked body are not part of the head.
+    // Trailers after a chunked body are dropped, but their size is limited like
+    // that of a head.
     if (S.HeadComplete)
-      return 0;
+      return addToHeadSize(S, Length);
     if (S.LastWasValue || S.Head.Headers.empty())
       S.Head.Headers.emplace_back();
     S.LastWasValue = false;
@@ -70,15 +74,17 @@
                                 std::size_t Length) {
     State &S = stateOf<State>(P);
     if (S.HeadComplete)
-      return 0;
+      return addToHeadSize(S, Length);
     S.LastWasValue = true;
     S.Head.Headers.back().second.append(At, Length);
     return addToHeadSize(S, Length);
   };
   Settings.on_headers_complete = [](http_parser *P) {
     State &S = stateOf<State>(P);
+    // Interim answers precede the head without end if the server is faulty, so
+    // each of them counts towards its limit, also one without headers.
     if (S.isInformational())
-      return 0;
+      return addToHeadSize(S, InterimHeadBytes);
     S.HeadComplete = true;
     if (P->type == HTTP_REQUEST)
       S.Head.Method = http_method_str(static_cast<http_method>(P->method));
--- a/Source/RawHttp/TcpBackendChannels.cpp
+++ b/Source/RawHttp/TcpBackendChannels.cpp
@@ -28,7 +28,8 @@
     From.Idle.pop_back();
     if (Found == this->Connections.end())
       continue;
-    if (Found->second->isReusable(Now))
+    // Bytes that belong to no request must not be taken for the next answer.
+    if (Found->second->isReusable(Now) && !Found->second->hasUnreadInput())
       return Found->second.get();
     --From.Open;
     this->Connections.erase(Found);
@@ -74,6 +75,15 @@
     this->removeConnection(*Entry->second);
 }
 
+void TcpBackendChannels::setReading(SendId Id, bool Reading) {
+  const auto Found = this->Sends.find(Id);
+  if (Found == this->Sends.end())
+    return;
+  if (const auto Entry = this->Connections.find(Found->second);
+      Entry != this->Connections.end())
+    Entry->second->setReading(Reading);
+}
+
 void TcpBackendChannels::forget(const std::string &Address) {
   const auto Found = this->Pools.find(Address);
   if (Found == this->Pools.end())
--- a/Source/RawHttp/TcpBackendChannels.h
+++ b/Source/RawHttp/TcpBackendChannels.h
@@ -21,6 +21,7 @@
 
   SendId send(BackendRequest Request, SendHandler &Handler) override;
   void cancel(SendId Id) override;
+  void setReading(SendId Id, bool Reading) override;
   void forget(const std::string &Address) override;
   bool hasIdleConnection(const std::string &Address) const override;
   void setConnectionLimit(const std::string &Address,
--- a/Source/Serving/LoadTracker.cpp
+++ b/Source/Serving/LoadTracker.cpp
@@ -7,6 +7,15 @@
 
 namespace turmericpass {
 
+namespace {
+
+/// The number of updates of zone loads between two decisions to withdraw items
+/// from a server. Until then, the sums may not show the items that other VMs
+/// have withdrawn.
+constexpr std::uint64_t UpdatesPerYield = 4;
+
+} // namespace
+
 ServerKey serverKey(const std::string &Id) {
   return static_cast<ServerKey>(hash64(Id));
 }
@@ -42,13 +51,45 @@
   this->removeIfIdle(Server);
 }
 
-void LoadTracker::setPeerLoads(const std::string &Node,
-                               std::map<ServerKey, ServerLoad> Loads) {
-  this->PeerLoads[Node] = std::move(Loads);
+void LoadTracker::addToSums(const LoadsByServer &Loads, int Sign) {
+  for (const auto &[Key, Load] : Loads) {
+    ServerLoad &Sum = this->Sums[Key];
+    Sum.Online += Sign * Load.Online;
+    Sum.Batch += Sign * Load.Batch;
+    if (Sum.Online == 0 && Sum.Batch == 0)
+      this->Sums.erase(Key);
+  }
+}
+
+void LoadTracker::setPeerLoads(const std::string &Node, LoadsByServer Loads) {
+  LoadsByServer &Known = this->PeerLoads[Node];
+  this->addToSums(Known, -1);
+  Known = std::move(Loads);
+  this->addToSums(Known, 1);
 }
 
 void LoadTracker::removePeer(const std::string &Node) {
-  this->PeerLoads.erase(Node);
+  const auto Found = this->PeerLoads.find(Node);
+  if (Found == this->PeerLoads.end())
+    return;
+  this->addToSums(Found->second, -1);
+  this->PeerLoads.erase(Found);
+}
+
+void LoadTracker::setZoneLoads(const std::string &Zone, LoadsByServer Loads) {
+  ++this->ZoneUpdates;
+  LoadsByServer &Known = this->ZoneLoads[Zone];
+  this->addToSums(Known, -1);
+  Known = std::move(Loads);
+  this->addToSums(Known, 1);
+}
+
+void LoadTracker::removeZone(const std::string &Zone) {
+  const auto Found = this->ZoneLoads.find(Zone);
+  if (Found == this->ZoneLoads.end())
+    return;
+  this->addToSums(Found->second, -1);
+  this->ZoneLoads.erase(Found);
 }
 
 ServerLoad LoadTracker::localLoad(const std::string &Server) const {
@@ -58,16 +99,18 @@
 
 ServerLoad LoadTracker::totalLoad(const std::string &Server) const {
   const ServerKey Key = serverKey(Server);
-  ServerLoad Total = this->localLoad(Server);
-  for (const auto &[Node, Loads] : this->PeerLoads)
-    if (const auto Found = Loads.find(Key); Found != Loads.end()) {
-      Total.Online += Found->second.Online;
-      Total.Batch += Found->second.Batch;
-    }
+  ServerLoad Total;
+  if (const auto Found = this->LocalLoads.find(Key);
+      Found != this->LocalLoads.end())
+    Total = Found->second;
+  if (const auto Found = this->Sums.find(Key); Found != this->Sums.end()) {
+    Total.Online += Found->second.Online;
+    Total.Batch += Found->second.Batch;
+  }
   return Total;
 }
 
-int LoadTracker::batchItemsToYield(const std::string &Server, int Slots) const {
+int LoadTracker::batchItemsToYield(const std::string &Server, int Slots) {
   const int LocalItems = this->localLoad(Server).Batch;
   if (LocalItems == 0)
     return 0;
@@ -75,9 +118,11 @@
   int Excess = std::min(Total.Online + Total.Batch - Slots, Total.Batch);
   if (Excess <= 0)
     return 0;
+  const ServerKey Key = serverKey(Server);
+  if (!this->ZoneLoads.empty())
+    return this->itemsToYieldFromSums(Key, LocalItems, Excess, Total.Batch);
   // The VMs withdraw their items one after the other, in an order that differs
   // between servers.
-  const ServerKey Key = serverKey(Server);
   const auto Rank = [&](const std::string &Node) { return hash64(Node, Key); };
   const std::uint64_t LocalRank = Rank(this->Self);
   for (const auto &[Node, Loads] : this->PeerLoads)
@@ -87,4 +132,21 @@
   return std::clamp(Excess, 0, LocalItems);
 }
 
+int LoadTracker::itemsToYieldFromSums(ServerKey Key, int LocalItems, int Excess,
+                                      int TotalItems) {
+  YieldDecision &Decision = this->YieldDecisions[Key];
+  if (Decision.ZoneUpdate == 0 ||
+      this->ZoneUpdates - Decision.ZoneUpdate >= UpdatesPerYield) {
+    Decision.ZoneUpdate = std::max<std::uint64_t>(1, this->ZoneUpdates);
+    Decision.RemainingItems = LocalItems;
+    const std::uint64_t Seed = hash64(this->Self, Key + this->ZoneUpdates);
+    for (int Item = 0; Item < LocalItems; ++Item)
+      if (hash64(std::to_string(Item), Seed) %
+              static_cast<std::uint64_t>(TotalItems) <
+          static_cast<std::uint64_t>(Excess))
+        --Decision.RemainingItems;
+  }
+  return std::max(0, LocalItems - Decision.RemainingItems);
+}
+
 } // namespace turmericpass
--- a/Source/Serving/LoadTracker.h
+++ b/Source/Serving/LoadTracker.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 
 namespace turmericpass {
 
@@ -18,12 +19,17 @@
 /// Identifies a server in messages between VMs by a hash of its id.
 using ServerKey = std::uint32_t;
 
+/// Loads by server.
+using LoadsByServer = std::map<ServerKey, ServerLoad>;
+
 /// Returns the key of the server with id \p Id.
 ServerKey serverKey(const std::string &Id);
 
-/// Tracks the load that each VM puts on each server: the requests of this VM
-/// and the loads that the digests of the other VMs report. This class performs
-/// no I/O.
+/// Tracks the load that all VMs put on each server: the requests of this VM,
+/// the loads that the digests of other VMs report, and sums of the loads of
+/// whole availability zones. The sums over all of them are kept up to date, so
+/// that a lookup does not depend on the number of VMs. This class performs no
+/// I/O.
 class LoadTracker {
 public:
   /// \p Self is the name of this VM.
@@ -35,36 +41,56 @@
   void removeBatchItem(const std::string &Server);
 
   /// Replaces the loads of VM \p Node.
-  void setPeerLoads(const std::string &Node,
-                    std::map<ServerKey, ServerLoad> Loads);
+  void setPeerLoads(const std::string &Node, LoadsByServer Loads);
   /// Removes the loads of VM \p Node, which has gone.
   void removePeer(const std::string &Node);
 
+  /// Replaces the sum of the loads of the other VMs in \p Zone. The loads of
+  /// single VMs of that zone must not be set as well.
+  void setZoneLoads(const std::string &Zone, LoadsByServer Loads);
+  /// Removes the sum of the loads of \p Zone, which is out of date.
+  void removeZone(const std::string &Zone);
+
   /// Returns the load of all VMs on \p Server.
   ServerLoad totalLoad(const std::string &Server) const;
   /// Returns the load of this VM on \p Server.
   ServerLoad localLoad(const std::string &Server) const;
   /// Returns the loads of this VM by server.
-  const std::map<ServerKey, ServerLoad> &localLoads() const {
-    return this->LocalLoads;
-  }
+  const LoadsByServer &localLoads() const { return this->LocalLoads; }
 
   /// Returns the number of batch items that this VM has to withdraw from
   /// \p Server so that all VMs together run at most \p Slots requests there.
-  /// Every VM computes the same division from the same counts, so the VMs do
-  /// not need to exchange messages about it.
-  int batchItemsToYield(const std::string &Server, int Slots) const;
+  /// If the loads of all VMs are known, every VM computes the same division
+  /// from the same counts. If only sums are known, each VM withdraws its share
+  /// of them at random, and waits until the sums show the result before it
+  /// withdraws more.
+  int batchItemsToYield(const std::string &Server, int Slots);
 
   /// Returns a number that increases with each change of this VM's own load.
   std::uint64_t revision() const { return this->Revision; }
 
 private:
+  /// A decision on how many items to withdraw from one server.
+  struct YieldDecision {
+    std::uint64_t ZoneUpdate = 0;
+    /// The number of items of this VM that stay.
+    int RemainingItems = 0;
+  };
+
   ServerLoad &changeLocalLoad(const std::string &Server);
   void removeIfIdle(const std::string &Server);
+  void addToSums(const LoadsByServer &Loads, int Sign);
+  int itemsToYieldFromSums(ServerKey Key, int LocalItems, int Excess,
+                           int TotalItems);
 
   std::string Self;
-  std::map<ServerKey, ServerLoad> LocalLoads;
-  std::map<std::string, std::map<ServerKey, ServerLoad>> PeerLoads;
+  LoadsByServer LocalLoads;
+  std::map<std::string, LoadsByServer> PeerLoads;
+  std::map<std::string, LoadsByServer> ZoneLoads;
+  /// The sums of PeerLoads and ZoneLoads.
+  std::unordered_map<ServerKey, ServerLoad> Sums;
+  std::unordered_map<ServerKey, YieldDecision> YieldDecisions;
+  std::uint64_t ZoneUpdates = 0;
   std::uint64_t Revision = 0;
 };
 
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -6,6 +6,7 @@
 #include "RawHttp/CallerPort.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/ServingSettings.h"
+#include "Serving/StallPolicy.h"
 
 #include <optional>
 #include <set>
@@ -45,6 +46,9 @@
   /// The number of sends that are known not to have run.
   int Refusals = 0;
   WatchId StallTimer = 0;
+  StallPolicy Stall;
+  /// The server has to wait until the caller has read more.
+  bool ReadingPaused = false;
 
   /// The head of the answer to the caller.
   std::optional<RawHead> AnswerHead;
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -26,12 +26,6 @@
 /// A send is started only if at least this time is left before the deadline.
 constexpr Duration MinTimeToSend = std::chrono::milliseconds(10);
 
-/// A repeatable request is sent to another server if the first one sends
-/// nothing for this many times the target latency.
-constexpr int StallTargetLatencies = 3;
-/// The shortest pause that counts as a stall.
-constexpr Duration MinStallTime = std::chrono::milliseconds(600);
-
 /// The pause after all servers of a service have refused a request. Requests to
 /// plain services take about ten milliseconds, so slots become free soon.
 constexpr Duration RefusalRetryDelay = std::chrono::milliseconds(15);
@@ -136,7 +130,7 @@
 
 void OnlineService::sendToServer(OnlineCall &Call) {
   const Placement Choice = this->Dependencies.Placement.placeOnlineRequest(
-      Call.Service, Call.TriedServers);
+      Call.Service, Call.TriedServers, this->Dependencies.Ids.number());
   const KnownServer *Server = Choice.Server;
   const Instant Now = this->Dependencies.Loop.clock().now();
   if (!Server || Call.Deadline - Now < MinTimeToSend) {
@@ -174,18 +168,24 @@
       this->makeSendOrder(Call, Call.Server, Server->Entry.Address), *this);
   this->Sends.emplace(Call.ActiveSend, Call.Caller);
   this->Dependencies.Loads.addOnlineRequest(Call.Server);
+  Call.Stall.start(Now);
   this->armStallTimer(Call);
 }
 
 void OnlineService::armStallTimer(OnlineCall &Call) {
   this->Dependencies.Loop.cancel(Call.StallTimer);
   Call.StallTimer = 0;
-  const Duration Limit = Call.AnswerHead
-                             ? MinStallTime
-                             : std::max(MinStallTime, Call.Route.TargetLatency *
-                                                          StallTargetLatencies);
-  Call.StallTimer = this->Dependencies.Loop.after(
-      Limit, [this, Caller = Call.Caller] { this->handleStall(Caller); });
+  // While the caller has to catch up, the server is not waited for.
+  if (Call.ReadingPaused)
+    return;
+  const bool MayRetry =
+      Call.Route.mayRepeat() && Call.PossibleRuns < Call.Route.MaxAttempts;
+  const std::optional<Duration> Limit =
+      MayRetry ? Call.Stall.retryLimit(Call.Route)
+               : Call.Stall.abandonLimit(Call.Route);
+  if (Limit)
+    Call.StallTimer = this->Dependencies.Loop.after(
+        *Limit, [this, Caller = Call.Caller] { this->handleStall(Caller); });
 }
 
 void OnlineService::handleStall(CallerId Caller) {
@@ -201,8 +201,10 @@
   // which does not count as a failure.
   if (!Server || Server->LastActivityAt < Call.SentAt)
     this->Dependencies.Servers.recordFailure(Call.Server);
-  if (!Call.Route.mayRepeat() || Call.PossibleRuns >= Call.Route.MaxAttempts)
+  if (!Call.Route.mayRepeat() || Call.PossibleRuns >= Call.Route.MaxAttempts) {
+    this->fail(Call, GatewayTimeout, "the stream has stalled");
     return;
+  }
   this->endSend(Call, true);
   this->retry(Call, "the server sent nothing for too long");
 }
@@ -214,6 +216,7 @@
     this->Dependencies.Channels.cancel(Call.ActiveSend);
   this->Sends.erase(Call.ActiveSend);
   Call.ActiveSend = 0;
+  Call.ReadingPaused = false;
   this->Dependencies.Loads.removeOnlineRequest(Call.Server);
 }
 
@@ -247,19 +250,37 @@
       return;
     }
     Call->Events.reset();
+    Call->Stall.recordHead(this->Dependencies.Loop.clock().now(), true);
     this->armStallTimer(*Call);
     return;
   }
   Call->AnswerHead = Head;
-  Call->Body.clear();
+  this->clearBody(*Call);
   Call->IsEventStream =
       Success && Head.header("Content-Type")
                      .starts_with(this->Dependencies.Protocol.EventStreamType);
   if (Call->IsEventStream)
     this->forwardHead(*Call);
+  Call->Stall.recordHead(this->Dependencies.Loop.clock().now(),
+                         Call->IsEventStream);
   this->armStallTimer(*Call);
 }
 
+void OnlineService::clearBody(OnlineCall &Call) {
+  this->Memory.release(Call.Body.size());
+  Call.Body.clear();
+}
+
+void OnlineService::endOversizedAnswer(OnlineCall &Call,
+                                       std::string_view Reason) {
+  const std::string Server = Call.Server;
+  this->Dependencies.Stats.add("answers_oversized_total");
+  this->endSend(Call, true);
+  this->Dependencies.Servers.recordFailure(Server);
+  this->clearBody(Call);
+  this->retry(Call, Reason);
+}
+
 void OnlineService::forwardHead(OnlineCall &Call) {
   HttpHeaders Headers;
   for (const auto &[Name, Value] : Call.AnswerHead->Headers)
@@ -283,10 +304,18 @@
   this->Dependencies.Servers.recordActivity(Call->Server);
   if (!Call->FirstByteAt)
     Call->FirstByteAt = this->Dependencies.Loop.clock().now();
-  if (Call->IsEventStream)
+  if (Call->IsEventStream) {
     this->forwardEvents(*Call, Bytes);
-  else
-    Call->Body.append(Bytes);
+    return;
+  }
+  if (!this->Memory.reserve(Call->Body.size(), Bytes.size())) {
+    this->endOversizedAnswer(*Call, "the answer is too large");
+    return;
+  }
+  Call->Body.append(Bytes);
+  if (Call->Stall.recordBody(this->Dependencies.Loop.clock().now(),
+                             Bytes.size()))
+    this->armStallTimer(*Call);
 }
 
 void OnlineService::forwardEvents(OnlineCall &Call, std::string_view Bytes) {
@@ -303,9 +332,28 @@
       Call.LastEventId = Event.Id;
     Complete += Event.Bytes;
   }
-  if (Complete.empty())
+  if (!Complete.empty()) {
+    this->Dependencies.Callers.sendPiece(Call.Caller, Complete);
+    Call.Stall.recordEvent(this->Dependencies.Loop.clock().now());
+    if (this->Dependencies.Callers.unsentBytes(Call.Caller) >
+        AnswerMemory::MaxUnsentBytes) {
+      Call.ReadingPaused = true;
+      this->Dependencies.Channels.setReading(Call.ActiveSend, false);
+    }
+    this->armStallTimer(Call);
+  }
+  if (Call.Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes)
+    this->endOversizedAnswer(Call, "an event of the stream is too large");
+}
+
+void OnlineService::callerCaughtUp(CallerId Caller) {
+  const auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end() || !Found->second->ReadingPaused)
     return;
-  this->Dependencies.Callers.sendPiece(Call.Caller, Complete);
+  OnlineCall &Call = *Found->second;
+  Call.ReadingPaused = false;
+  this->Dependencies.Channels.setReading(Call.ActiveSend, true);
+  Call.Stall.recordHead(this->Dependencies.Loop.clock().now(), true);
   this->armStallTimer(Call);
 }
 
@@ -445,6 +493,7 @@
 
 void OnlineService::finishCall(OnlineCall &Call, int Status,
                                std::string_view Outcome) {
+  this->clearBody(Call);
   this->Dependencies.Loop.cancel(Call.DeadlineTimer);
   this->Dependencies.Loop.cancel(Call.StallTimer);
   this->Dependencies.Loop.cancel(Call.RetryTimer);
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_SERVING_ONLINESERVICE_H
 #define TURMERICPASS_SERVING_ONLINESERVICE_H
 
+#include "Serving/AnswerMemory.h"
 #include "Serving/BackendProtocol.h"
 #include "Serving/OnlineCall.h"
 #include "Serving/OverloadPolicy.h"
@@ -47,6 +48,9 @@
   /// Ends the call of \p Caller, whose connection was closed.
   void callerDisconnected(CallerId Caller);
 
+  /// Resumes reading the answer for \p Caller, which has read what was sent.
+  void callerCaughtUp(CallerId Caller);
+
   /// Returns the number of requests that have not got their final answer.
   std::size_t openCallCount() const { return this->Calls.size(); }
 
@@ -71,6 +75,9 @@
   void handleDeadline(CallerId Caller);
   void handleStall(CallerId Caller);
   void armStallTimer(OnlineCall &Call);
+  /// Ends an answer that exceeds a bound of AnswerMemory.
+  void endOversizedAnswer(OnlineCall &Call, std::string_view Reason);
+  void clearBody(OnlineCall &Call);
   /// Answers that the request did not run and may be sent again after
   /// \p RetryAfter.
   void refuse(OnlineCall &Call, std::string_view Reason, Duration RetryAfter);
@@ -82,6 +89,7 @@
 
   OnlineServiceDependencies Dependencies;
   OverloadPolicy Overload;
+  AnswerMemory Memory;
   std::unordered_map<CallerId, std::unique_ptr<OnlineCall>> Calls;
   std::unordered_map<SendId, CallerId> Sends;
 };
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -16,6 +16,23 @@
 /// the same server concurrently.
 constexpr int SpareSlots = 1;
 
+/// The costs of a placement while loads are delayed, in requests that wait in
+/// front. A displaced item delays a request until its VM has seen the request.
+constexpr double DisplacedItemCost = 0.5;
+constexpr double OtherZoneCost = 4;
+constexpr double NewConnectionCost = 0.4;
+constexpr double AvoidedServerCost = 100;
+constexpr double TriedServerCost = 10'000;
+/// The random part of the cost covers the number of requests that reach one
+/// server before their load is known.
+constexpr double RandomCost = 1.5;
+
+/// Returns a random number from 0 to 1 for one server and one choice.
+double randomFraction(const std::string &Server, std::uint64_t Random) {
+  constexpr double Steps = 1U << 20U;
+  return static_cast<double>(hash64(Server, Random) % (1U << 20U)) / Steps;
+}
+
 } // namespace
 
 PlacementPolicy::PlacementPolicy(const Clock &Time,
@@ -26,8 +43,12 @@
     : Time(Time), Servers(Servers), Loads(Loads), Channels(Channels),
       Zone(std::move(Zone)), Self(std::move(Self)) {}
 
-Placement PlacementPolicy::placeOnlineRequest(
-    std::string_view Service, const std::set<std::string> &TriedServers) const {
+Placement
+PlacementPolicy::placeOnlineRequest(std::string_view Service,
+                                    const std::set<std::string> &TriedServers,
+                                    std::uint64_t Random) const {
+  if (this->LoadsDelayed)
+    return this->placeSpread(Service, TriedServers, Random);
   Placement Best;
   // Smaller ranks are better. The criteria are ordered by importance.
   std::tuple<bool, bool, int, bool, int, bool, int, std::uint64_t> BestRank;
@@ -56,8 +77,40 @@
   return Best;
 }
 
-const KnownServer *PlacementPolicy::chooseBatchServer(std::string_view Service,
-                                                      int ReservedSlots) const {
+Placement
+PlacementPolicy::placeSpread(std::string_view Service,
+                             const std::set<std::string> &TriedServers,
+                             std::uint64_t Random) const {
+  Placement Best;
+  double BestCost = 0;
+  const Instant Now = this->Time.now();
+  for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
+    const int Slots = Server->Entry.Slots;
+    const int WaitingRequests = std::max(0, Load.Online + 1 - Slots);
+    const int DisplacedItems = std::max(
+        0, Load.Online + Load.Batch + 1 + SpareSlots - Slots - WaitingRequests);
+    double Cost = WaitingRequests + DisplacedItemCost * DisplacedItems +
+                  RandomCost * randomFraction(Server->Entry.Id, Random);
+    if (Server->Entry.Zone != this->Zone)
+      Cost += OtherZoneCost;
+    if (!this->Channels.hasIdleConnection(Server->Entry.Address))
+      Cost += NewConnectionCost;
+    if (Server->AvoidedUntil > Now)
+      Cost += AvoidedServerCost;
+    if (TriedServers.contains(Server->Entry.Id))
+      Cost += TriedServerCost;
+    if (Best.Server && Cost >= BestCost)
+      continue;
+    Best = {Server, WaitingRequests};
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+const KnownServer *
+PlacementPolicy::chooseBatchServer(std::string_view Service, int ReservedSlots,
+                                   std::uint64_t Random) const {
   const KnownServer *Best = nullptr;
   std::tuple<bool, int, std::uint64_t> BestRank;
   const Instant Now = this->Time.now();
@@ -67,12 +120,16 @@
     // The loads of VMs in other zones become known later than those of the own
     // zone, so a slot is kept free at servers of other zones.
     const int KeptFree = std::max(
-        ReservedSlots, Server->Entry.Zone == this->Zone ? 0 : SpareSlots);
+        ReservedSlots, Server->Entry.Zone == this->Zone && !this->LoadsDelayed
+                           ? 0
+                           : SpareSlots);
     if (UsedSlots + KeptFree >= Server->Entry.Slots ||
         Server->AvoidedUntil > Now)
       continue;
-    const std::tuple Rank(Server->Entry.Zone != this->Zone, UsedSlots,
-                          hash64(Server->Entry.Id + this->Self));
+    const std::tuple Rank(
+        Server->Entry.Zone != this->Zone, this->LoadsDelayed ? 0 : UsedSlots,
+        this->LoadsDelayed ? hash64(Server->Entry.Id, Random)
+                           : hash64(Server->Entry.Id + this->Self));
     if (!Best || Rank < BestRank) {
       Best = Server;
       BestRank = Rank;
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 
+#include <cstdint>
 #include <set>
 #include <string>
 #include <string_view>
@@ -35,21 +36,36 @@
   /// in \p TriedServers are chosen only if there is no other one. Batch items
   /// do not count as waiting requests, because they give up their slots to
   /// requests of waiting callers.
+  /// \p Random spreads the choices while the loads are delayed.
   Placement placeOnlineRequest(std::string_view Service,
-                               const std::set<std::string> &TriedServers) const;
+                               const std::set<std::string> &TriedServers,
+                               std::uint64_t Random = 0) const;
 
   /// Returns a server of \p Service that has a free slot for a batch item and
   /// \p ReservedSlots more, or nullptr if there is none.
   const KnownServer *chooseBatchServer(std::string_view Service,
-                                       int ReservedSlots) const;
+                                       int ReservedSlots,
+                                       std::uint64_t Random = 0) const;
+
+  /// Sets whether the loads of other VMs become known late, because they are
+  /// summed up. Many VMs then choose from the same counts, so that choosing the
+  /// best server would send all of their requests to the same one. Each choice
+  /// is made at random among the servers that are about equally good instead.
+  void setLoadsDelayed(bool Delayed) { this->LoadsDelayed = Delayed; }
 
 private:
+  /// Returns the server with the lowest cost plus a random part.
+  Placement placeSpread(std::string_view Service,
+                        const std::set<std::string> &TriedServers,
+                        std::uint64_t Random) const;
+
   const Clock &Time;
   const ServerDirectory &Servers;
   const LoadTracker &Loads;
   const BackendChannels &Channels;
   std::string Zone;
   std::string Self;
+  bool LoadsDelayed = false;
 };
 
 } // namespace turmericpass
--- a/Source/Serving/ServingSettings.h
+++ b/Source/Serving/ServingSettings.h
@@ -48,6 +48,9 @@
   /// The time to the answer, or to the first event of a stream, that callers
   /// expect.
   Duration TargetLatency = std::chrono::seconds(1);
+  /// The longest pause between two events of a stream with which callers still
+  /// regard it as on time, or 0 if it is not known.
+  Duration EventGapTarget{0};
   /// 0 is the highest priority.
   int Priority = 0;
   /// The number of servers on which one request may run.
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -289,3 +289,33 @@
   }));
   cr_assert_eq(Bench.Rows.Oversized, 0);
 }
+
+// Guards against an item whose server sends events, or one event, without end.
+Test(JobRunner, OutputWithoutEndIsGivenUp) {
+  for (const bool WholeEvents : {true, false}) {
+    RunnerBench Bench;
+    cr_assert(Bench.startJob("j", 1));
+    Bench.Channels.head(1, 200, {{"Content-Type", "text/event-stream"}});
+    const std::string Data(10'000, 'x');
+    std::size_t Fed = 0;
+    for (std::uint64_t Id = 0;
+         Fed < (std::size_t{8} << 20U) && !Bench.Channels.Cancelled.contains(1);
+         ++Id) {
+      Bench.Channels.body(1, WholeEvents ? "id: " + std::to_string(Id) +
+                                               "\ndata: " + Data + "\n\n"
+                                         : "data: " + Data + "\n");
+      Fed += Data.size();
+    }
+    cr_assert_lt(Fed, std::size_t{1} << 20U);
+    cr_assert_gt(Bench.Servers.find("s1")->Failures, 0);
+    Bench.Servers.recordSuccess("s1");
+    // Another run starts from the beginning.
+    cr_assert(runUntil(Bench.Loop, [&] {
+      Bench.Runner.schedule();
+      return Bench.Channels.All.size() >= 2;
+    }));
+    cr_assert(rawHeader(Bench.Channels.last().Order.Request.Headers,
+                        Bench.Protocol.LastEventId)
+                  .empty());
+  }
+}
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -81,6 +81,99 @@
   cr_assert_eq(B.Recorder.Heads, 1);
 }
 
+// Guards against a second copy of an answer that arrives late, on a connection
+// that is in use again: before the next request is written, together with its
+// answer, in pieces, and without the header that identifies it.
+Test(BackendChannels, SecondCopyOfAnAnswerIsNotTakenForTheNextOne) {
+  const std::string First =
+      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 3\r\n\r\nold";
+  const std::string Anonymous =
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+  for (const std::string &Copy : {First, Anonymous})
+    for (std::size_t Split = 0; Split <= Copy.size(); Split += 7) {
+      Bench B;
+      B.send("r1");
+      B.Server.write(First);
+      cr_assert(B.ended());
+      B.Recorder = RecordingHandler();
+      B.Server.write(Copy.substr(0, Split));
+      RawPeer NewConnection;
+      bool Answered = false;
+      B.Channels.send(B.makeRequest("r2"), B.Recorder);
+      cr_assert(runUntil(B.Loop, [&] {
+        if (NewConnection.Descriptor < 0)
+          NewConnection.Descriptor = B.Listener.accept();
+        RawPeer &Current =
+            NewConnection.Descriptor < 0 ? B.Server : NewConnection;
+        Current.read();
+        if (!Answered && Current.Received.ends_with("\r\n\r\nbody")) {
+          Answered = true;
+          if (NewConnection.Descriptor < 0)
+            Current.write(Copy.substr(Split));
+          Current.write(Answer);
+        }
+        return B.Recorder.ended();
+      }));
+      if (Copy == First || NewConnection.Descriptor >= 0)
+        cr_assert_str_eq(B.Recorder.Body.c_str(), "ok");
+      else
+        cr_assert(B.Recorder.Failure.has_value() && B.Recorder.Body.empty());
+    }
+}
+
+// Guards against reading without end from a server that is not waited for.
+Test(BackendChannels, ServerWaitsWhileItsAnswerIsNotRead) {
+  Bench B;
+  const SendId Id = B.send("r2");
+  B.Server.write("HTTP/1.1 200 OK\r\nId: r2\r\n\r\n");
+  cr_assert(runUntil(B.Loop, [&] { return B.Recorder.Heads == 1; }));
+  B.Channels.setReading(Id, false);
+  const std::string Piece(100'000, 'x');
+  std::size_t Sent = 0;
+  for (int Round = 0; Round < 200; ++Round) {
+    Sent += B.Server.writeSome(Piece);
+    B.Loop.runOnce(Duration(1000));
+  }
+  // The buffers of the sockets are full, and the process holds none of it.
+  cr_assert_lt(Sent, 200 * Piece.size());
+  cr_assert_lt(B.Recorder.Body.size(), Piece.size());
+  B.Channels.setReading(Id, true);
+  cr_assert(runUntil(B.Loop, [&] { return B.Recorder.Body.size() >= Sent; }));
+  B.Server.drop();
+  cr_assert(B.ended());
+  cr_assert(B.Recorder.Done);
+}
+
+// Guards against heads without end: interim answers, header lines, chunk
+// extensions and trailers.
+Test(BackendChannels, HeadWithoutEndIsInvalid) {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nId: r2\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> Cases = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n"},
+      {"HTTP/1.1 200 ", "OK "},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"HTTP/1.1 200 OK\r\nA: ", "b"},
+      {Chunked + "1;", "x"},
+      {Chunked + "0\r\n", "A: b\r\n"}};
+  for (const auto &[Start, Repeated] : Cases) {
+    Bench B;
+    B.send("r2");
+    B.Server.write(Start);
+    std::string Piece;
+    while (Piece.size() < 8192)
+      Piece += Repeated;
+    std::size_t Sent = 0;
+    cr_assert(runUntil(B.Loop, [&] {
+      Sent += B.Server.writeSome(Piece);
+      return B.Recorder.ended() || Sent > (std::size_t{16} << 20U);
+    }));
+    cr_assert(B.Recorder.Failure.has_value(), "%s", Repeated.c_str());
+    cr_assert(B.Recorder.Body.empty());
+  }
+}
+
 // Guards against the reuse of a connection on which bytes were received that
 // belong to no request.
 Test(BackendChannels, ConnectionWithExtraBytesIsNotUsedAgain) {
--- a/Tests/Support/FakeCallers.h
+++ b/Tests/Support/FakeCallers.h
@@ -19,6 +19,8 @@
     bool Broken = false;
   };
   std::map<CallerId, Answer> Answers;
+  /// What unsentBytes() returns.
+  std::size_t Unsent = 0;
 
   void reply(CallerId Id, int Status, const HttpHeaders &Headers,
              std::string_view Body) override {
@@ -31,6 +33,7 @@
   void sendPiece(CallerId Id, std::string_view Bytes) override {
     this->Answers[Id].Body.append(Bytes);
   }
+  std::size_t unsentBytes(CallerId) const override { return this->Unsent; }
   void finish(CallerId Id) override { this->Answers[Id].Complete = true; }
   void abortAnswer(CallerId Id) override { this->Answers[Id].Broken = true; }
 };
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -20,6 +20,7 @@
   /// Every request that was sent, in order.
   std::vector<Sent> All;
   std::set<SendId> Cancelled;
+  std::set<SendId> Paused;
 
   SendId send(BackendRequest Order, SendHandler &Handler) override {
     const SendId Id = this->All.size() + 1;
@@ -27,6 +28,12 @@
     return Id;
   }
   void cancel(SendId Id) override { this->Cancelled.insert(Id); }
+  void setReading(SendId Id, bool Reading) override {
+    if (Reading)
+      this->Paused.erase(Id);
+    else
+      this->Paused.insert(Id);
+  }
   void forget(const std::string &) override {}
   bool hasIdleConnection(const std::string &) const override { return false; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
--- a/Tests/Support/RawPeer.h
+++ b/Tests/Support/RawPeer.h
@@ -60,6 +60,13 @@
                     sizeof(Address));
   }
 
+  /// Writes as much as the socket takes at once and returns its size.
+  std::size_t writeSome(std::string_view Bytes) {
+    const ssize_t Count = ::send(this->Descriptor, Bytes.data(), Bytes.size(),
+                                 MSG_NOSIGNAL | MSG_DONTWAIT);
+    return Count > 0 ? static_cast<std::size_t>(Count) : 0;
+  }
+
   void write(std::string_view Bytes) {
     // A short write would only make a test fail.
     (void)::send(this->Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
--- a/Tests/Support/RunUntil.h
+++ b/Tests/Support/RunUntil.h
@@ -18,6 +18,14 @@
   return Holds();
 }
 
+/// Turns \p Loop for \p Span.
+inline void runFor(EventLoop &Loop, Duration Span) {
+  using namespace std::chrono_literals;
+  const Instant End = Loop.clock().now() + Span;
+  while (Loop.clock().now() < End)
+    Loop.runOnce(5ms);
+}
+
 } // namespace turmericpass
 
 #endif
--- a/Utilities/Experiment/ReplayNode.h
+++ b/Utilities/Experiment/ReplayNode.h
@@ -40,6 +40,7 @@
 public:
   SendId send(BackendRequest, SendHandler &) override { return 0; }
   void cancel(SendId) override {}
+  void setReading(SendId, bool) override {}
   void forget(const std::string &) override {}
   bool hasIdleConnection(const std::string &) const override { return true; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
