BatchJobs, Serving: Share free slots among the items of many VMs

Cause: with 295 VMs, some twenty of them have waiting items and see the same free slots in the same sums. All took them, and the items were rejected or preempted at once (10,758 of 25,108 arrivals rejected in 13 s). Callers chose the least loaded server from counts that are 100 ms old, all the same one.

Change: ItemStartBudget gives each VM its part of the free slots per delay of the sums; digests and summaries tell how many items wait.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -148,8 +148,11 @@
 }
 
 void JobRunner::schedule() {
-  if (this->Jobs.empty() || this->Releasing)
+  if (this->Jobs.empty() || this->Releasing) {
+    this->WaitingItemCount = 0;
+    this->HasUrgentItems = false;
     return;
+  }
   this->preemptItems();
   this->startItems();
 }
@@ -213,6 +216,8 @@
     const bool CanBeOnTime = this->canBeOnTime(Job, Job.Items[Key.Index]);
     (CanBeOnTime ? OnTime : Late).push_back(std::move(Key));
   }
+  this->WaitingItemCount = static_cast<int>(OnTime.size() + Late.size());
+  this->updateStartBudget();
   if (this->Policy.isNextStartForLateItem() && !Late.empty() &&
       this->startItem(Late.front(), 0)) {
     this->Policy.recordStart(false);
@@ -236,6 +241,21 @@
   }
 }
 
+void JobRunner::updateStartBudget() {
+  if (!this->Dependencies.Placement.areLoadsDelayed() ||
+      this->WaitingItemCount == 0)
+    return;
+  // Usually all items belong to one service.
+  const RouteSettings *Route = this->routeOf(this->Jobs.begin()->second);
+  if (!Route || Route->Services.empty())
+    return;
+  this->StartBudget.update(this->Dependencies.Loop.clock().now(),
+                           this->WaitingItemCount,
+                           this->Dependencies.OtherVmsWaitingItems(),
+                           this->Dependencies.Placement.freeBatchSlots(
+                               Route->Services.front().Service));
+}
+
 bool JobRunner::startItem(const ItemKey &Key, int ReservedSlots) {
   const OwnedJob &Job = this->Jobs.at(Key.JobId);
   ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
@@ -254,7 +274,8 @@
       pickService(*Route, hash64(Run.Item.Id)), ReservedSlots,
       hash64(Run.Item.Id,
              static_cast<std::uint64_t>(Now.time_since_epoch().count())));
-  if (!Server)
+  if (!Server || (this->Dependencies.Placement.areLoadsDelayed() &&
+                  !this->StartBudget.take()))
     return false;
   BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server->Entry,
                                          this->Dependencies.Protocol);
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 
 #include "BatchJobs/ItemSchedulingPolicy.h"
+#include "BatchJobs/ItemStartBudget.h"
 #include "BatchJobs/JobLoader.h"
 #include "BatchJobs/WaitingItems.h"
 #include "Serving/BackendProtocol.h"
@@ -43,6 +44,8 @@
   /// Returns whether another VM has waiting items that can still meet their
   /// deadline.
   std::function<bool()> OtherVmsHaveUrgentItems;
+  /// Returns the number of items that wait for a slot on other VMs.
+  std::function<int()> OtherVmsWaitingItems;
   /// The incarnation of this VM, which identifies it as the owner of a job.
   std::string Self;
 };
@@ -79,6 +82,8 @@
   std::size_t ownedJobCount() const { return this->Jobs.size(); }
   /// Returns whether an item that can still meet its deadline waits for a slot.
   bool hasUrgentItems() const { return this->HasUrgentItems; }
+  /// Returns the number of items that wait for a slot.
+  int waitingItemCount() const { return this->WaitingItemCount; }
   const OwnedJob *find(const std::string &JobId) const;
 
 private:
@@ -97,6 +102,7 @@
   /// needed for callers' requests.
   void preemptItems();
   void startItems();
+  void updateStartBudget();
   /// Fails the pending items of jobs whose retention has ended.
   void failExpiredItems();
   bool canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const;
@@ -130,6 +136,8 @@
   ItemSchedulingPolicy Policy;
   /// Whether the last call of startItems() left an item waiting that could
   /// still meet its deadline.
+  ItemStartBudget StartBudget;
+  int WaitingItemCount = 0;
   bool HasUrgentItems = false;
   bool Releasing = false;
 };
--- a/Source/Node/NodeTimes.h
+++ b/Source/Node/NodeTimes.h
@@ -22,10 +22,10 @@
 /// summary to each VM of its zone, so the interval within the zone grows with
 /// the number of VMs, and the number of messages per second does not.
 inline constexpr Duration AggregatedDigestInterval =
-    std::chrono::milliseconds(80);
-inline constexpr Duration MinSummaryInterval = std::chrono::milliseconds(100);
+    std::chrono::milliseconds(40);
+inline constexpr Duration MinSummaryInterval = std::chrono::milliseconds(50);
 inline constexpr Duration SummaryIntervalPerNode =
-    std::chrono::microseconds(1600);
+    std::chrono::microseconds(800);
 inline constexpr Duration OtherZonesSummaryInterval =
     std::chrono::milliseconds(400);
 
@@ -37,7 +37,7 @@
 inline constexpr Duration SchedulePeriod = std::chrono::milliseconds(20);
 /// The interval between two checks whether messages to other VMs are due, on a
 /// VM without batch items in a large fleet.
-inline constexpr Duration IdleTickPeriod = std::chrono::milliseconds(50);
+inline constexpr Duration IdleTickPeriod = std::chrono::milliseconds(40);
 inline constexpr Duration TakeoverPeriod = std::chrono::milliseconds(300);
 
 /// The time after the start during which this VM takes over no jobs. Until the
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// The first field of each digest. It is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 3;
-constexpr std::uint32_t FieldCount = 11;
+constexpr unsigned ProtocolVersion = 4;
+constexpr std::uint32_t FieldCount = 12;
 
 PeerDigest readDigest(const msgpack::object &Object) {
   if (checkedArray(Object, FieldCount).size != FieldCount ||
@@ -27,6 +27,7 @@
   Digest.Crashes = readCrashes(Object.via.array.ptr[8]);
   Digest.AvoidedServers = readField<std::vector<ServerKey>>(Object, 9);
   Digest.HasUrgentItems = readField<bool>(Object, 10);
+  Digest.WaitingItems = readField<int>(Object, 11);
   return Digest;
 }
 
@@ -47,6 +48,7 @@
   packCrashes(Out, Digest.Crashes);
   Out.pack(Digest.AvoidedServers);
   Out.pack(Digest.HasUrgentItems);
+  Out.pack(Digest.WaitingItems);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/PeerDigest.h
+++ b/Source/Node/PeerDigest.h
@@ -30,6 +30,8 @@
   bool HasUrgentItems = false;
   /// The servers that recently failed requests of this VM.
   std::vector<ServerKey> AvoidedServers;
+  /// The number of items of this VM that wait for a slot.
+  int WaitingItems = 0;
 };
 
 std::string encodeDigest(const PeerDigest &Digest);
--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -248,6 +248,7 @@
     Summary.Members.push_back({Key, Address, Each.Sequence, Weight,
                                Each.Stopping, Each.HasStoreView});
     Summary.HasUrgentItems = Summary.HasUrgentItems || Each.HasUrgentItems;
+    Summary.WaitingItems += Each.WaitingItems;
     Avoided.insert(Each.AvoidedServers.begin(), Each.AvoidedServers.end());
     for (const CrashCounter::Entry &Crash : Each.Crashes) {
       unsigned &Count = CrashCounts[Crash.Fingerprint];
@@ -358,6 +359,16 @@
   this->KnownNodes = Addresses.size();
 }
 
+int PeerDirectory::waitingItems() const {
+  int Waiting = 0;
+  for (const auto &[Zone, Known] : this->Zones)
+    Waiting += Known.Summary.WaitingItems;
+  for (const auto &[Incarnation, Known] : this->Peers)
+    if (!Known.Silent && !this->isSummarized(Known.Digest.Zone))
+      Waiting += Known.Digest.WaitingItems;
+  return Waiting;
+}
+
 std::vector<std::string> PeerDirectory::storeViewAddresses() const {
   std::set<std::string> Found;
   for (const auto &[Incarnation, Known] : this->Peers)
--- a/Source/Node/PeerDirectory.h
+++ b/Source/Node/PeerDirectory.h
@@ -94,6 +94,10 @@
   /// Returns whether any VM that is not silent has urgent items.
   bool otherVmsHaveUrgentItems() const;
 
+  /// Returns the number of items that wait for a slot on the other VMs, as
+  /// summaries tell. Those of this VM may be included.
+  int waitingItems() const;
+
   /// Returns the number of VMs that are known.
   int count() const { return static_cast<int>(this->KnownNodes); }
 
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -72,7 +72,7 @@
               this->Stats, [this] { return this->Settings.current(); },
               [this] { return this->JobFeed.storeMillis(); },
               [this] { return this->Peers.otherVmsHaveUrgentItems(); },
-              this->Self}),
+              [this] { return this->Peers.waitingItems(); }, this->Self}),
       Api({Dependencies.Loop, this->Front, this->Jobs, this->KnownJobs,
            this->Runner, Dependencies.Adapter.backendProtocol(),
            Dependencies.Adapter.jobCallCodec(), Dependencies.Log, this->Stats,
@@ -372,6 +372,7 @@
   Digest.Crashes = this->Crashes.countsToShare(MaxSharedCrashes);
   Digest.HasUrgentItems = this->Runner.hasUrgentItems();
   Digest.AvoidedServers = this->Servers.avoidedServers();
+  Digest.WaitingItems = this->Runner.waitingItemCount();
   return Digest;
 }
 
--- a/Source/Node/ZoneSummary.cpp
+++ b/Source/Node/ZoneSummary.cpp
@@ -16,7 +16,7 @@
 /// The first field of each summary. It differs from the versions of digests,
 /// and is incremented when the fields change.
 constexpr unsigned ProtocolVersion = 64;
-constexpr std::uint32_t FieldCount = 9;
+constexpr std::uint32_t FieldCount = 10;
 constexpr std::uint32_t FieldsPerMember = 5;
 /// The first byte of a msgpack array with fewer than 16 elements is this value
 /// plus the number of elements.
@@ -75,6 +75,7 @@
   Summary.HasUrgentItems = readField<bool>(Object, 6);
   Summary.AvoidedServers = readField<std::vector<ServerKey>>(Object, 7);
   Summary.Crashes = readCrashes(Object.via.array.ptr[8]);
+  Summary.WaitingItems = readField<int>(Object, 9);
   return Summary;
 }
 
@@ -110,6 +111,7 @@
   Out.pack(Summary.HasUrgentItems);
   Out.pack(Summary.AvoidedServers);
   packCrashes(Out, Summary.Crashes);
+  Out.pack(Summary.WaitingItems);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/ZoneSummary.h
+++ b/Source/Node/ZoneSummary.h
@@ -45,6 +45,8 @@
   std::vector<ZoneMember> Members;
   /// A VM of the zone has waiting items that can still meet their deadline.
   bool HasUrgentItems = false;
+  /// The number of items of the zone's VMs that wait for a slot.
+  int WaitingItems = 0;
   std::vector<ServerKey> AvoidedServers;
   std::vector<CrashCounter::Entry> Crashes;
 };
--- a/Source/Serving/LoadTracker.cpp
+++ b/Source/Serving/LoadTracker.cpp
@@ -14,6 +14,11 @@
 /// have withdrawn.
 constexpr std::uint64_t UpdatesPerYield = 4;
 
+/// The number of slots that items leave free on each server while loads become
+/// known late, because a caller's request would wait until the VM of an item
+/// has seen it.
+constexpr int SlotsKeptForCallers = 1;
+
 } // namespace
 
 ServerKey serverKey(const std::string &Id) {
@@ -115,11 +120,14 @@
   if (LocalItems == 0)
     return 0;
   const ServerLoad Total = this->totalLoad(Server);
-  int Excess = std::min(Total.Online + Total.Batch - Slots, Total.Batch);
+  const bool LoadsDelayed = !this->ZoneLoads.empty();
+  const int KeptFree = LoadsDelayed ? SlotsKeptForCallers : 0;
+  int Excess =
+      std::min(Total.Online + Total.Batch + KeptFree - Slots, Total.Batch);
   if (Excess <= 0)
     return 0;
   const ServerKey Key = serverKey(Server);
-  if (!this->ZoneLoads.empty())
+  if (LoadsDelayed)
     return this->itemsToYieldFromSums(Key, LocalItems, Excess, Total.Batch);
   // The VMs withdraw their items one after the other, in an order that differs
   // between servers.
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -108,6 +108,16 @@
   return Best;
 }
 
+int PlacementPolicy::freeBatchSlots(std::string_view Service) const {
+  int Free = 0;
+  for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
+    Free += std::max(0, Server->Entry.Slots - SpareSlots - Load.Online -
+                            Load.Batch);
+  }
+  return Free;
+}
+
 const KnownServer *
 PlacementPolicy::chooseBatchServer(std::string_view Service, int ReservedSlots,
                                    std::uint64_t Random) const {
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -47,11 +47,15 @@
                                        int ReservedSlots,
                                        std::uint64_t Random = 0) const;
 
+  /// Returns the number of slots of \p Service that are free for items.
+  int freeBatchSlots(std::string_view Service) const;
+
   /// Sets whether the loads of other VMs become known late, because they are
   /// summed up. Many VMs then choose from the same counts, so that choosing the
   /// best server would send all of their requests to the same one. Each choice
   /// is made at random among the servers that are about equally good instead.
   void setLoadsDelayed(bool Delayed) { this->LoadsDelayed = Delayed; }
+  bool areLoadsDelayed() const { return this->LoadsDelayed; }
 
 private:
   /// Returns the server with the lowest cost plus a random part.
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -125,7 +125,7 @@
                    Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
                    Bench.Detector, Bench.Protocol, Bench.Log, Bench.Stats,
                    [&] { return &Bench.Settings; }, [] { return 0; },
-                   [] { return false; }, "other"});
+                   [] { return false; }, [] { return 0; }, "other"});
   const KnownJob Known = *Bench.Directory.find("j");
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -1,3 +1,4 @@
+#include "Core/Hash.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/PlacementPolicy.h"
@@ -187,3 +188,35 @@
   Servers.recordFailure("s");
   cr_assert_null(Placement.chooseBatchServer("m", 0));
 }
+
+// Replays a wave of callers over 60 VMs that all choose from the same counts,
+// before any of them sees what the others chose. Guards against sending all of
+// them to the one server with the least load.
+Test(PlacementPolicy, ManyVmsWithTheSameCountsSpreadTheirRequests) {
+  constexpr int ServerCount = 30;
+  constexpr int Slots = 7;
+  constexpr int Choices = 60;
+  std::map<std::string, int> Requests;
+  for (int Vm = 0; Vm < Choices; ++Vm) {
+    ManualClock Time;
+    ServerDirectory Servers(Time);
+    LoadTracker Loads("vm" + std::to_string(Vm));
+    FakeChannels Channels;
+    PlacementPolicy Placement(Time, Servers, Loads, Channels, "a",
+                              "vm" + std::to_string(Vm));
+    Placement.setLoadsDelayed(true);
+    LoadsByServer Sums;
+    for (int I = 0; I < ServerCount; ++I) {
+      const std::string Id = "s" + std::to_string(I);
+      Servers.update({Id, "m", "1.1.1.1:1", "a", Slots, false, 1});
+      // One server has slightly less load than the others, and one is full.
+      Sums[serverKey(Id)] = {I == 0 ? 2 : I == 1 ? 3 * Slots : 3, 0};
+    }
+    Loads.setZoneLoads("a", Sums);
+    ++Requests[Placement.placeOnlineRequest("m", {}, hash64(std::to_string(Vm)))
+                   .Server->Entry.Id];
+  }
+  for (const auto &[Server, Count] : Requests)
+    cr_assert_leq(Count, Slots, "%s got %d requests", Server.c_str(), Count);
+  cr_assert_not(Requests.contains("s1"));
+}
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -38,6 +38,7 @@
   JobStore Store{Loop, Rows, Ids, Log};
   std::int64_t StoreNow = 0;
   bool OtherVmsHaveUrgentItems = false;
+  int OtherVmsWaitingItems = 0;
   JobRunner Runner;
 
   RunnerBench()
@@ -45,7 +46,8 @@
                 Crashes, Detector, Protocol, Log, Stats,
                 [this] { return &this->Settings; },
                 [this] { return this->StoreNow; },
-                [this] { return this->OtherVmsHaveUrgentItems; }, "self"}) {
+                [this] { return this->OtherVmsHaveUrgentItems; },
+                [this] { return this->OtherVmsWaitingItems; }, "self"}) {
     Protocol.RequestId = "Id";
     Protocol.RemainingMs = "Remaining";
     Protocol.ExpectedServer = "Server";
