BatchJobs: Run a job that its owner learns of apart from the feed

The feed does not report a known version again, so an owner whose acceptance got no answer, and that then read the metadata for a reader of results, never ran the job. The new test fails without the change (Runner.owns is false) and passes with it.

Change: JobDirectory::merge keeps such changes for the next report of the feed. Items move to another server by their own pace and not after a fixed pause. A negative Last-Event-Id is no longer read as a huge number.

--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -99,7 +99,7 @@
                                              const TransactionResult &Answer) {
     this->JobsBeingRemoved.erase(JobId);
     if (Answer.Outcome != TransactionOutcome::Committed) {
-      this->Directory.update(Answer.Current);
+      this->Directory.merge(Answer.Current);
       return;
     }
     StoredRow MetadataRow;
@@ -109,7 +109,7 @@
     AdmissionRow.Key = JobDirectory::admissionKey(Route);
     AdmissionRow.Value = NewAdmissionValue;
     AdmissionRow.Version = Answer.Version;
-    this->Directory.update({MetadataRow, AdmissionRow});
+    this->Directory.merge({MetadataRow, AdmissionRow});
     this->Log.log(LogLevel::Info, "Removed an expired job.", {{"job", JobId}});
   });
 }
--- a/Source/BatchJobs/JobDirectory.cpp
+++ b/Source/BatchJobs/JobDirectory.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <set>
+#include <utility>
 
 namespace turmericpass {
 
@@ -41,7 +42,7 @@
   });
   for (const StoredRow &Row : Rows)
     this->apply(Row, Changed);
-  return Changed;
+  return this->withMergedChanges(Changed);
 }
 
 std::vector<std::string>
@@ -49,7 +50,21 @@
   std::vector<std::string> Changed;
   for (const StoredRow &Row : Rows)
     this->apply(Row, Changed);
-  return Changed;
+  return this->withMergedChanges(Changed);
+}
+
+void JobDirectory::merge(const std::vector<StoredRow> &Rows) {
+  std::vector<std::string> Changed;
+  for (const StoredRow &Row : Rows)
+    this->apply(Row, Changed);
+  this->MergedChanges.insert(Changed.begin(), Changed.end());
+}
+
+std::vector<std::string>
+JobDirectory::withMergedChanges(const std::vector<std::string> &Changed) {
+  std::set<std::string> All = std::exchange(this->MergedChanges, {});
+  All.insert(Changed.begin(), Changed.end());
+  return {All.begin(), All.end()};
 }
 
 void JobDirectory::apply(const StoredRow &Row,
--- a/Source/BatchJobs/JobDirectory.h
+++ b/Source/BatchJobs/JobDirectory.h
@@ -5,6 +5,7 @@
 #include "Rows/RowStore.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,17 @@
 public:
   explicit JobDirectory(Logger &Log) : Log(Log) {}
 
-  /// Apply the complete set of rows, or only the rows that changed. Return the
-  /// ids of the jobs that changed.
+  /// Apply the complete set of rows, or only the rows that changed, as the feed
+  /// reports them. Return the ids of the jobs that changed since the last call,
+  /// including changes by merge().
   std::vector<std::string> replace(const std::vector<StoredRow> &Rows);
   std::vector<std::string> update(const std::vector<StoredRow> &Rows);
 
+  /// Applies rows that were learned apart from the feed, from an answer to a
+  /// transaction or to a read. The next call of replace() or update() returns
+  /// their jobs, because the feed does not report a known version again.
+  void merge(const std::vector<StoredRow> &Rows);
+
   /// Returns nullptr if the job is unknown or its metadata could not be
   /// decoded.
   const KnownJob *find(const std::string &JobId) const;
@@ -68,7 +75,12 @@
   /// changed.
   void apply(const StoredRow &Row, std::vector<std::string> &Changed);
 
+  /// Returns \p Changed and the jobs that merge() changed, each once.
+  std::vector<std::string>
+  withMergedChanges(const std::vector<std::string> &Changed);
+
   Logger &Log;
+  std::set<std::string> MergedChanges;
   std::map<std::string, KnownJob> Jobs;
   std::map<std::string, Admission> Admissions;
 };
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -32,10 +32,6 @@
 /// again. It remains pending, so that it expires at the end of its retention.
 constexpr Duration BlockedItemDelay = std::chrono::seconds(20);
 
-/// A running item that receives no event for this long moves to another server.
-/// Gaps in a healthy stream are some hundred milliseconds at most.
-constexpr Duration ItemStallTimeout = std::chrono::milliseconds(1500);
-
 /// Requests that crash servers do so soon after they start. An item that
 /// received more events than this is not suspected when its server crashes.
 constexpr int MaxCrashEvents = 2;
@@ -159,23 +155,15 @@
 
 void JobRunner::preemptItems() {
   const Instant Now = this->Dependencies.Loop.clock().now();
-  std::vector<std::pair<std::uint64_t, ItemKey>> RunningItems;
-  for (auto &[JobId, Job] : this->Jobs)
-    for (std::size_t I = 0; I < Job.Items.size(); ++I) {
-      ItemRun &Run = Job.Items[I];
-      if (Run.ActiveSend != 0 && Now - Run.LastEventAt > ItemStallTimeout) {
-        this->Dependencies.Servers.recordFailure(Run.Server);
-        this->postponeItem({JobId, I}, Run, Duration(0),
-                           "the server sent no event before the stall timeout");
-      }
-      if (Run.ActiveSend != 0)
-        RunningItems.push_back({Run.LastEventId.value_or(0), {JobId, I}});
-    }
-  // Preempt the items with the fewest events, so that the others complete.
-  std::sort(RunningItems.begin(), RunningItems.end(),
-            [](const auto &A, const auto &B) { return A.first < B.first; });
-  for (const auto &[Events, Key] : RunningItems) {
+  for (const ItemKey &Key : runningItems(this->Jobs)) {
     ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
+    if (Now - Run.LastEventAt > Run.stallLimit()) {
+      ++Run.Stalls;
+      this->Dependencies.Servers.recordFailure(Run.Server);
+      this->postponeItem(Key, Run, Duration(0),
+                         "the server sent no event before the stall timeout");
+      continue;
+    }
     const KnownServer *Server = this->Dependencies.Servers.find(Run.Server);
     if (!Server || this->Dependencies.Loads.batchItemsToYield(
                        Run.Server, Server->Entry.Slots) == 0)
@@ -357,30 +345,19 @@
   if (!Run)
     return;
   this->Dependencies.Servers.recordActivity(Run->Server);
-  for (const StreamEvent &Event : Run->Events.feed(Bytes)) {
-    if (!Event.Id)
-      continue;
-    const std::uint64_t Expected = Run->LastEventId ? *Run->LastEventId + 1 : 0;
-    if (Run->LastEventId && *Event.Id != Expected) {
+  const Instant Now = this->Dependencies.Loop.clock().now();
+  for (const StreamEvent &Event : Run->Events.feed(Bytes))
+    if (!Run->appendEvent(Event, Now)) {
       // Joining the output of both sends would omit or repeat events.
-      Run->LastEventId.reset();
-      Run->Output.clear();
+      Run->discardOutput();
       this->postponeItem(Key, *Run, BrokenAnswerDelay,
                          "the event ids are not consecutive");
       return;
     }
-    if (Run->LastEventId)
-      Run->Output += '\n';
-    Run->Output += Event.Data;
-    Run->LastEventId = Event.Id;
-    ++Run->NewEvents;
-    Run->LastEventAt = this->Dependencies.Loop.clock().now();
-  }
   if (Run->Output.size() > AnswerMemory::MaxOutputBytes ||
       Run->Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes) {
     // The output of a server that does not stop is of no use.
-    Run->LastEventId.reset();
-    Run->Output.clear();
+    Run->discardOutput();
     this->Dependencies.Servers.recordFailure(Run->Server);
     this->Dependencies.Stats.add("answers_oversized_total");
     this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is too large");
@@ -449,30 +426,13 @@
   if (Job.Committing || Job.UncommittedResults.empty())
     return;
   Job.Committing = true;
-  this->commitResults(JobId, Job, Job.Metadata.Owner, {},
-                      [this, JobId](JobStore::ChangeOutcome Outcome) {
-                        this->handleCommitOutcome(JobId, Outcome);
-                      });
-}
-
-std::size_t JobRunner::commitResults(const std::string &JobId,
-                                     const OwnedJob &Job,
-                                     const std::string &Owner,
-                                     const std::vector<ItemProgress> &Progress,
-                                     JobStore::ChangeCallback Done) {
-  // After an outage, more results may wait than fit into one transaction.
-  const std::size_t Count =
-      this->Dependencies.Store.countFittingResults(Job.UncommittedResults);
-  const std::vector<ItemResult> Results(Job.UncommittedResults.begin(),
-                                        Job.UncommittedResults.begin() +
-                                            static_cast<std::ptrdiff_t>(Count));
-  JobMetadata Metadata = Job.metadataAfterCommit(Count);
-  Metadata.Owner = Owner;
-  this->Dependencies.Store.updateJob(
-      JobId, Metadata, Job.Version, Results, Job.Metadata.CommittedItems,
-      Progress, this->Dependencies.Loop.clock().now() + CommitTimeout,
-      this->Dependencies.Directory, std::move(Done));
-  return Count;
+  this->Dependencies.Store.commitResults(
+      JobId, Job, Job.Metadata.Owner, {},
+      this->Dependencies.Loop.clock().now() + CommitTimeout,
+      this->Dependencies.Directory,
+      [this, JobId](JobStore::ChangeOutcome Outcome) {
+        this->handleCommitOutcome(JobId, Outcome);
+      });
 }
 
 void JobRunner::handleCommitOutcome(const std::string &JobId,
@@ -519,8 +479,10 @@
     for (ItemRun &Run : Job.Items)
       this->stopItem(Run, true);
     const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
-    const std::size_t Committed = this->commitResults(
-        JobId, Job, "", Progress, [](JobStore::ChangeOutcome) {});
+    const std::size_t Committed = this->Dependencies.Store.commitResults(
+        JobId, Job, "", Progress,
+        this->Dependencies.Loop.clock().now() + CommitTimeout,
+        this->Dependencies.Directory, [](JobStore::ChangeOutcome) {});
     this->Dependencies.Log.log(LogLevel::Info, "Released a job to other VMs.",
                                {{"job", JobId},
                                 {"begun", Progress.size()},
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -119,12 +119,6 @@
                   std::string_view Reason);
   /// Starts to commit results of the job unless a commit is in flight already.
   void startCommit(const std::string &JobId);
-  /// Commits as many uncommitted results as fit into one transaction and sets
-  /// the owner of the job to \p Owner. Returns the number of results.
-  std::size_t commitResults(const std::string &JobId, const OwnedJob &Job,
-                            const std::string &Owner,
-                            const std::vector<ItemProgress> &Progress,
-                            JobStore::ChangeCallback Done);
   void handleCommitOutcome(const std::string &JobId,
                            JobStore::ChangeOutcome Outcome);
   const RouteSettings *routeOf(const OwnedJob &Job) const;
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -1,5 +1,7 @@
 #include "BatchJobs/JobStore.h"
 
+#include "BatchJobs/OwnedJob.h"
+
 #include "BatchJobs/JobData.h"
 #include "Core/IdSource.h"
 #include "Loop/EventLoop.h"
@@ -158,6 +160,25 @@
   return Fitting;
 }
 
+std::size_t JobStore::commitResults(const std::string &JobId,
+                                    const OwnedJob &Job,
+                                    const std::string &Owner,
+                                    const std::vector<ItemProgress> &Progress,
+                                    Instant Deadline, JobDirectory &Directory,
+                                    ChangeCallback Done) {
+  // After an outage, more results may wait than fit into one transaction.
+  const std::size_t Count = this->countFittingResults(Job.UncommittedResults);
+  const std::vector<ItemResult> Results(Job.UncommittedResults.begin(),
+                                        Job.UncommittedResults.begin() +
+                                            static_cast<std::ptrdiff_t>(Count));
+  JobMetadata Metadata = Job.metadataAfterCommit(Count);
+  Metadata.Owner = Owner;
+  this->updateJob(JobId, Metadata, Job.Version, Results,
+                  Job.Metadata.CommittedItems, Progress, Deadline, Directory,
+                  std::move(Done));
+  return Count;
+}
+
 void JobStore::updateJob(const std::string &JobId, const JobMetadata &Metadata,
                          std::uint64_t Version,
                          const std::vector<ItemResult> &Results,
@@ -240,10 +261,10 @@
       if (Row.Table == JobTable)
         Written.push_back(
             {Row.Table, Part, Row.Key, Row.Value, Answer.Version, false});
-    Pending.Directory->update(Written);
+    Pending.Directory->merge(Written);
     Outcome = ChangeOutcome::Done;
   } else if (Answer.Outcome == TransactionOutcome::Conflict) {
-    Pending.Directory->update(Answer.Current);
+    Pending.Directory->merge(Answer.Current);
     const KnownJob *Known = Pending.Directory->find(Pending.JobId);
     Outcome = Known && Known->Metadata.WriteId == Pending.WriteId
                   ? ChangeOutcome::Done
@@ -274,7 +295,7 @@
       Done(tl::make_unexpected(Page.error()));
       return;
     }
-    Directory.update(Page->Rows);
+    Directory.merge(Page->Rows);
     if (Page->Rows.empty())
       Done(failure(ErrorCode::NotFound, "There is no job " + JobId + "."));
     else if (const KnownJob *Known = Directory.find(JobId))
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -11,6 +11,8 @@
 
 namespace turmericpass {
 
+struct OwnedJob;
+
 class EventLoop;
 class IdSource;
 class Logger;
@@ -59,6 +61,14 @@
   /// transaction. The number is at least 1 unless \p Results is empty.
   std::size_t countFittingResults(const std::vector<ItemResult> &Results) const;
 
+  /// Commits as many uncommitted results of \p Job as fit into one transaction
+  /// and sets the owner of the job to \p Owner. Returns the number of results.
+  std::size_t commitResults(const std::string &JobId, const OwnedJob &Job,
+                            const std::string &Owner,
+                            const std::vector<ItemProgress> &Progress,
+                            Instant Deadline, JobDirectory &Directory,
+                            ChangeCallback Done);
+
   /// Replaces the job's metadata if it still has \p Version. The same
   /// transaction writes \p Results to the positions from \p First on, and as
   /// much of \p Progress as fits. Retries until \p Deadline.
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -6,6 +6,43 @@
 
 namespace {
 
+/// Gaps in a healthy stream are some hundred milliseconds at most.
+constexpr Duration MinStallTime = std::chrono::milliseconds(1500);
+constexpr int MaxStallDoublings = 4;
+/// The number of longest gaps that a pause may last.
+constexpr int LongestGaps = 4;
+
+} // namespace
+
+bool ItemRun::appendEvent(const StreamEvent &Event, Instant Now) {
+  if (!Event.Id)
+    return true;
+  if (this->LastEventId && *Event.Id != *this->LastEventId + 1)
+    return false;
+  if (this->LastEventId)
+    this->Output += '\n';
+  this->Output += Event.Data;
+  this->LastEventId = Event.Id;
+  // The time before the first event is spent in the queue of the server.
+  if (this->NewEvents++ > 0)
+    this->LongestGap = std::max(this->LongestGap, Now - this->LastEventAt);
+  this->LastEventAt = Now;
+  return true;
+}
+
+void ItemRun::discardOutput() {
+  this->LastEventId.reset();
+  this->Output.clear();
+}
+
+Duration ItemRun::stallLimit() const {
+  const int Doublings = std::min(this->Stalls, MaxStallDoublings);
+  return std::max<Duration>(MinStallTime * (1 << Doublings),
+                            this->LongestGap * LongestGaps);
+}
+
+namespace {
+
 /// The largest output that is saved as progress. An item with more output
 /// starts from the beginning if its VM is lost.
 constexpr std::size_t MaxProgressBytes = std::size_t{40} << 10U;
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -51,6 +51,20 @@
   Duration RunTime{0};
   /// The number of events received in response to the current send.
   int NewEvents = 0;
+  /// How often the item moved because its server sent no event.
+  int Stalls = 0;
+  /// The longest time between two events.
+  Duration LongestGap{0};
+
+  /// Appends an event that arrived at \p Now to the output. Returns false and
+  /// does nothing if its id does not follow that of the last one.
+  bool appendEvent(const StreamEvent &Event, Instant Now);
+  /// Discards the output, so that the item starts from the beginning.
+  void discardOutput();
+  /// Returns the time without an event after which the item moves to another
+  /// server. The limit grows with each move and with the pace of the events, so
+  /// that an item also completes when all servers are slow.
+  Duration stallLimit() const;
 };
 
 /// A job that this VM owns.
--- a/Source/BatchJobs/WaitingItems.cpp
+++ b/Source/BatchJobs/WaitingItems.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace turmericpass {
 
@@ -32,4 +33,19 @@
   return Ordered;
 }
 
+std::vector<ItemKey> runningItems(const std::map<std::string, OwnedJob> &Jobs) {
+  std::vector<std::pair<std::uint64_t, ItemKey>> Running;
+  for (const auto &[JobId, Job] : Jobs)
+    for (std::size_t I = 0; I < Job.Items.size(); ++I)
+      if (Job.Items[I].ActiveSend != 0)
+        Running.push_back({Job.Items[I].LastEventId.value_or(0), {JobId, I}});
+  std::sort(Running.begin(), Running.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<ItemKey> Ordered;
+  Ordered.reserve(Running.size());
+  for (auto &[Events, Key] : Running)
+    Ordered.push_back(std::move(Key));
+  return Ordered;
+}
+
 } // namespace turmericpass
--- a/Source/BatchJobs/WaitingItems.h
+++ b/Source/BatchJobs/WaitingItems.h
@@ -21,6 +21,10 @@
 std::vector<ItemKey> waitingItems(const std::map<std::string, OwnedJob> &Jobs,
                                   Instant Now);
 
+/// Returns the running items of \p Jobs in the order in which to preempt them:
+/// those with the fewest events first, so that the others complete.
+std::vector<ItemKey> runningItems(const std::map<std::string, OwnedJob> &Jobs);
+
 } // namespace turmericpass
 
 #endif
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -5,24 +5,19 @@
 #include "Serving/CrashCounter.h"
 #include "Serving/CrashDetector.h"
 #include "Serving/LoadTracker.h"
+#include "Serving/OnlineRequest.h"
 #include "Serving/PlacementPolicy.h"
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Logger.h"
 #include "Telemetry/Metrics.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace turmericpass {
 
 namespace {
 
-/// The time limit for a new connection to a server. The latency between zones
-/// is one or two milliseconds. A lost first packet is retransmitted only after
-/// a second.
-constexpr Duration ConnectTime = std::chrono::milliseconds(400);
-
 /// A send is started only if at least this time is left before the deadline.
 constexpr Duration MinTimeToSend = std::chrono::milliseconds(10);
 
@@ -37,19 +32,6 @@
 /// The retry delay that a refused caller is told if no better estimate exists.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(300);
 
-std::optional<std::int64_t> parseNumber(std::string_view Text) {
-  std::int64_t Number = 0;
-  const char *End = Text.data() + Text.size();
-  if (Text.empty() || std::from_chars(Text.data(), End, Number).ptr != End)
-    return std::nullopt;
-  return Number;
-}
-
-std::string formatSeconds(Duration Value) {
-  std::string Text = std::to_string(toMillis(Value) / 1000.0);
-  return Text.substr(0, Text.find('.') + 3);
-}
-
 } // namespace
 
 OnlineService::OnlineService(OnlineServiceDependencies Dependencies)
@@ -69,13 +51,13 @@
       CrashCounter::fingerprint(Call.Request.Target, Call.Request.Body);
   Call.ArrivedAt = this->Dependencies.Loop.clock().now();
   Call.Deadline = Call.ArrivedAt + Route.Timeout;
-  if (const auto LimitMs = parseNumber(
+  if (const auto LimitMs = parseHeaderNumber(
           rawHeader(Headers, this->Dependencies.Protocol.RemainingMs)))
     Call.CallerTimeLimit = std::chrono::milliseconds(*LimitMs);
   if (Call.CallerTimeLimit)
     Call.Deadline =
         std::min(Call.Deadline, Call.ArrivedAt + *Call.CallerTimeLimit);
-  if (const auto LastId = parseNumber(
+  if (const auto LastId = parseHeaderNumber(
           rawHeader(Headers, this->Dependencies.Protocol.LastEventId)))
     Call.LastEventId = static_cast<std::uint64_t>(*LastId);
   this->Calls.emplace(Caller, std::move(NewCall));
@@ -98,36 +80,6 @@
   return Call == this->Calls.end() ? nullptr : Call->second.get();
 }
 
-BackendRequest OnlineService::makeSendOrder(const OnlineCall &Call,
-                                            const std::string &Server,
-                                            const std::string &Address) const {
-  const BackendProtocol &Protocol = this->Dependencies.Protocol;
-  BackendRequest Order;
-  Order.Address = Address;
-  Order.ConnectTime = ConnectTime;
-  Order.EchoHeader = Protocol.RequestId;
-  Order.EchoValue = Call.RequestId;
-  Order.Request.Method = Call.Request.Method;
-  Order.Request.Target = Call.Request.Target;
-  Order.Request.Body = Call.Request.Body;
-  for (const auto &[Name, Value] : Call.Request.Headers)
-    if (!isHopByHop(Name) && !equalsIgnoringCase(Name, "Content-Length") &&
-        !equalsIgnoringCase(Name, Protocol.RemainingMs) &&
-        !equalsIgnoringCase(Name, Protocol.LastEventId) &&
-        !equalsIgnoringCase(Name, Protocol.ExpectedServer))
-      Order.Request.Headers.emplace_back(Name, Value);
-  const Duration Remaining =
-      Call.Deadline - this->Dependencies.Loop.clock().now();
-  Order.Request.Headers.emplace_back(
-      Protocol.RemainingMs,
-      std::to_string(std::max<std::int64_t>(1, Remaining.count() / 1000)));
-  Order.Request.Headers.emplace_back(Protocol.ExpectedServer, Server);
-  if (Call.LastEventId)
-    Order.Request.Headers.emplace_back(Protocol.LastEventId,
-                                       std::to_string(*Call.LastEventId));
-  return Order;
-}
-
 void OnlineService::sendToServer(OnlineCall &Call) {
   const Placement Choice = this->Dependencies.Placement.placeOnlineRequest(
       Call.Service, Call.TriedServers, this->Dependencies.Ids.number());
@@ -165,7 +117,9 @@
   Call.SentAt = Now;
   ++Call.PossibleRuns;
   Call.ActiveSend = this->Dependencies.Channels.send(
-      this->makeSendOrder(Call, Call.Server, Server->Entry.Address), *this);
+      makeOnlineRequest(Call, Call.Server, Server->Entry.Address,
+                        this->Dependencies.Protocol, Now),
+      *this);
   this->Sends.emplace(Call.ActiveSend, Call.Caller);
   this->Dependencies.Loads.addOnlineRequest(Call.Server);
   Call.Stall.start(Now);
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -63,9 +63,6 @@
 
   OnlineCall *findCall(SendId Id);
   void sendToServer(OnlineCall &Call);
-  BackendRequest makeSendOrder(const OnlineCall &Call,
-                               const std::string &Server,
-                               const std::string &Address) const;
   /// Ends the send in progress, if there is one, and removes it from the load.
   void endSend(OnlineCall &Call, bool CloseConnection);
   /// Sends the request to another server if that is allowed, or fails it.
--- a/Tests/BatchJobs/ItemSchedulingPolicyTest.cpp
+++ b/Tests/BatchJobs/ItemSchedulingPolicyTest.cpp
@@ -71,3 +71,24 @@
   cr_assert(waitingItems(Jobs, Instant(1s)).empty());
   cr_assert_eq(waitingItems(Jobs, Instant(2s)).size(), 1);
 }
+
+// Guards against an item that moves from server to server without end, because
+// all of them send events more slowly than a fixed limit allows.
+Test(ItemRun, StallLimitFollowsThePaceOfTheItem) {
+  ManualClock Time;
+  ItemRun Run;
+  Run.LastEventAt = Time.now();
+  cr_assert(Run.stallLimit() == Duration(1500ms));
+  ++Run.Stalls;
+  cr_assert(Run.stallLimit() == Duration(3s));
+  for (std::uint64_t Id = 0; Id < 2; ++Id) {
+    Time.advance(2s);
+    StreamEvent Event;
+    Event.Id = Id;
+    cr_assert(Run.appendEvent(Event, Time.now()));
+  }
+  cr_assert(Run.stallLimit() == Duration(8s));
+  StreamEvent Gap;
+  Gap.Id = 7;
+  cr_assert_not(Run.appendEvent(Gap, Time.now()));
+}
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -319,3 +319,40 @@
                   .empty());
   }
 }
+
+// Guards against a job that its owner never runs: the answer to its acceptance
+// was lost, and then a reader of its results made the owner learn of it before
+// the feed did. The feed does not report a known version again.
+Test(JobRunner, JobLearnedFromAReadIsRun) {
+  RunnerBench Bench;
+  Bench.Rows.Faults = {RowFault::AnswerLost};
+  Bench.Rows.Faults.insert(Bench.Rows.Faults.end(), 60, RowFault::Refused);
+  JobMetadata Metadata;
+  Metadata.Host = "h";
+  Metadata.Target = "/";
+  Metadata.Route = "jobs";
+  Metadata.Owner = "self";
+  Metadata.Epoch = 1;
+  Metadata.TotalItems = 1;
+  std::optional<JobStore::ChangeOutcome> Accepted;
+  Bench.Store.acceptJob(
+      "j", Metadata, {{"item", "/x", {}, "body", 10}},
+      Bench.Time.now() + std::chrono::milliseconds(300), Bench.Directory,
+      [&](JobStore::ChangeOutcome Outcome) { Accepted = Outcome; });
+  cr_assert(runUntil(Bench.Loop, [&] { return Accepted.has_value(); }));
+  cr_assert_eq(*Accepted, JobStore::ChangeOutcome::Unknown);
+  bool Read = false;
+  Bench.Store.readMetadata(
+      "j", Bench.Directory,
+      [&](const Result<const KnownJob *> &Known) { Read = Known.has_value(); });
+  cr_assert(runUntil(Bench.Loop, [&] { return Read; }));
+  cr_assert_not(Bench.Runner.owns("j"));
+  std::optional<RowPage> Listed;
+  RowRange Range;
+  Range.Table = JobStore::JobTable;
+  Range.Part = JobStore::Part;
+  Bench.Rows.read(Range, [&](Result<RowPage> Page) { Listed = *Page; });
+  cr_assert(runUntil(Bench.Loop, [&] { return Listed.has_value(); }));
+  Bench.Runner.handleJobChanges(Bench.Directory.replace(Listed->Rows));
+  cr_assert(Bench.Runner.owns("j"));
+}
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -1,3 +1,4 @@
+#include "Serving/OnlineRequest.h"
 #include "Support/OnlineBench.h"
 
 #include <criterion/criterion.h>
@@ -200,3 +201,11 @@
     Bench.Channels.done(Id + 1);
   }
 }
+
+// Checks that a negative number in a header is not taken for a huge one.
+Test(OnlineRequest, NegativeNumbersAreNotRead) {
+  cr_assert_not(parseHeaderNumber("-1"));
+  cr_assert_not(parseHeaderNumber("1x"));
+  cr_assert_not(parseHeaderNumber(""));
+  cr_assert_eq(*parseHeaderNumber("12"), 12);
+}
