Loop, RawHttp, Node: Survive unexpected errors, and read changes less often

Cause: an exception that left a callback ended the process, or would have left libevent inconsistent. While 158 servers register, each of 295 VMs read every change with a call of its own (most of 68,000 calls in the first 27 s).

Change: the event loop catches exceptions, logs and counts them (unexpected_errors_total); only the connection concerned ends, and feeds and ticks go on. The interval of reads of settings and servers grows with the number of VMs, up to 250 ms.

--- a/Source/Loop/EventLoop.cpp
+++ b/Source/Loop/EventLoop.cpp
@@ -78,7 +78,7 @@
   Callback Action = FiredWatch->Action;
   if (!FiredWatch->Repeat)
     Loop.Watches.erase(FiredWatch->Id);
-  Action();
+  Loop.runProtected(Action);
 }
 
 WatchId EventLoop::after(Duration Delay, Callback Action) {
--- a/Source/Loop/EventLoop.h
+++ b/Source/Loop/EventLoop.h
@@ -4,9 +4,12 @@
 #include "Core/Clock.h"
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
+#include <utility>
 
 struct event;
 struct event_base;
@@ -43,6 +46,27 @@
   /// Cancels the watch with id \p Id; unknown ids are ignored.
   void cancel(WatchId Id);
 
+  using ErrorHandler = std::function<void(std::string_view What)>;
+
+  /// Sets the function that is told of exceptions that leave a callback. The
+  /// loop goes on after them.
+  void setErrorHandler(ErrorHandler Handler) {
+    this->OnError = std::move(Handler);
+  }
+
+  /// Calls \p Action, which a C library would otherwise call directly. Returns
+  /// false if an exception left it.
+  template <typename F> bool runProtected(F &&Action) {
+    try {
+      Action();
+      return true;
+    } catch (const std::exception &Thrown) {
+      if (this->OnError)
+        this->OnError(Thrown.what());
+      return false;
+    }
+  }
+
   /// Runs until stop() is called.
   void run();
 
@@ -65,6 +89,7 @@
                    Callback Action);
 
   const Clock &Time;
+  ErrorHandler OnError;
   event_base *Base;
   std::map<WatchId, std::unique_ptr<Watch>> Watches;
   WatchId NextId = 1;
--- a/Source/Node/NodeTimes.h
+++ b/Source/Node/NodeTimes.h
@@ -61,9 +61,23 @@
 inline constexpr Duration ExitMargin = std::chrono::milliseconds(300);
 inline constexpr Duration StopCheckPeriod = std::chrono::milliseconds(100);
 
-/// The minimum interval between two reads of changed rows. Changes of the
-/// settings and leaving servers must be in effect within two seconds.
-inline constexpr Duration UrgentChangeInterval = std::chrono::milliseconds(15);
+/// The minimum interval between two reads of changed settings and servers,
+/// which must be in effect within two seconds. While servers register or are
+/// replaced, every VM makes a call for each change, so the interval grows with
+/// the number of VMs.
+inline constexpr Duration MinUrgentChangeInterval =
+    std::chrono::milliseconds(15);
+inline constexpr Duration MaxUrgentChangeInterval =
+    std::chrono::milliseconds(250);
+inline constexpr Duration UrgentChangeIntervalPerNode =
+    std::chrono::microseconds(700);
+
+/// Returns the interval between two reads of changed settings and servers if
+/// there are \p OtherNodes other VMs.
+constexpr Duration urgentChangeInterval(int OtherNodes) {
+  return std::clamp<Duration>(UrgentChangeIntervalPerNode * OtherNodes,
+                              MinUrgentChangeInterval, MaxUrgentChangeInterval);
+}
 
 /// The minimum interval between two reads of changed jobs. The metadata of a
 /// job changes with each result, and every VM reads every change, so the
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -83,7 +83,7 @@
               this->Config.JobRetention + RetentionMargin),
       SettingsFeed(Dependencies.Loop, Dependencies.Store, Dependencies.Log,
                    Dependencies.Adapter.tables().SettingsTable, "",
-                   UrgentChangeInterval,
+                   MinUrgentChangeInterval,
                    {[this](const std::vector<StoredRow> &Rows, bool) {
                       this->handleSettingsRows(Rows);
                     },
@@ -92,7 +92,7 @@
                     }}),
       ServerFeed(Dependencies.Loop, Dependencies.Store, Dependencies.Log,
                  Dependencies.Adapter.tables().ServersTable, "",
-                 UrgentChangeInterval,
+                 MinUrgentChangeInterval,
                  {[this](const std::vector<StoredRow> &Rows, bool AfterGap) {
                     this->replaceServers(Rows, AfterGap);
                   },
@@ -111,8 +111,7 @@
                Dependencies.Log, this->registration(),
                [this](std::vector<ListedNode> Nodes) {
                  this->Peers.setListedNodes(std::move(Nodes));
-                 this->JobFeed.setChangePause(
-                     jobChangeInterval(this->Peers.count()));
+                 this->updateFeedIntervals();
                  this->updateConnectionLimits();
                }),
       Exchange({Dependencies.Loop, Dependencies.Ids, Dependencies.Log,
@@ -143,6 +142,11 @@
             this->ViewServer.listen(this->Config.ControlAddress);
         !Status)
       return Status;
+  this->Dependencies.Loop.setErrorHandler([this](std::string_view What) {
+    this->Stats.add("unexpected_errors_total");
+    this->Dependencies.Log.log(LogLevel::Error, "An unexpected error occurred.",
+                               {{"reason", What}});
+  });
   this->SettingsFeed.start();
   this->ServerFeed.start();
   this->JobFeed.start();
@@ -362,6 +366,13 @@
   this->Api.handleJobChanges(ChangedJobs);
 }
 
+void ServingNode::updateFeedIntervals() {
+  const int OtherNodes = this->Peers.count();
+  this->JobFeed.setChangePause(jobChangeInterval(OtherNodes));
+  this->ServerFeed.setChangePause(urgentChangeInterval(OtherNodes));
+  this->SettingsFeed.setChangePause(urgentChangeInterval(OtherNodes));
+}
+
 PeerDigest ServingNode::makeDigest() const {
   PeerDigest Digest;
   Digest.Incarnation = this->Self;
@@ -377,13 +388,14 @@
 }
 
 void ServingNode::tick() {
-  this->Placement.setLoadsDelayed(this->Peers.usesAggregation());
-  this->Runner.schedule();
-  this->Exchange.tick();
   const bool IsIdle =
       this->Runner.ownedJobCount() == 0 && this->Peers.usesAggregation();
+  // The next tick is set first, so that it also comes after an error.
   this->Dependencies.Loop.after(IsIdle ? IdleTickPeriod : SchedulePeriod,
                                 [this] { this->tick(); });
+  this->Placement.setLoadsDelayed(this->Peers.usesAggregation());
+  this->Runner.schedule();
+  this->Exchange.tick();
 }
 
 void ServingNode::takeOverJobs() {
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -74,6 +74,7 @@
   /// Returns this VM as the others see it.
   ListedNode registration() const;
   PeerDigest makeDigest() const;
+  void updateFeedIntervals();
   void tick();
   void takeOverJobs();
   void deleteExpiredJobs();
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -68,11 +68,14 @@
   bufferevent_setcb(
       this->Channel,
       [](bufferevent *, void *Self) {
-        static_cast<BackendConnection *>(Self)->processInput();
+        static_cast<BackendConnection *>(Self)->handleInput();
       },
       nullptr,
       [](bufferevent *, short Events, void *Self) {
-        static_cast<BackendConnection *>(Self)->handleEvent(Events);
+        auto &Connection = *static_cast<BackendConnection *>(Self);
+        // The connection may be gone after the event.
+        EventLoop &Loop = Connection.Owner.Loop;
+        Loop.runProtected([&] { Connection.handleEvent(Events); });
       },
       this);
   const Result<sockaddr_in> Parsed = parseSocketAddress(this->Address);
@@ -176,6 +179,19 @@
              Events & BEV_EVENT_EOF ? "closed by the server" : "reset");
 }
 
+void BackendConnection::handleInput() {
+  TcpBackendChannels &Channels = this->Owner;
+  const std::uint64_t OwnId = this->Id;
+  if (Channels.Loop.runProtected([this] { this->processInput(); }))
+    return;
+  // Other connections are not affected by an error of this one.
+  const auto Found = Channels.Connections.find(OwnId);
+  if (Found == Channels.Connections.end())
+    return;
+  this->ProcessingInput = false;
+  this->fail(SendFailure::AnswerTruncated, "the answer could not be processed");
+}
+
 void BackendConnection::processInput() {
   evbuffer *Input = bufferevent_get_input(this->Channel);
   if (this->CurrentSend == 0) {
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -41,6 +41,8 @@
 
   void connect();
   void writeRequest();
+  /// Processes the input, and ends the connection if that fails unexpectedly.
+  void handleInput();
   void processInput();
   void handleEvent(short Events);
   void fail(SendFailure Failure, std::string_view Detail);
--- a/Source/RawHttp/CallerConnection.cpp
+++ b/Source/RawHttp/CallerConnection.cpp
@@ -42,14 +42,19 @@
   bufferevent_setcb(
       this->Channel,
       [](bufferevent *, void *Self) {
-        static_cast<CallerConnection *>(Self)->processInput();
+        static_cast<CallerConnection *>(Self)->handleInput();
       },
       [](bufferevent *, void *Self) {
-        static_cast<CallerConnection *>(Self)->handleOutputWritten();
+        auto &Connection = *static_cast<CallerConnection *>(Self);
+        // The connection may be gone after the event.
+        EventLoop &Loop = Connection.Server.Loop;
+        Loop.runProtected([&] { Connection.handleOutputWritten(); });
       },
       [](bufferevent *, short Events, void *Self) {
+        auto &Connection = *static_cast<CallerConnection *>(Self);
+        EventLoop &Loop = Connection.Server.Loop;
         if (Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-          static_cast<CallerConnection *>(Self)->handleDisconnect();
+          Loop.runProtected([&] { Connection.handleDisconnect(); });
       },
       this);
   bufferevent_setwatermark(this->Channel, EV_WRITE, OutputLowMark, 0);
@@ -64,6 +69,18 @@
          evbuffer_get_length(bufferevent_get_input(this->Channel)) == 0;
 }
 
+void CallerConnection::handleInput() {
+  CallerServer &Owner = this->Server;
+  const std::uint64_t OwnId = this->Id;
+  if (Owner.Loop.runProtected([this] { this->processInput(); }) ||
+      !Owner.Connections.contains(OwnId))
+    return;
+  // Other connections are not affected by an error of this one. The request
+  // may have run, so the connection is closed without an answer.
+  this->ProcessingInput = false;
+  this->handleDisconnect();
+}
+
 void CallerConnection::processInput() {
   evbuffer *Input = bufferevent_get_input(this->Channel);
   if (this->CurrentPhase == Phase::Lingering ||
--- a/Source/RawHttp/CallerConnection.h
+++ b/Source/RawHttp/CallerConnection.h
@@ -49,6 +49,8 @@
   void onBody(std::string_view Bytes) override;
   void onMessageComplete() override;
 
+  /// Processes the input, and ends the connection if that fails unexpectedly.
+  void handleInput();
   void processInput();
   void rejectRequest(int Status);
   void handleOutputWritten();
--- a/Source/Rows/RowFeed.cpp
+++ b/Source/Rows/RowFeed.cpp
@@ -95,8 +95,11 @@
     }
     this->Version = this->ListVersion;
     this->IsListed = true;
-    this->RowHandlers.OnListed(std::exchange(this->Rows, {}),
-                               std::exchange(this->HadOutage, false));
+    // An error in a handler must not end the feed.
+    this->Loop.runProtected([this] {
+      this->RowHandlers.OnListed(std::exchange(this->Rows, {}),
+                                 std::exchange(this->HadOutage, false));
+    });
     this->followChanges();
   });
 }
@@ -119,7 +122,8 @@
           this->followChanges();
           return;
         }
-        this->RowHandlers.OnChanged(Page->Rows);
+        this->Loop.runProtected(
+            [&] { this->RowHandlers.OnChanged(Page->Rows); });
         this->Loop.after(this->ChangePause, [this] { this->followChanges(); });
       });
 }
--- a/Tests/RawHttp/CallerServerTest.cpp
+++ b/Tests/RawHttp/CallerServerTest.cpp
@@ -4,7 +4,9 @@
 #include "Support/RawPeer.h"
 #include "Support/RunUntil.h"
 
+#include <chrono>
 #include <criterion/criterion.h>
+#include <stdexcept>
 #include <vector>
 
 using namespace turmericpass;
@@ -15,6 +17,8 @@
   std::vector<std::pair<CallerId, RawRequest>> Requests;
   std::vector<CallerId> Disconnected;
   void requestReceived(CallerId Id, RawRequest Request) override {
+    if (Request.Target == "/throws")
+      throw std::runtime_error("thrown by the test");
     this->Requests.emplace_back(Id, std::move(Request));
   }
   void callerDisconnected(CallerId Id) override {
@@ -135,3 +139,72 @@
   B.Server.closeIdleConnections();
   cr_assert(runUntil(B.Loop, [&] { return Idle.read(); }));
 }
+
+// Guards against one unexpected error that takes the process, or the other
+// connections, down.
+Test(CallerServer, UnexpectedErrorEndsOneConnectionOnly) {
+  Bench B;
+  int Errors = 0;
+  B.Loop.setErrorHandler([&](std::string_view) { ++Errors; });
+  RawPeer Other;
+  Other.connect(B.Port);
+  Other.write("GET /1 HTTP/1.1\r\n\r\n");
+  cr_assert(B.requests(1));
+  B.Caller.write("GET /throws HTTP/1.1\r\n\r\n");
+  cr_assert(B.closed());
+  cr_assert_eq(Errors, 1);
+  B.Loop.after(Duration(0), [] { throw std::runtime_error("in a timer"); });
+  cr_assert(runUntil(B.Loop, [&] { return Errors == 2; }));
+  B.Server.reply(B.Recorder.Requests[0].first, 200, {}, "alive");
+  cr_assert(runUntil(B.Loop, [&] {
+    Other.read();
+    return Other.Received.ends_with("alive");
+  }));
+}
+
+// Guards against a body without end: it is refused as soon as it exceeds the
+// limit, and the connection does not stay open for the rest.
+Test(CallerServer, BodyWithoutEndIsRefusedAtOnce) {
+  Bench B;
+  CallerLimits Limits;
+  Limits.BodyBytes = 1000;
+  B.Server.setLimits(Limits);
+  B.Caller.write("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string Chunk = "64\r\n" + std::string(100, 'x') + "\r\n";
+  cr_assert(runUntil(B.Loop, [&] {
+    B.Caller.writeSome(Chunk);
+    B.Caller.read();
+    return B.Caller.Received.starts_with("HTTP/1.1 413 ");
+  }));
+  cr_assert(runUntil(B.Loop, [&] { return B.Server.openConnections() == 0; }));
+}
+
+// Guards against a caller that holds a request open by a byte now and then,
+// while one that sends slowly but steadily is served.
+Test(CallerServer, TricklingRequestTimesOut) {
+  Bench B;
+  CallerLimits Limits;
+  Limits.RequestTime = std::chrono::milliseconds(700);
+  B.Server.setLimits(Limits);
+  RawPeer Head;
+  Head.connect(B.Port);
+  Head.write("GET /1 HTTP/1.1\r\nA: ");
+  RawPeer Body;
+  Body.connect(B.Port);
+  Body.write("POST /2 HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+  RawPeer Steady;
+  Steady.connect(B.Port);
+  Steady.write("POST /3 HTTP/1.1\r\nContent-Length: 6000\r\n\r\n");
+  const std::string Piece(600, 'x');
+  for (int Step = 0; Step < 10; ++Step) {
+    Head.writeSome("x");
+    Body.writeSome("x");
+    Steady.writeSome(Piece);
+    runFor(B.Loop, std::chrono::milliseconds(200));
+  }
+  cr_assert(runUntil(B.Loop, [&] { return Head.read() && Body.read(); }));
+  cr_assert(Head.Received.starts_with("HTTP/1.1 408 "));
+  cr_assert(Body.Received.starts_with("HTTP/1.1 408 "));
+  cr_assert(B.requests(1));
+  cr_assert_str_eq(B.Recorder.Requests[0].second.Target.c_str(), "/3");
+}
