--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -91,6 +91,7 @@
   }
   Job->Items = std::move(*Items);
   Job->MaxWaitingTokens = Route.MaxWaitingTokens;
+  Job->SettingsVersion = Route.SettingsVersion;
   Job->ArrivedAt = this->Dependencies.Loop.clock().now();
   Duration TimeLimit = DefaultSubmitTimeout;
   const std::string_view RemainingText =
@@ -158,6 +159,7 @@
         LogLevel::Info, "Accepted a job.",
         {{"job", Job->JobId},
          {"route", Job->Metadata.Route},
+         {"settings_version", Job->SettingsVersion},
          {"items", Job->Metadata.TotalItems},
          {"tokens", Job->Metadata.TotalTokens},
          {"took_ms",
--- a/Source/BatchJobs/JobApi.h
+++ b/Source/BatchJobs/JobApi.h
@@ -67,6 +67,7 @@
     JobMetadata Metadata;
     std::vector<JobItem> Items;
     std::uint64_t MaxWaitingTokens = 0;
+    std::uint64_t SettingsVersion = 0;
     Instant Deadline;
     Instant ArrivedAt;
   };
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -403,15 +403,18 @@
                            std::string_view Reason) {
   Run.State = ItemState::Finished;
   OwnedJob &Job = this->Jobs.at(Key.JobId);
-  this->Dependencies.Log.log(LogLevel::Info, "An item finished.",
-                             {{"job", Key.JobId},
-                              {"item", Run.Item.Id},
-                              {"server", Run.Server},
-                              {"succeeded", Succeeded},
-                              {"failures", Run.Failures},
-                              {"age_ms", this->Dependencies.StoreMillis() -
-                                             Job.Metadata.AcceptedAtMillis},
-                              {"reason", Reason}});
+  const RouteSettings *Route = this->routeOf(Job);
+  this->Dependencies.Log.log(
+      LogLevel::Info, "An item finished.",
+      {{"job", Key.JobId},
+       {"item", Run.Item.Id},
+       {"server", Run.Server},
+       {"settings_version", Route ? Route->SettingsVersion : 0},
+       {"succeeded", Succeeded},
+       {"failures", Run.Failures},
+       {"age_ms",
+        this->Dependencies.StoreMillis() - Job.Metadata.AcceptedAtMillis},
+       {"reason", Reason}});
   this->Dependencies.Stats.add(std::string("items_total{succeeded=\"") +
                                (Succeeded ? "true" : "false") + "\"}");
   Job.UncommittedResults.push_back(
--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -156,4 +156,28 @@
   return Config;
 }
 
+ChangedKeys changedKeys(const NodeConfig &Before, const NodeConfig &After) {
+  ChangedKeys Changed;
+  const auto Add = [](std::string &Keys, bool Differs, std::string_view Key) {
+    if (Differs)
+      Keys.append(Keys.empty() ? "" : " ").append(Key);
+  };
+  Add(Changed.InEffect, Before.Seeds != After.Seeds, "seeds");
+  Add(Changed.InEffect, Before.StopTimeout != After.StopTimeout, "stop_time_s");
+  std::string &Later = Changed.AfterRestart;
+  Add(Later, Before.Name != After.Name, "node");
+  Add(Later, Before.Zone != After.Zone, "zone");
+  Add(Later, Before.Ip != After.Ip, "ip");
+  Add(Later, Before.FrontAddress != After.FrontAddress, "front");
+  Add(Later, Before.ReadyAddress != After.ReadyAddress, "ready");
+  Add(Later, Before.ControlAddress != After.ControlAddress, "control");
+  Add(Later, Before.PeerPort != After.PeerPort, "peer_port");
+  Add(Later, Before.MetricsPort != After.MetricsPort, "metrics_port");
+  Add(Later, Before.CpuShare != After.CpuShare, "cpu_share");
+  Add(Later, Before.StoreAddress != After.StoreAddress, "store");
+  Add(Later, Before.StoreRowBytes != After.StoreRowBytes, "store_row_bytes");
+  Add(Later, Before.JobRetention != After.JobRetention, "keep_jobs_s");
+  return Changed;
+}
+
 } // namespace turmericpass
--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -48,6 +48,15 @@
 /// NotFound, InvalidArgument.
 Result<NodeConfig> readNodeConfig(const std::string &Path);
 
+/// The keys of the settings file that differ, separated by spaces.
+struct ChangedKeys {
+  std::string InEffect;
+  /// The keys whose new values take effect when the process starts again.
+  std::string AfterRestart;
+};
+
+ChangedKeys changedKeys(const NodeConfig &Before, const NodeConfig &After);
+
 } // namespace turmericpass
 
 #endif
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -441,10 +441,13 @@
 }
 
 void ServingNode::reload(const NodeConfig &NewConfig) {
+  const ChangedKeys Changed = changedKeys(this->Config, NewConfig);
   this->Config.Seeds = NewConfig.Seeds;
   this->Config.StopTimeout = NewConfig.StopTimeout;
-  this->Dependencies.Log.log(LogLevel::Info, "Reloaded the settings file.",
-                             {{"seeds", NewConfig.Seeds.size()}});
+  this->Dependencies.Log.log(
+      LogLevel::Info, "Reloaded the settings file.",
+      {{"changed", Changed.InEffect},
+       {"in_effect_after_restart", Changed.AfterRestart}});
 }
 
 void ServingNode::stop() {
--- a/Source/Serving/ServingSettings.h
+++ b/Source/Serving/ServingSettings.h
@@ -37,6 +37,8 @@
 /// The settings for the requests to one host and path prefix.
 struct RouteSettings {
   std::string Name;
+  /// The version of the settings that this route is a part of.
+  std::uint64_t SettingsVersion = 0;
   std::string Host;
   /// The prefix begins and ends with a slash.
   std::string PathPrefix;
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -85,6 +85,19 @@
   cr_assert_not(readText(""));
 }
 
+// Guards against a reload that does not tell which changes are in effect.
+Test(NodeConfig, ChangedKeysAreNamed) {
+  const Result<NodeConfig> Before = readText(GoodConfig);
+  std::string Text = GoodConfig;
+  Text.replace(Text.find("stop_time_s = 8"), 15, "stop_time_s = 9");
+  Text.replace(Text.find("peer_port = 3"), 13, "peer_port = 5");
+  const ChangedKeys Changed =
+      changedKeys(*Before, *readText(Text + "cpu_share = 0.12\n"));
+  cr_assert_str_eq(Changed.InEffect.c_str(), "stop_time_s");
+  cr_assert_str_eq(Changed.AfterRestart.c_str(), "peer_port cpu_share");
+  cr_assert_not(readText(GoodConfig + "cpu_share = 0\n"));
+}
+
 // Guards against fields that are lost between encoding and decoding.
 Test(PeerDigest, DecodedDigestIsTheEncodedOne) {
   const Result<PeerDigest> Read = decodeDigest(encodeDigest(digestOf("n", 9)));
