Serving: Refuse a request whose servers accept no connection

Change: it takes the path of a refusal: other servers, a pause after all of them, and 503 once the target latency has passed.

--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -185,7 +185,7 @@
     this->endSend(*Call, true);
     if (Head.Status == this->Dependencies.Protocol.WrongServerStatus)
       this->Dependencies.Servers.recordFailure(Server);
-    this->retryAfterRefusal(*Call);
+    this->retryAfterRefusal(*Call, "the server did not take the request");
     return;
   }
   this->Dependencies.Servers.recordSuccess(Call->Server);
@@ -341,9 +341,10 @@
   if (Failure == SendFailure::NotSent) {
     --Call->PossibleRuns;
     ++Call->Refusals;
-  } else {
-    this->Dependencies.Detector.checkForCrash(Server, Call->Fingerprint);
+    this->retryAfterRefusal(*Call, Detail);
+    return;
   }
+  this->Dependencies.Detector.checkForCrash(Server, Call->Fingerprint);
   this->retry(*Call, Detail);
 }
 
@@ -394,13 +395,14 @@
   this->finishCall(Call, 0, "caller_left");
 }
 
-void OnlineService::retryAfterRefusal(OnlineCall &Call) {
+void OnlineService::retryAfterRefusal(OnlineCall &Call,
+                                      std::string_view Reason) {
   const Instant Now = this->Dependencies.Loop.clock().now();
   const std::size_t Servers =
       this->Dependencies.Servers.usableServers(Call.Service).size();
   const bool AllTried = Call.TriedServers.size() >= Servers;
   if (!AllTried) {
-    this->retry(Call, "the server did not take the request");
+    this->retry(Call, Reason);
     return;
   }
   if (Now - Call.ArrivedAt >= Call.Route.TargetLatency) {
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -81,8 +81,10 @@
   /// Answers with the error \p Status, or aborts an answer that has begun.
   void fail(OnlineCall &Call, int Status, std::string_view Reason);
   void finishCall(OnlineCall &Call, int Status, std::string_view Outcome);
-  /// Retries a refused request, after a pause if all servers have refused it.
-  void retryAfterRefusal(OnlineCall &Call);
+  /// Retries a request that its server refused or did not accept a connection
+  /// for. After all servers did so, the request pauses, and is refused once its
+  /// target latency has passed.
+  void retryAfterRefusal(OnlineCall &Call, std::string_view Reason);
 
   OnlineServiceDependencies Dependencies;
   OverloadPolicy Overload;
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -209,3 +209,21 @@
   cr_assert_not(parseHeaderNumber(""));
   cr_assert_eq(*parseHeaderNumber("12"), 12);
 }
+
+// Guards against a request that is sent again and again until its time is up,
+// because none of its servers accepts a connection (inc-6337).
+Test(OnlineService, RequestWithoutReachableServersIsRefused) {
+  OnlineBench Bench;
+  Bench.Route.TargetLatency = 50ms;
+  Bench.start(1, RequestKind::AtMostOnce);
+  const Instant Start = Bench.Time.now();
+  std::size_t Failed = 0;
+  cr_assert(runUntil(Bench.Loop, [&] {
+    while (Failed < Bench.Channels.All.size() && !Bench.answer(1).Complete)
+      Bench.Channels.fail(++Failed, SendFailure::NotSent);
+    return Bench.answer(1).Complete;
+  }));
+  cr_assert_eq(Bench.answer(1).Status, 503);
+  cr_assert_lt(Bench.Time.now() - Start, Duration(1s));
+  cr_assert_lt(Failed, 30);
+}
