Soak: Let servers send without end, and watch the memory of the nodes

Cause: the users' pages say that bytes that are no answer may come without end; the soak did not play it.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -2,7 +2,8 @@
 """Runs several nodes as separate processes, injects faults from outside them
 and checks the promises from what callers and backend servers see.
 
-usage: soak.py NODE_PROGRAM --seed N [--seconds S] [--nodes N] [--logs DIR]
+usage: soak.py NODE_PROGRAM --seed N [--seconds S] [--nodes N] [--endless N]
+               [--logs DIR]
 
 Exit status 0 if every promise was kept, 1 if one was broken."""
 
@@ -22,6 +23,8 @@
 FRONT, READY, CONTROL, PEER, METRICS = 7001, 7002, 7003, 7004, 7005
 HOST = "soak.example"
 NOT_RUN = {429, 503, 408, 421}
+# The memory of the smallest VM, in MB.
+VM_MB = 160
 # A job is finished this long after the last fault; restarts take about two
 # seconds, takeovers and pauses a few more.
 SETTLE_S = 40.0
@@ -80,6 +83,13 @@
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def resident_mb(self):
+        try:
+            with open(f"/proc/{self.process.pid}/statm", encoding="ascii") as f:
+                return int(f.read().split()[1]) * 4096 / 1e6
+        except (OSError, IndexError):
+            return 0.0
+
     async def keep(self):
         while self.wanted:
             if self.process is None or self.process.poll() is not None:
@@ -98,6 +108,7 @@
         self.served = 0
         self.refused = 0
         self.jobs = {}
+        self.peak_mb = 0.0
 
     def fail(self, what):
         self.broken.append(what)
@@ -294,6 +305,27 @@
             running.add(asyncio.ensure_future(self.fault()))
         await asyncio.gather(*running)
 
+    async def send_endlessly(self):
+        """Lets servers send without end, and watches the nodes' memory."""
+        rng = random.Random(self.options.seed)
+        while self.begun + self.options.seconds > time.monotonic():
+            for engine in rng.sample(self.engines, self.options.endless):
+                engine.endless = rng.choice(["event", "body", "head"])
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            for engine in self.engines:
+                engine.endless = None
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+    async def watch_memory(self):
+        """Checks that no node takes more than a VM has."""
+        while self.begun + self.options.seconds > time.monotonic():
+            for node in self.nodes:
+                held = node.resident_mb()
+                self.peak_mb = max(self.peak_mb, held)
+                if held > VM_MB:
+                    self.fail(f"node {node.ip} holds {held:.0f} MB")
+            await asyncio.sleep(0.05)
+
     async def register(self, number, state):
         engine, proxy = self.engines[number], self.engine_proxies[number]
         entry = json.loads(engine.entry(state))
@@ -333,7 +365,10 @@
             self.begun = time.monotonic()
             self.over = False
             readers = [asyncio.ensure_future(self.readers()) for _ in range(3)]
+            if self.options.endless:
+                keepers.append(asyncio.ensure_future(self.send_endlessly()))
             await asyncio.gather(self.inject(), self.submit(),
+                                 self.watch_memory(),
                                  *(self.online() for _ in range(6)))
             await self.settle()
             self.over = True
@@ -350,6 +385,7 @@
         print(f"seed {self.options.seed}: {len(self.faults)} faults, "
               f"{self.served} of {self.sent} requests served, "
               f"{self.refused} refused, {len(self.jobs)} jobs, "
+              f"at most {self.peak_mb:.0f} MB a node, "
               f"{len(self.broken)} promises broken", flush=True)
         return 1 if self.broken else 0
 
@@ -388,6 +424,8 @@
     parser.add_argument("--seed", type=int, required=True)
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--endless", type=int, default=0, metavar="N",
+                        help="N servers at a time send without end")
     parser.add_argument("--logs")
     options = parser.parse_args()
     options.logs = options.logs or tempfile.mkdtemp(prefix="soak-")
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -178,6 +178,8 @@
         self.name, self.service, self.slots = name, service, slots
         self.runs = runs
         self.busy = 0
+        # While it is set, answers never end: "event", "body" or "head".
+        self.endless = None
         self.born = int(time.time() * 1000)
 
     def entry(self, state):
@@ -201,7 +203,9 @@
         self.busy += 1
         self.runs.setdefault(request_id, []).append(self.name)
         try:
-            if "/plain/" in target:
+            if self.endless:
+                await self.send_endlessly(echo, writer)
+            elif "/plain/" in target:
                 await asyncio.sleep(self.EVENT_PAUSE_S)
                 writer.write(answer_bytes(200, echo, b"plain " + body))
             else:
@@ -209,6 +213,22 @@
         finally:
             self.busy -= 1
 
+    async def send_endlessly(self, echo, writer):
+        """Writes as fast as it can until the other side closes."""
+        kind = ("Content-Type: text/event-stream\r\n"
+                if self.endless == "event" else "")
+        head = "HTTP/1.1 200 OK\r\n" + kind + "".join(
+            f"{name}: {value}\r\n" for name, value in echo.items())
+        writer.write(head.encode())
+        if self.endless == "head":
+            piece = b"A: b\r\n" * 10000
+        else:
+            writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+            piece = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        while not writer.is_closing():
+            writer.write(piece)
+            await writer.drain()
+
     async def stream(self, request_id, headers, echo, writer):
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in echo.items())
