BatchJobs: Keep the progress of items in parts of its own

Cause: acceptances, results and the progress of each open job (every 1.5 s) all went through one part of the store, which does 200 transactions a second.

Change: progress is divided among 16 parts by job. It needs no condition: it is the first part of an output, the same in each run.

--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -366,7 +366,7 @@
     }
     Metadata.Cancelled = true;
     this->Dependencies.Store.updateJob(
-        Call.JobId, Metadata, (*Known)->Version, {}, 0, {}, Deadline,
+        Call.JobId, Metadata, (*Known)->Version, {}, 0, Deadline,
         this->Dependencies.Directory,
         [this, Caller, Call, RequestId,
          Deadline](JobStore::ChangeOutcome Outcome) {
--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -31,43 +31,46 @@
   }
 }
 
-void JobCleaner::removeData(const std::string &JobId, std::size_t PrefixIndex) {
-  const std::vector<std::string> Prefixes = JobStore::dataPrefixes(JobId);
+void JobCleaner::removeData(const std::string &JobId, std::size_t RangeIndex) {
+  const std::vector<JobStore::DataRange> Ranges = JobStore::dataRanges(JobId);
   const KnownJob *Known = this->Directory.find(JobId);
-  if (!Known || PrefixIndex == Prefixes.size()) {
+  if (!Known || RangeIndex == Ranges.size()) {
     this->removeMetadata(JobId);
     return;
   }
   RowRange Range;
   Range.Table = JobStore::DataTable;
-  Range.Part = JobStore::Part;
-  Range.From = Prefixes[PrefixIndex];
-  Range.To = Prefixes[PrefixIndex] + '\x7f';
+  Range.Part = Ranges[RangeIndex].Part;
+  Range.From = Ranges[RangeIndex].Prefix;
+  Range.To = Ranges[RangeIndex].Prefix + '\x7f';
   // The condition on the metadata counts as an entry of the transaction.
   Range.Limit = this->Rows.limits().Entries - 1;
   this->Rows.read(
-      std::move(Range), [this, JobId, PrefixIndex,
-                         Version = Known->Version](Result<RowPage> Page) {
+      std::move(Range),
+      [this, JobId, RangeIndex, PartName = Ranges[RangeIndex].Part,
+       Version = Known->Version](Result<RowPage> Page) {
         if (!Page) {
           // The next call of clean() retries.
           this->JobsBeingRemoved.erase(JobId);
           return;
         }
         if (Page->Rows.empty()) {
-          this->removeData(JobId, PrefixIndex + 1);
+          this->removeData(JobId, RangeIndex + 1);
           return;
         }
         RowTransaction Change;
-        Change.Part = JobStore::Part;
-        Change.Conditions = {
-            {JobStore::JobTable, JobDirectory::metadataKey(JobId), Version}};
+        Change.Part = PartName;
+        // The condition holds for rows in the part of the metadata only.
+        if (Change.Part == JobStore::Part)
+          Change.Conditions = {
+              {JobStore::JobTable, JobDirectory::metadataKey(JobId), Version}};
         for (const StoredRow &Row : Page->Rows)
           Change.Removals.push_back({JobStore::DataTable, Row.Key});
         this->Rows.transact(
             std::move(Change),
-            [this, JobId, PrefixIndex](const TransactionResult &Answer) {
+            [this, JobId, RangeIndex](const TransactionResult &Answer) {
               if (Answer.Outcome == TransactionOutcome::Committed)
-                this->removeData(JobId, PrefixIndex);
+                this->removeData(JobId, RangeIndex);
               else
                 this->JobsBeingRemoved.erase(JobId);
             });
--- a/Source/BatchJobs/JobCleaner.h
+++ b/Source/BatchJobs/JobCleaner.h
@@ -30,9 +30,9 @@
       const std::function<bool(const std::string &JobId)> &IsAssignedToThisVm);
 
 private:
-  /// Removes the rows with the job's data prefix \p PrefixIndex and the
+  /// Removes the rows with the job's data prefix \p RangeIndex and the
   /// following prefixes, and then the metadata.
-  void removeData(const std::string &JobId, std::size_t PrefixIndex);
+  void removeData(const std::string &JobId, std::size_t RangeIndex);
   void removeMetadata(const std::string &JobId);
 
   RowStore &Rows;
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -430,7 +430,7 @@
     return;
   Job.Committing = true;
   this->Dependencies.Store.commitResults(
-      JobId, Job, Job.Metadata.Owner, {},
+      JobId, Job, Job.Metadata.Owner,
       this->Dependencies.Loop.clock().now() + CommitTimeout,
       this->Dependencies.Directory,
       [this, JobId](JobStore::ChangeOutcome Outcome) {
@@ -467,12 +467,9 @@
 
 void JobRunner::saveProgress() {
   for (auto &[JobId, Job] : this->Jobs) {
-    // A commit in flight changes the version of the metadata.
-    if (Job.Committing)
-      continue;
     const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
     if (!Progress.empty())
-      this->Dependencies.Store.saveProgress(JobId, Job.Version, Progress);
+      this->Dependencies.Store.saveProgress(JobId, Progress);
   }
 }
 
@@ -482,9 +479,9 @@
     for (ItemRun &Run : Job.Items)
       this->stopItem(Run, true);
     const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
+    this->Dependencies.Store.saveProgress(JobId, Progress);
     const std::size_t Committed = this->Dependencies.Store.commitResults(
-        JobId, Job, "", Progress,
-        this->Dependencies.Loop.clock().now() + CommitTimeout,
+        JobId, Job, "", this->Dependencies.Loop.clock().now() + CommitTimeout,
         this->Dependencies.Directory, [](JobStore::ChangeOutcome) {});
     this->Dependencies.Log.log(LogLevel::Info, "Released a job to other VMs.",
                                {{"job", JobId},
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -1,8 +1,8 @@
 #include "BatchJobs/JobStore.h"
 
-#include "BatchJobs/OwnedJob.h"
-
 #include "BatchJobs/JobData.h"
+#include "BatchJobs/OwnedJob.h"
+#include "Core/Hash.h"
 #include "Core/IdSource.h"
 #include "Loop/EventLoop.h"
 #include "Telemetry/Logger.h"
@@ -17,6 +17,9 @@
 /// The delay before a transaction is retried.
 constexpr Duration RetryDelay = std::chrono::milliseconds(60);
 
+/// The number of parts among which the progress of jobs is divided.
+constexpr std::uint64_t ProgressParts = 16;
+
 template <typename T, typename F>
 Result<std::vector<T>> decodeAll(const Result<std::vector<StoredRow>> &Rows,
                                  F Decode) {
@@ -48,6 +51,7 @@
 };
 
 struct JobStore::PendingRangeRead {
+  std::string Part;
   std::string Prefix;
   /// Reading stops once this many bytes are read; 0 means no limit.
   std::size_t TargetBytes = 0;
@@ -59,8 +63,15 @@
 JobStore::JobStore(EventLoop &Loop, RowStore &Rows, IdSource &Ids, Logger &Log)
     : Loop(Loop), Rows(Rows), Ids(Ids), Log(Log) {}
 
-std::vector<std::string> JobStore::dataPrefixes(const std::string &JobId) {
-  return {itemsPrefix(JobId), resultsPrefix(JobId), progressPrefix(JobId)};
+std::string JobStore::progressPart(const std::string &JobId) {
+  return "progress-" + std::to_string(hash64(JobId) % ProgressParts);
+}
+
+std::vector<JobStore::DataRange>
+JobStore::dataRanges(const std::string &JobId) {
+  return {{Part, itemsPrefix(JobId)},
+          {Part, resultsPrefix(JobId)},
+          {progressPart(JobId), progressPrefix(JobId)}};
 }
 
 std::shared_ptr<JobStore::PendingTransaction>
@@ -162,9 +173,8 @@
 
 std::size_t JobStore::commitResults(const std::string &JobId,
                                     const OwnedJob &Job,
-                                    const std::string &Owner,
-                                    const std::vector<ItemProgress> &Progress,
-                                    Instant Deadline, JobDirectory &Directory,
+                                    const std::string &Owner, Instant Deadline,
+                                    JobDirectory &Directory,
                                     ChangeCallback Done) {
   // After an outage, more results may wait than fit into one transaction.
   const std::size_t Count = this->countFittingResults(Job.UncommittedResults);
@@ -174,7 +184,7 @@
   JobMetadata Metadata = Job.metadataAfterCommit(Count);
   Metadata.Owner = Owner;
   this->updateJob(JobId, Metadata, Job.Version, Results,
-                  Job.Metadata.CommittedItems, Progress, Deadline, Directory,
+                  Job.Metadata.CommittedItems, Deadline, Directory,
                   std::move(Done));
   return Count;
 }
@@ -182,10 +192,8 @@
 void JobStore::updateJob(const std::string &JobId, const JobMetadata &Metadata,
                          std::uint64_t Version,
                          const std::vector<ItemResult> &Results,
-                         std::uint64_t First,
-                         const std::vector<ItemProgress> &Progress,
-                         Instant Deadline, JobDirectory &Directory,
-                         ChangeCallback Done) {
+                         std::uint64_t First, Instant Deadline,
+                         JobDirectory &Directory, ChangeCallback Done) {
   std::shared_ptr<PendingTransaction> Pending = this->prepareTransaction(
       JobId, Metadata, Version, Deadline, Directory, std::move(Done));
   RowTransaction &Change = Pending->Change;
@@ -194,12 +202,6 @@
          splitValue(DataTable, resultsPrefix(JobId) + positionKey(First++),
                     encodeResult(Item), this->Rows.limits()))
       Change.Writes.push_back(std::move(Row));
-  // Progress that does not fit is omitted. This causes work to be repeated but
-  // loses no result.
-  for (const ItemProgress &Item : Progress)
-    if (!addRowsIfWithinLimits(Change, this->makeProgressRows(JobId, Item),
-                               this->Rows.limits()))
-      break;
   this->sendTransaction(std::move(Pending));
 }
 
@@ -210,11 +212,10 @@
                     encodeProgress(Item), this->Rows.limits());
 }
 
-void JobStore::saveProgress(const std::string &JobId, std::uint64_t Version,
+void JobStore::saveProgress(const std::string &JobId,
                             const std::vector<ItemProgress> &Progress) {
   RowTransaction Empty;
-  Empty.Part = Part;
-  Empty.Conditions = {{JobTable, JobDirectory::metadataKey(JobId), Version}};
+  Empty.Part = progressPart(JobId);
   RowTransaction Change = Empty;
   const auto SendIfNotEmpty = [this](RowTransaction &Transaction) {
     if (!Transaction.Writes.empty())
@@ -307,9 +308,11 @@
 }
 
 void JobStore::readRange(
-    const std::string &Prefix, const std::string &From, std::size_t TargetBytes,
+    const std::string &PartName, const std::string &Prefix,
+    const std::string &From, std::size_t TargetBytes,
     std::function<void(Result<std::vector<StoredRow>>)> Done) {
   auto Pending = std::make_shared<PendingRangeRead>();
+  Pending->Part = PartName;
   Pending->Prefix = Prefix;
   Pending->TargetBytes = TargetBytes;
   Pending->Done = std::move(Done);
@@ -320,7 +323,7 @@
                             std::string From) {
   RowRange Range;
   Range.Table = DataTable;
-  Range.Part = Part;
+  Range.Part = Pending->Part;
   Range.From = std::move(From);
   Range.To = prefixEnd(Pending->Prefix);
   this->Rows.read(std::move(Range), [this, Pending = std::move(Pending)](
@@ -357,7 +360,7 @@
 void JobStore::readItems(const std::string &JobId, ItemsCallback Done) {
   const std::string Prefix = itemsPrefix(JobId);
   this->readRange(
-      Prefix, Prefix, 0,
+      Part, Prefix, Prefix, 0,
       [JobId,
        Done = std::move(Done)](const Result<std::vector<StoredRow>> &Rows) {
         if (!Rows) {
@@ -377,7 +380,7 @@
                            std::size_t TargetBytes, ResultsCallback Done) {
   const std::string Prefix = resultsPrefix(JobId);
   this->readRange(
-      Prefix, Prefix + positionKey(First), TargetBytes,
+      Part, Prefix, Prefix + positionKey(First), TargetBytes,
       [Done = std::move(Done)](const Result<std::vector<StoredRow>> &Rows) {
         Done(decodeAll<ItemResult>(Rows, decodeResult));
       });
@@ -386,7 +389,7 @@
 void JobStore::readProgress(const std::string &JobId, ProgressCallback Done) {
   const std::string Prefix = progressPrefix(JobId);
   this->readRange(
-      Prefix, Prefix, 0,
+      progressPart(JobId), Prefix, Prefix, 0,
       [Done = std::move(Done)](const Result<std::vector<StoredRow>> &Rows) {
         Done(decodeAll<ItemProgress>(Rows, decodeProgress));
       });
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -31,7 +31,16 @@
   static constexpr const char *Part = "jobs";
 
   /// Returns the key prefixes of the job's rows in the data table.
-  static std::vector<std::string> dataPrefixes(const std::string &JobId);
+  /// Returns the part of the progress of \p JobId. Each owner saves progress
+  /// every few seconds, which is more than the transactions that one part
+  /// takes in a large fleet, and acceptances and results must not wait for it.
+  static std::string progressPart(const std::string &JobId);
+  /// The keys of a job's data, by the part that they are in.
+  struct DataRange {
+    std::string Part;
+    std::string Prefix;
+  };
+  static std::vector<DataRange> dataRanges(const std::string &JobId);
 
   JobStore(EventLoop &Loop, RowStore &Rows, IdSource &Ids, Logger &Log);
 
@@ -64,23 +73,21 @@
   /// Commits as many uncommitted results of \p Job as fit into one transaction
   /// and sets the owner of the job to \p Owner. Returns the number of results.
   std::size_t commitResults(const std::string &JobId, const OwnedJob &Job,
-                            const std::string &Owner,
-                            const std::vector<ItemProgress> &Progress,
-                            Instant Deadline, JobDirectory &Directory,
-                            ChangeCallback Done);
+                            const std::string &Owner, Instant Deadline,
+                            JobDirectory &Directory, ChangeCallback Done);
 
   /// Replaces the job's metadata if it still has \p Version. The same
-  /// transaction writes \p Results to the positions from \p First on, and as
-  /// much of \p Progress as fits. Retries until \p Deadline.
+  /// transaction writes \p Results to the positions from \p First on. Retries
+  /// until \p Deadline.
   void updateJob(const std::string &JobId, const JobMetadata &Metadata,
                  std::uint64_t Version, const std::vector<ItemResult> &Results,
-                 std::uint64_t First, const std::vector<ItemProgress> &Progress,
-                 Instant Deadline, JobDirectory &Directory,
+                 std::uint64_t First, Instant Deadline, JobDirectory &Directory,
                  ChangeCallback Done);
 
-  /// Writes \p Progress if the job's metadata still has \p Version.
-  /// Failures are not reported because they only cause work to be repeated.
-  void saveProgress(const std::string &JobId, std::uint64_t Version,
+  /// Writes \p Progress. Failures are not reported because they only cause
+  /// work to be repeated. Progress is the first part of an output, which is the
+  /// same in each run, so it does not matter which VM wrote it last.
+  void saveProgress(const std::string &JobId,
                     const std::vector<ItemProgress> &Progress);
 
   using MetadataCallback = std::function<void(Result<const KnownJob *>)>;
@@ -122,8 +129,8 @@
                            const TransactionResult &Answer);
   void readNextPage(std::shared_ptr<PendingRangeRead> Pending,
                     std::string From);
-  void readRange(const std::string &Prefix, const std::string &From,
-                 std::size_t TargetBytes,
+  void readRange(const std::string &PartName, const std::string &Prefix,
+                 const std::string &From, std::size_t TargetBytes,
                  std::function<void(Result<std::vector<StoredRow>>)> Done);
 
   EventLoop &Loop;
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -130,7 +130,7 @@
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
   ++Metadata.Epoch;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0, {},
+  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
                         Bench.Time.now() + std::chrono::seconds(5),
                         Bench.Directory,
                         [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
@@ -163,7 +163,7 @@
   JobMetadata Metadata = Known.Metadata;
   Metadata.Cancelled = true;
   bool Cancelled = false;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0, {},
+  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
                         Bench.Time.now() + std::chrono::seconds(5),
                         Bench.Directory,
                         [&](JobStore::ChangeOutcome) { Cancelled = true; });
@@ -356,3 +356,32 @@
   Bench.Runner.handleJobChanges(Bench.Directory.replace(Listed->Rows));
   cr_assert(Bench.Runner.owns("j"));
 }
+
+// Guards against acceptances and results that wait behind the progress of
+// items: one part of the store takes a limited number of transactions a second.
+Test(JobRunner, ProgressIsNotSavedInThePartOfTheJobs) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  Bench.Channels.head(1, 200, {{"Content-Type", "text/event-stream"}});
+  Bench.Channels.body(1, "id: 0\ndata: a\n\n");
+  Bench.Runner.saveProgress();
+  std::optional<std::vector<ItemProgress>> Read;
+  cr_assert(runUntil(Bench.Loop, [&] {
+    Bench.Store.readProgress(
+        "j", [&](const Result<std::vector<ItemProgress>> &Found) {
+          if (Found && !Found->empty())
+            Read = *Found;
+        });
+    return Read.has_value();
+  }));
+  cr_assert_str_eq(Read->at(0).Output.c_str(), "a");
+  std::optional<RowPage> Rows;
+  RowRange Range;
+  Range.Table = JobStore::DataTable;
+  Range.Part = JobStore::Part;
+  Range.From = "run/";
+  Range.To = "run0";
+  Bench.Rows.read(Range, [&](Result<RowPage> Page) { Rows = *Page; });
+  cr_assert(runUntil(Bench.Loop, [&] { return Rows.has_value(); }));
+  cr_assert(Rows->Rows.empty());
+}
