--- a/Tests/Node/AggregationTest.cpp
+++ b/Tests/Node/AggregationTest.cpp
@@ -23,6 +23,8 @@
 struct ZoneBench {
   explicit ZoneBench(int Count) {
     std::vector<ListedNode> Listed;
+    Listed.reserve(static_cast<std::size_t>(Count) +
+                   PeerDirectory::MaxMeshNodes);
     for (int I = 0; I < Count; ++I)
       Listed.push_back({addressOf(I), "a", I < 3 ? 50 : 12});
     // Enough VMs of another zone to make every VM use summaries.
