Serving: Avoid silent servers also if their requests may not repeat

Change: the timer runs for all requests; what may not repeat is waited for, or given up once its caller has left by all that is known.

--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -132,14 +132,9 @@
   // While the caller has to catch up, the server is not waited for.
   if (Call.ReadingPaused)
     return;
-  const bool MayRetry =
-      Call.Route.mayRepeat() && Call.PossibleRuns < Call.Route.MaxAttempts;
-  const std::optional<Duration> Limit =
-      MayRetry ? Call.Stall.retryLimit(Call.Route)
-               : Call.Stall.abandonLimit(Call.Route);
-  if (Limit)
-    Call.StallTimer = this->Dependencies.Loop.after(
-        *Limit, [this, Caller = Call.Caller] { this->handleStall(Caller); });
+  Call.StallTimer = this->Dependencies.Loop.after(
+      Call.Stall.retryLimit(Call.Route),
+      [this, Caller = Call.Caller] { this->handleStall(Caller); });
 }
 
 void OnlineService::handleStall(CallerId Caller) {
@@ -156,13 +151,27 @@
   if (!Server || Server->LastActivityAt < Call.SentAt)
     this->Dependencies.Servers.recordFailure(Call.Server);
   if (!Call.Route.mayRepeat() || Call.PossibleRuns >= Call.Route.MaxAttempts) {
-    this->fail(Call, GatewayTimeout, "the stream has stalled");
+    this->waitOrAbandon(Call);
     return;
   }
   this->endSend(Call, true);
   this->retry(Call, "the server sent nothing for too long");
 }
 
+void OnlineService::waitOrAbandon(OnlineCall &Call) {
+  const std::optional<Duration> Limit = Call.Stall.abandonLimit(Call.Route);
+  if (!Limit)
+    return;
+  const Duration Silence =
+      Call.Stall.silence(this->Dependencies.Loop.clock().now());
+  if (Silence >= *Limit)
+    this->fail(Call, GatewayTimeout, "the stream has stalled");
+  else
+    Call.StallTimer = this->Dependencies.Loop.after(
+        *Limit - Silence,
+        [this, Caller = Call.Caller] { this->handleStall(Caller); });
+}
+
 void OnlineService::endSend(OnlineCall &Call, bool CloseConnection) {
   if (Call.ActiveSend == 0)
     return;
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -72,6 +72,9 @@
   void handleDeadline(CallerId Caller);
   void handleStall(CallerId Caller);
   void armStallTimer(OnlineCall &Call);
+  /// Waits on for a request that may not be sent again, or gives it up if its
+  /// caller has left by all that is known.
+  void waitOrAbandon(OnlineCall &Call);
   /// Ends an answer that exceeds a bound of AnswerMemory.
   void endOversizedAnswer(OnlineCall &Call, std::string_view Reason);
   void clearBody(OnlineCall &Call);
--- a/Source/Serving/StallPolicy.h
+++ b/Source/Serving/StallPolicy.h
@@ -28,6 +28,9 @@
   /// progress.
   bool recordBody(Instant Now, std::size_t Bytes);
 
+  /// Returns the time since the last progress.
+  Duration silence(Instant Now) const { return Now - this->LastProgress; }
+
   /// Returns how long the server may make no progress before a request that
   /// may be repeated is sent to another server.
   Duration retryLimit(const RouteSettings &Route) const;
--- a/Tests/Serving/EndlessAnswerTest.cpp
+++ b/Tests/Serving/EndlessAnswerTest.cpp
@@ -162,3 +162,17 @@
   cr_assert_eq(Bench.Channels.All.size(), 1);
   cr_assert_eq(Bench.answer(1).Body.size(), 2400);
 }
+
+// Guards against a dark server that is not noticed, because its requests may
+// not be repeated: they are left at the server, which is avoided.
+Test(StallPolicy, SilentServerIsAvoidedAlsoIfTheRequestMayNotRepeat) {
+  OnlineBench Bench;
+  Bench.Route.TargetLatency = 50ms;
+  Bench.start(1, RequestKind::AtMostOnce);
+  const std::string Server = Bench.sentHeader(1, "Server");
+  cr_assert(runUntil(Bench.Loop,
+                     [&] { return Bench.Servers.find(Server)->Failures > 0; }));
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+  cr_assert_not(Bench.Channels.Cancelled.contains(1));
+  cr_assert_not(Bench.answer(1).Complete);
+}
