--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -21,6 +21,11 @@
 /// members by this factor.
 constexpr std::size_t MoreMembersPercent = 125;
 
+/// The VMs of another zone are regarded as gone when no summary of the zone has
+/// arrived for this time. New aggregators of this zone need about two seconds
+/// until they get those of other zones.
+constexpr Duration OtherZoneSilenceLimit = std::chrono::seconds(3);
+
 constexpr std::size_t MaxSentDigests = 64;
 constexpr std::size_t MaxSummaryCrashes = 32;
 
@@ -204,7 +209,8 @@
     this->updateCount();
   std::vector<std::string> OldZones;
   for (const auto &[Zone, Known] : this->Zones)
-    if (Now - Known.HeardAt >= SilenceLimit ||
+    if (Now - Known.HeardAt >=
+            (Zone == this->Self.Zone ? SilenceLimit : OtherZoneSilenceLimit) ||
         (Zone == this->Self.Zone &&
          this->ownZoneDigests() * MoreMembersPercent >=
              Known.Summary.Members.size() * 100))
--- a/Tests/Node/AggregationTest.cpp
+++ b/Tests/Node/AggregationTest.cpp
@@ -281,3 +281,24 @@
     }
   }));
 }
+
+// Guards against taking over all jobs of another zone while the aggregators of
+// the own zone change, and against never noticing that a zone is gone.
+Test(ZoneAggregation, OtherZoneIsGoneOnlyAfterALongSilence) {
+  ZoneBench Bench(1);
+  ZoneSummary Summary;
+  Summary.Zone = "b";
+  Summary.Aggregator = nodeKey("far");
+  Summary.Sequence = 1;
+  Summary.Members = {{nodeKey("far"), "10.2.0.1:7660", 1, 12, false, true}};
+  Summary.Loads[serverKey("s")] = {2, 0};
+  PeerDirectory &Directory = *Bench.Directories.front();
+  cr_assert(Directory.handleSummary(Summary));
+  Bench.Time.advance(2s);
+  Directory.detectSilentPeers();
+  cr_assert(Directory.isAlive("far"));
+  Bench.Time.advance(1s);
+  Directory.detectSilentPeers();
+  cr_assert_not(Directory.isAlive("far"));
+  cr_assert_eq(Bench.Loads.front()->totalLoad("s").Online, 0);
+}
