Serving, Node: Log the crashes that are counted against a request

Cause: the log could not tell why a request that crashes servers is sent again: it named neither the request's fingerprint nor the counts.

Change: a failed send names the fingerprint and the events received, each counted crash, refusal and reset names the counts of this VM and of the others, and the metric crash_counts says how many requests have counts.

--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -176,6 +176,8 @@
 }
 
 void ServingNode::replyMetrics(CallerId Id) {
+  this->Stats.set("crash_counts",
+                  static_cast<double>(this->Crashes.localCountSize()));
   this->MetricsServer.reply(Id, Ok,
                             {{"Content-Type", "text/plain; version=0.0.4"}},
                             this->Stats.render());
--- a/Source/Serving/CrashCounter.cpp
+++ b/Source/Serving/CrashCounter.cpp
@@ -25,32 +25,45 @@
 
 void CrashCounter::addCrash(std::uint64_t Fingerprint) {
   this->discardOldCounts();
-  CrashCount &Count = this->Counts[Fingerprint];
+  CrashCount &Count = this->CountsByRequest[Fingerprint];
   ++Count.Local;
   Count.LastChange = this->Time.now();
 }
 
 void CrashCounter::resetCount(std::uint64_t Fingerprint) {
-  this->Counts.erase(Fingerprint);
+  this->CountsByRequest.erase(Fingerprint);
 }
 
 void CrashCounter::mergePeerCount(std::uint64_t Fingerprint,
                                   unsigned PeerCount) {
-  CrashCount &Count = this->Counts[Fingerprint];
+  CrashCount &Count = this->CountsByRequest[Fingerprint];
   Count.Peers = std::max(Count.Peers, PeerCount);
   Count.LastChange = this->Time.now();
 }
 
 bool CrashCounter::isBlocked(std::uint64_t Fingerprint) const {
-  const auto Found = this->Counts.find(Fingerprint);
-  return Found != this->Counts.end() &&
+  const auto Found = this->CountsByRequest.find(Fingerprint);
+  return Found != this->CountsByRequest.end() &&
          Found->second.Local + Found->second.Peers >= BlockingCrashCount;
 }
 
+CrashCounter::Counts CrashCounter::countsOf(std::uint64_t Fingerprint) const {
+  const auto Found = this->CountsByRequest.find(Fingerprint);
+  return Found == this->CountsByRequest.end()
+             ? Counts()
+             : Counts{Found->second.Local, Found->second.Peers};
+}
+
+std::size_t CrashCounter::localCountSize() const {
+  return static_cast<std::size_t>(
+      std::count_if(this->CountsByRequest.begin(), this->CountsByRequest.end(),
+                    [](const auto &Each) { return Each.second.Local > 0; }));
+}
+
 std::vector<CrashCounter::Entry>
 CrashCounter::countsToShare(std::size_t Limit) const {
   std::vector<Entry> Shared;
-  for (const auto &[Fingerprint, Count] : this->Counts)
+  for (const auto &[Fingerprint, Count] : this->CountsByRequest)
     if (Count.Local > 0 && Shared.size() < Limit)
       Shared.push_back({Fingerprint, Count.Local});
   return Shared;
@@ -58,11 +71,11 @@
 
 void CrashCounter::discardOldCounts() {
   const Instant Now = this->Time.now();
-  std::erase_if(this->Counts, [&](const auto &Each) {
+  std::erase_if(this->CountsByRequest, [&](const auto &Each) {
     return Now - Each.second.LastChange > CountLifetime;
   });
-  if (this->Counts.size() >= MaxCounts)
-    this->Counts.erase(this->Counts.begin());
+  if (this->CountsByRequest.size() >= MaxCounts)
+    this->CountsByRequest.erase(this->CountsByRequest.begin());
 }
 
 } // namespace turmericpass
--- a/Source/Serving/CrashCounter.h
+++ b/Source/Serving/CrashCounter.h
@@ -32,6 +32,15 @@
   /// Returns whether the request must not be sent to a server again.
   bool isBlocked(std::uint64_t Fingerprint) const;
 
+  /// The crashes that this VM counted, and those that other VMs reported.
+  struct Counts {
+    unsigned Local = 0;
+    unsigned Peers = 0;
+  };
+  Counts countsOf(std::uint64_t Fingerprint) const;
+  /// Returns how many requests this VM counted crashes against.
+  std::size_t localCountSize() const;
+
   struct Entry {
     std::uint64_t Fingerprint = 0;
     unsigned Count = 0;
@@ -48,7 +57,7 @@
   void discardOldCounts();
 
   const Clock &Time;
-  std::map<std::uint64_t, CrashCount> Counts;
+  std::map<std::uint64_t, CrashCount> CountsByRequest;
 };
 
 } // namespace turmericpass
--- a/Source/Serving/CrashDetector.cpp
+++ b/Source/Serving/CrashDetector.cpp
@@ -79,8 +79,15 @@
   this->PendingFingerprints.erase(Server);
   if (Crashed) {
     this->Servers.recordFailure(Server);
-    for (std::uint64_t Fingerprint : Fingerprints)
+    for (std::uint64_t Fingerprint : Fingerprints) {
       this->Crashes.addCrash(Fingerprint);
+      const CrashCounter::Counts Counts = this->Crashes.countsOf(Fingerprint);
+      this->Log.log(LogLevel::Info, "Counted a crash against a request.",
+                    {{"server", Server},
+                     {"fingerprint", Fingerprint},
+                     {"counted_here", Counts.Local},
+                     {"counted_elsewhere", Counts.Peers}});
+    }
   }
   this->Log.log(LogLevel::Info,
                 "Checked whether a server that failed requests has crashed.",
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -38,6 +38,8 @@
   /// The server of the latest send.
   std::string Server;
   Instant SentAt;
+  /// The number of complete events that the latest send received.
+  int EventsOfSend = 0;
   /// The servers to which the request was sent.
   std::set<std::string> TriedServers;
   WatchId RetryTimer = 0;
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -65,6 +65,7 @@
       Call.Deadline - Call.ArrivedAt,
       [this, Caller] { this->handleDeadline(Caller); });
   if (this->Dependencies.Crashes.isBlocked(Call.Fingerprint)) {
+    this->logCrashCounts(Call, "Refused a request that crashes servers.");
     this->refuse(Call, "equal requests broke three servers off",
                  DefaultRetryAfter);
     return;
@@ -115,6 +116,7 @@
   Call.Server = Server->Entry.Id;
   Call.TriedServers.insert(Call.Server);
   Call.SentAt = Now;
+  Call.EventsOfSend = 0;
   ++Call.PossibleRuns;
   Call.ActiveSend = this->Dependencies.Channels.send(
       makeOnlineRequest(Call, Call.Server, Server->Entry.Address,
@@ -293,6 +295,7 @@
     }
     if (Event.Id)
       Call.LastEventId = Event.Id;
+    ++Call.EventsOfSend;
     Complete += Event.Bytes;
   }
   if (!Complete.empty()) {
@@ -324,6 +327,7 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
+  this->logCrashCounts(*Call, "Reset the crash count of a request.");
   this->Dependencies.Crashes.resetCount(Call->Fingerprint);
   this->Overload.recordServiceTime(
       Call->Service, this->Dependencies.Loop.clock().now() - Call->SentAt);
@@ -357,6 +361,20 @@
   this->retry(*Call, Detail);
 }
 
+void OnlineService::logCrashCounts(const OnlineCall &Call,
+                                   std::string_view Message) {
+  const CrashCounter::Counts Counts =
+      this->Dependencies.Crashes.countsOf(Call.Fingerprint);
+  if (Counts.Local + Counts.Peers == 0)
+    return;
+  this->Dependencies.Log.log(LogLevel::Info, Message,
+                             {{"request", Call.RequestId},
+                              {"server", Call.Server},
+                              {"fingerprint", Call.Fingerprint},
+                              {"counted_here", Counts.Local},
+                              {"counted_elsewhere", Counts.Peers}});
+}
+
 void OnlineService::retry(OnlineCall &Call, std::string_view Reason) {
   this->Dependencies.Loop.cancel(std::exchange(Call.StallTimer, 0));
   Call.Events.reset();
@@ -365,6 +383,8 @@
       {{"request", Call.RequestId},
        {"server", Call.Server},
        {"reason", Reason},
+       {"fingerprint", Call.Fingerprint},
+       {"events", Call.EventsOfSend},
        {"possible_runs", Call.PossibleRuns},
        {"refusals", Call.Refusals},
        {"waited_ms",
