Serving, Node: Add up the crashes of a request over all VMs

Cause: each VM added only the highest count of another VM to its own, so that a request was blocked on a VM only after it had crashed a server there as well. A VM told only what it had seen itself, so a restart of the VMs, one after the other, lost all counts. Any answer reset a count, also a failure by a server that had not run the request. The class: what the whole fleet must know was kept as each VM's own experience and joined by a rule that loses parts of it.

Change: a count holds the crashes of each server lifetime. Records are merged by the maximum for each lifetime, passed on by every VM, and repeated to VMs that have just started; a reset outdates older records on all VMs. Digests and summaries carry changed records and, from time to time, the blocked ones, these first. Only a success resets a count. Fields of digests and summaries change, so their versions do.

--- a/Source/Node/PeerCodec.cpp
+++ b/Source/Node/PeerCodec.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr std::uint32_t FieldsPerLoad = 3;
+/// A crash record is an array of the fields of the request, and of two fields
+/// for each server.
+constexpr std::uint32_t CrashHeadFields = 3;
 constexpr std::uint32_t FieldsPerCrash = 2;
 
 } // namespace
@@ -26,12 +29,24 @@
   return Loads;
 }
 
-std::vector<CrashCounter::Entry> readCrashes(const msgpack::object &Object) {
-  std::vector<CrashCounter::Entry> Crashes;
-  const std::uint32_t Size = checkedArray(Object, FieldsPerCrash).size;
-  for (std::uint32_t I = 0; I < Size; I += FieldsPerCrash)
-    Crashes.push_back({readField<std::uint64_t>(Object, I),
-                       readField<unsigned>(Object, I + 1)});
+std::vector<CrashRecord> readCrashes(const msgpack::object &Object) {
+  std::vector<CrashRecord> Crashes;
+  const msgpack::object_array &Records = checkedArray(Object, 1);
+  Crashes.reserve(Records.size);
+  for (std::uint32_t R = 0; R < Records.size; ++R) {
+    const msgpack::object &Fields = Records.ptr[R];
+    const std::uint32_t Size = checkedArray(Fields, 1).size;
+    if (Size < CrashHeadFields ||
+        (Size - CrashHeadFields) % FieldsPerCrash != 0)
+      throw msgpack::type_error();
+    CrashRecord &Record = Crashes.emplace_back();
+    Record.Fingerprint = readField<std::uint64_t>(Fields, 0);
+    Record.Resets = readField<std::uint32_t>(Fields, 1);
+    Record.AgeSeconds = readField<std::uint32_t>(Fields, 2);
+    for (std::uint32_t I = CrashHeadFields; I < Size; I += FieldsPerCrash)
+      Record.Servers.push_back({readField<std::uint32_t>(Fields, I),
+                                readField<std::uint32_t>(Fields, I + 1)});
+  }
   return Crashes;
 }
 
@@ -46,11 +61,18 @@
 }
 
 void packCrashes(msgpack::packer<msgpack::sbuffer> &Out,
-                 const std::vector<CrashCounter::Entry> &Crashes) {
-  Out.pack_array(static_cast<std::uint32_t>(FieldsPerCrash * Crashes.size()));
-  for (const CrashCounter::Entry &Crash : Crashes) {
-    Out.pack(Crash.Fingerprint);
-    Out.pack(Crash.Count);
+                 const std::vector<CrashRecord> &Crashes) {
+  Out.pack_array(static_cast<std::uint32_t>(Crashes.size()));
+  for (const CrashRecord &Record : Crashes) {
+    Out.pack_array(static_cast<std::uint32_t>(
+        CrashHeadFields + FieldsPerCrash * Record.Servers.size()));
+    Out.pack(Record.Fingerprint);
+    Out.pack(Record.Resets);
+    Out.pack(Record.AgeSeconds);
+    for (const CrashRecord::ServerCrashes &Each : Record.Servers) {
+      Out.pack(Each.Server);
+      Out.pack(Each.Count);
+    }
   }
 }
 
--- a/Source/Node/PeerCodec.h
+++ b/Source/Node/PeerCodec.h
@@ -1,7 +1,7 @@
 #ifndef TURMERICPASS_NODE_PEERCODEC_H
 #define TURMERICPASS_NODE_PEERCODEC_H
 
-#include "Serving/CrashCounter.h"
+#include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
 
 #include <cstdint>
@@ -24,12 +24,12 @@
                                           std::uint32_t GroupSize);
 
 LoadsByServer readLoads(const msgpack::object &Object);
-std::vector<CrashCounter::Entry> readCrashes(const msgpack::object &Object);
+std::vector<CrashRecord> readCrashes(const msgpack::object &Object);
 
 void packLoads(msgpack::packer<msgpack::sbuffer> &Out,
                const LoadsByServer &Loads);
 void packCrashes(msgpack::packer<msgpack::sbuffer> &Out,
-                 const std::vector<CrashCounter::Entry> &Crashes);
+                 const std::vector<CrashRecord> &Crashes);
 
 } // namespace turmericpass
 
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// The first field of each digest. It is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 4;
+constexpr unsigned ProtocolVersion = 5;
 constexpr std::uint32_t FieldCount = 12;
 
 PeerDigest readDigest(const msgpack::object &Object) {
--- a/Source/Node/PeerDigest.h
+++ b/Source/Node/PeerDigest.h
@@ -2,7 +2,7 @@
 #define TURMERICPASS_NODE_PEERDIGEST_H
 
 #include "Core/Error.h"
-#include "Serving/CrashCounter.h"
+#include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
 
 #include <cstdint>
@@ -25,7 +25,7 @@
   /// The VM has a current view of the store, so others may request it.
   bool HasStoreView = false;
   LoadsByServer ServerLoads;
-  std::vector<CrashCounter::Entry> Crashes;
+  std::vector<CrashRecord> Crashes;
   /// The VM has waiting items that can still meet their deadline.
   bool HasUrgentItems = false;
   /// The servers that recently failed requests of this VM.
--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -59,12 +59,13 @@
   Known.LastHeard = this->Time.now();
   Known.Silent = false;
   Known.Key = nodeKey(Digest.Incarnation);
-  for (const CrashCounter::Entry &Crash : Digest.Crashes)
-    this->Crashes.mergePeerCount(Crash.Fingerprint, Crash.Count);
+  for (const CrashRecord &Crash : Digest.Crashes)
+    this->Crashes.mergeRecord(Crash);
   Known.Digest = std::move(Digest);
   this->addLoads(Known);
   if (!IsNew)
     return;
+  this->Crashes.repeatBlocked();
   this->updateCount();
   if (Known.Digest.Zone == this->Self.Zone)
     this->updateCandidates(this->Self.Zone);
@@ -94,10 +95,11 @@
   const bool IsOwnZone = Summary.Zone == this->Self.Zone;
   if (IsOwnZone)
     this->Election.recordOwnZoneSummary(Summary.Members.size());
+  // Unlike loads, records that are not the newest ones do no harm.
+  for (const CrashRecord &Crash : Summary.Crashes)
+    this->Crashes.mergeRecord(Crash);
   if (!this->isAdopted(Summary))
     return false;
-  for (const CrashCounter::Entry &Crash : Summary.Crashes)
-    this->Crashes.mergePeerCount(Crash.Fingerprint, Crash.Count);
   // Loads of single VMs of the zone would be counted twice.
   if (!this->isSummarized(Summary.Zone))
     for (const auto &[Incarnation, Known] : this->Peers)
@@ -240,7 +242,6 @@
   Summary.Zone = this->Self.Zone;
   Summary.Aggregator = this->OwnKey;
   std::set<ServerKey> Avoided;
-  std::map<std::uint64_t, unsigned> CrashCounts;
   const auto Add = [&](const PeerDigest &Each, NodeKey Key,
                        const std::string &Address, int Weight) {
     for (const auto &[Server, Load] : Each.ServerLoads) {
@@ -253,10 +254,6 @@
     Summary.HasUrgentItems = Summary.HasUrgentItems || Each.HasUrgentItems;
     Summary.WaitingItems += Each.WaitingItems;
     Avoided.insert(Each.AvoidedServers.begin(), Each.AvoidedServers.end());
-    for (const CrashCounter::Entry &Crash : Each.Crashes) {
-      unsigned &Count = CrashCounts[Crash.Fingerprint];
-      Count = std::max(Count, Crash.Count);
-    }
   };
   Add(Digest, Summary.Aggregator, this->Self.Address, this->Self.Weight);
   const Instant Now = this->Time.now();
@@ -269,9 +266,7 @@
         Node == this->Listed.end() ? 0 : Node->second.Weight);
   }
   Summary.AvoidedServers.assign(Avoided.begin(), Avoided.end());
-  for (const auto &[Fingerprint, Count] : CrashCounts)
-    if (Summary.Crashes.size() < MaxSummaryCrashes)
-      Summary.Crashes.push_back({Fingerprint, Count});
+  Summary.Crashes = this->Crashes.recordsToShare(MaxSummaryCrashes);
   return Summary;
 }
 
--- a/Source/Node/PeerDirectory.h
+++ b/Source/Node/PeerDirectory.h
@@ -5,6 +5,7 @@
 #include "Node/AggregatorElection.h"
 #include "Node/PeerDigest.h"
 #include "Node/ZoneSummary.h"
+#include "Serving/CrashCounter.h"
 
 #include <deque>
 #include <map>
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -18,7 +18,7 @@
 /// The minimum number of connections that one VM may open to a server.
 constexpr std::size_t MinConnections = 8;
 
-/// The maximum number of crash entries in a digest.
+/// The maximum number of crash records in a digest.
 constexpr std::size_t MaxSharedCrashes = 32;
 
 } // namespace
@@ -176,8 +176,7 @@
 }
 
 void ServingNode::replyMetrics(CallerId Id) {
-  this->Stats.set("crash_counts",
-                  static_cast<double>(this->Crashes.localCountSize()));
+  this->Stats.set("crash_counts", static_cast<double>(this->Crashes.size()));
   this->MetricsServer.reply(Id, Ok,
                             {{"Content-Type", "text/plain; version=0.0.4"}},
                             this->Stats.render());
@@ -382,7 +381,7 @@
   Digest.Stopping = this->StoppingSince.has_value();
   Digest.HasStoreView = this->hasStoreView();
   Digest.ServerLoads = this->Loads.localLoads();
-  Digest.Crashes = this->Crashes.countsToShare(MaxSharedCrashes);
+  Digest.Crashes = this->Crashes.recordsToShare(MaxSharedCrashes);
   Digest.HasUrgentItems = this->Runner.hasUrgentItems();
   Digest.AvoidedServers = this->Servers.avoidedServers();
   Digest.WaitingItems = this->Runner.waitingItemCount();
--- a/Source/Node/ZoneSummary.cpp
+++ b/Source/Node/ZoneSummary.cpp
@@ -15,7 +15,7 @@
 
 /// The first field of each summary. It differs from the versions of digests,
 /// and is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 64;
+constexpr unsigned ProtocolVersion = 65;
 constexpr std::uint32_t FieldCount = 10;
 constexpr std::uint32_t FieldsPerMember = 5;
 /// The first byte of a msgpack array with fewer than 16 elements is this value
--- a/Source/Node/ZoneSummary.h
+++ b/Source/Node/ZoneSummary.h
@@ -2,7 +2,7 @@
 #define TURMERICPASS_NODE_ZONESUMMARY_H
 
 #include "Core/Error.h"
-#include "Serving/CrashCounter.h"
+#include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
 
 #include <cstdint>
@@ -48,7 +48,7 @@
   /// The number of items of the zone's VMs that wait for a slot.
   int WaitingItems = 0;
   std::vector<ServerKey> AvoidedServers;
-  std::vector<CrashCounter::Entry> Crashes;
+  std::vector<CrashRecord> Crashes;
 };
 
 /// Returns whether \p Bytes start like a summary and not like a digest.
--- a/Source/Serving/CrashCounter.cpp
+++ b/Source/Serving/CrashCounter.cpp
@@ -8,14 +8,28 @@
 
 namespace {
 
-/// The number of crashes from which a request is blocked.
-constexpr unsigned BlockingCrashCount = 3;
-
-/// A count that has not changed for this long is discarded.
+/// A count without a new crash for this long is discarded.
 constexpr Duration CountLifetime = std::chrono::minutes(10);
 
 constexpr std::size_t MaxCounts = 4096;
 
+/// The number of servers of a request that are remembered, which is more than
+/// block it.
+constexpr std::size_t MaxServersPerRequest = 6;
+
+/// How long a changed record is in all messages to other VMs. Messages to
+/// another zone may be 400 ms apart, and some are lost.
+constexpr Duration SharingTime = std::chrono::milliseconds(1300);
+/// Blocked requests are in all messages of the first part of each period.
+constexpr Duration RepeatPeriod = std::chrono::seconds(10);
+constexpr Duration RepeatTime = std::chrono::milliseconds(450);
+
+std::uint32_t wholeSeconds(Duration Age) {
+  return static_cast<std::uint32_t>(
+      std::chrono::ceil<std::chrono::seconds>(std::max(Age, Duration(0)))
+          .count());
+}
+
 } // namespace
 
 std::uint64_t CrashCounter::fingerprint(std::string_view Target,
@@ -23,59 +37,143 @@
   return hash64(Body, hash64(Target));
 }
 
-void CrashCounter::addCrash(std::uint64_t Fingerprint) {
-  this->discardOldCounts();
-  CrashCount &Count = this->CountsByRequest[Fingerprint];
-  ++Count.Local;
-  Count.LastChange = this->Time.now();
+unsigned CrashCounter::RequestCount::total() const {
+  unsigned Total = 0;
+  for (const auto &[Server, Count] : this->Servers)
+    Total += Count.Known;
+  return Total;
 }
 
-void CrashCounter::resetCount(std::uint64_t Fingerprint) {
-  this->CountsByRequest.erase(Fingerprint);
+void CrashCounter::share(RequestCount &Count) const {
+  Count.SharedUntil = this->Time.now() + SharingTime;
+}
+
+void CrashCounter::addCrash(std::uint64_t Fingerprint, std::uint32_t Server) {
+  this->discardOldCounts();
+  RequestCount &Count = this->Counts[Fingerprint];
+  Count.LastCrash = this->Time.now();
+  this->share(Count);
+  if (Count.Servers.size() >= MaxServersPerRequest &&
+      !Count.Servers.contains(Server))
+    return;
+  ServerCount &OfServer = Count.Servers[Server];
+  OfServer.Known = std::max(OfServer.Known, ++OfServer.Local);
 }
 
-void CrashCounter::mergePeerCount(std::uint64_t Fingerprint,
-                                  unsigned PeerCount) {
-  CrashCount &Count = this->CountsByRequest[Fingerprint];
-  Count.Peers = std::max(Count.Peers, PeerCount);
-  Count.LastChange = this->Time.now();
+unsigned CrashCounter::resetCount(std::uint64_t Fingerprint) {
+  const auto Found = this->Counts.find(Fingerprint);
+  if (Found == this->Counts.end() || Found->second.Servers.empty())
+    return 0;
+  RequestCount &Count = Found->second;
+  const unsigned Before = Count.total();
+  ++Count.Resets;
+  Count.Servers.clear();
+  this->share(Count);
+  return Before;
 }
 
-bool CrashCounter::isBlocked(std::uint64_t Fingerprint) const {
-  const auto Found = this->CountsByRequest.find(Fingerprint);
-  return Found != this->CountsByRequest.end() &&
-         Found->second.Local + Found->second.Peers >= BlockingCrashCount;
+bool CrashCounter::mergeRecord(const CrashRecord &Record) {
+  const Instant Now = this->Time.now();
+  const Duration Age = std::chrono::seconds(Record.AgeSeconds);
+  if (Age >= CountLifetime)
+    return false;
+  if (!this->Counts.contains(Record.Fingerprint))
+    this->discardOldCounts();
+  RequestCount &Count = this->Counts[Record.Fingerprint];
+  if (Record.Resets < Count.Resets) {
+    // The sender has missed the reset.
+    this->share(Count);
+    return false;
+  }
+  bool Changed = Record.Resets > Count.Resets;
+  if (Changed) {
+    Count.Resets = Record.Resets;
+    Count.Servers.clear();
+  }
+  for (const CrashRecord::ServerCrashes &Each : Record.Servers) {
+    if (Count.Servers.size() >= MaxServersPerRequest &&
+        !Count.Servers.contains(Each.Server))
+      continue;
+    ServerCount &OfServer = Count.Servers[Each.Server];
+    if (Each.Count > OfServer.Known) {
+      OfServer.Known = Each.Count;
+      Changed = true;
+    }
+  }
+  // The age is rounded up, so that it grows even if VMs merge the records of
+  // each other again and again.
+  Count.LastCrash = std::max(Count.LastCrash, Now - Age);
+  if (Changed)
+    this->share(Count);
+  return Changed;
 }
 
-CrashCounter::Counts CrashCounter::countsOf(std::uint64_t Fingerprint) const {
-  const auto Found = this->CountsByRequest.find(Fingerprint);
-  return Found == this->CountsByRequest.end()
-             ? Counts()
-             : Counts{Found->second.Local, Found->second.Peers};
+unsigned CrashCounter::crashesOf(std::uint64_t Fingerprint) const {
+  const auto Found = this->Counts.find(Fingerprint);
+  return Found == this->Counts.end() ||
+                 this->Time.now() - Found->second.LastCrash >= CountLifetime
+             ? 0
+             : Found->second.total();
 }
 
-std::size_t CrashCounter::localCountSize() const {
+std::size_t CrashCounter::size() const {
   return static_cast<std::size_t>(
-      std::count_if(this->CountsByRequest.begin(), this->CountsByRequest.end(),
-                    [](const auto &Each) { return Each.second.Local > 0; }));
+      std::count_if(this->Counts.begin(), this->Counts.end(),
+                    [](const auto &Each) { return Each.second.total() > 0; }));
+}
+
+bool CrashCounter::isDue(const RequestCount &Count, Instant Now) const {
+  return Now < Count.SharedUntil ||
+         (Count.total() >= BlockingCrashCount &&
+          (Now - Count.LastCrash) % RepeatPeriod < RepeatTime);
+}
+
+std::vector<CrashRecord> CrashCounter::recordsToShare(std::size_t Limit) const {
+  using Entry = std::pair<const std::uint64_t, RequestCount>;
+  const Instant Now = this->Time.now();
+  std::vector<const Entry *> Due;
+  for (const Entry &Each : this->Counts)
+    if (this->isDue(Each.second, Now))
+      Due.push_back(&Each);
+  std::sort(Due.begin(), Due.end(), [](const Entry *A, const Entry *B) {
+    const bool BlockedA = A->second.total() >= BlockingCrashCount;
+    const bool BlockedB = B->second.total() >= BlockingCrashCount;
+    return BlockedA != BlockedB ? BlockedA
+                                : A->second.SharedUntil > B->second.SharedUntil;
+  });
+  Due.resize(std::min(Due.size(), Limit));
+  std::vector<CrashRecord> Records;
+  Records.reserve(Due.size());
+  for (const Entry *Each : Due) {
+    CrashRecord &Record = Records.emplace_back();
+    Record.Fingerprint = Each->first;
+    Record.Resets = Each->second.Resets;
+    Record.AgeSeconds = wholeSeconds(Now - Each->second.LastCrash);
+    for (const auto &[Server, Count] : Each->second.Servers)
+      Record.Servers.push_back({Server, Count.Known});
+  }
+  return Records;
 }
 
-std::vector<CrashCounter::Entry>
-CrashCounter::countsToShare(std::size_t Limit) const {
-  std::vector<Entry> Shared;
-  for (const auto &[Fingerprint, Count] : this->CountsByRequest)
-    if (Count.Local > 0 && Shared.size() < Limit)
-      Shared.push_back({Fingerprint, Count.Local});
-  return Shared;
+void CrashCounter::repeatBlocked() {
+  for (auto &[Fingerprint, Count] : this->Counts)
+    if (Count.total() >= BlockingCrashCount)
+      this->share(Count);
 }
 
 void CrashCounter::discardOldCounts() {
   const Instant Now = this->Time.now();
-  std::erase_if(this->CountsByRequest, [&](const auto &Each) {
-    return Now - Each.second.LastChange > CountLifetime;
+  std::erase_if(this->Counts, [&](const auto &Each) {
+    return Now - Each.second.LastCrash >= CountLifetime;
   });
-  if (this->CountsByRequest.size() >= MaxCounts)
-    this->CountsByRequest.erase(this->CountsByRequest.begin());
+  if (this->Counts.size() < MaxCounts)
+    return;
+  const auto Oldest =
+      std::min_element(this->Counts.begin(), this->Counts.end(),
+                       [](const auto &A, const auto &B) {
+                         return A.second.LastCrash < B.second.LastCrash;
+                       });
+  this->Counts.erase(Oldest);
 }
 
 } // namespace turmericpass
--- a/Source/Serving/CrashCounter.h
+++ b/Source/Serving/CrashCounter.h
@@ -2,7 +2,9 @@
 #define TURMERICPASS_SERVING_CRASHCOUNTER_H
 
 #include "Core/Clock.h"
+#include "Serving/CrashRecord.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string_view>
@@ -12,7 +14,8 @@
 
 /// Counts the server crashes that coincided with each request, so that a
 /// request that crashes every server it reaches is blocked. Equal requests
-/// share one count. All VMs exchange their counts. This class performs no I/O.
+/// share one count. Every VM passes on all counts that it knows, so that they
+/// add up and outlive the VM that saw a crash. This class performs no I/O.
 class CrashCounter {
 public:
   explicit CrashCounter(const Clock &Time) : Time(Time) {}
@@ -22,42 +25,56 @@
   static std::uint64_t fingerprint(std::string_view Target,
                                    std::string_view Body);
 
-  /// Counts a crash of a server that was running the request.
-  void addCrash(std::uint64_t Fingerprint);
-  /// Resets the count, because a server answered the request.
-  void resetCount(std::uint64_t Fingerprint);
-  /// Takes over the \p Count that another VM reports for the request.
-  void mergePeerCount(std::uint64_t Fingerprint, unsigned Count);
+  /// Counts a crash of \p Server while it was running the request.
+  void addCrash(std::uint64_t Fingerprint, std::uint32_t Server);
+  /// Resets the count, because a server ran the request successfully. Returns
+  /// the number of crashes that had been counted.
+  unsigned resetCount(std::uint64_t Fingerprint);
+  /// Merges what another VM reports. Returns whether that changes anything.
+  bool mergeRecord(const CrashRecord &Record);
 
   /// Returns whether the request must not be sent to a server again.
-  bool isBlocked(std::uint64_t Fingerprint) const;
+  bool isBlocked(std::uint64_t Fingerprint) const {
+    return this->crashesOf(Fingerprint) >= BlockingCrashCount;
+  }
+  /// Returns the number of crashes of the request that all VMs counted.
+  unsigned crashesOf(std::uint64_t Fingerprint) const;
+  /// Returns the number of requests with at least one crash.
+  std::size_t size() const;
 
-  /// The crashes that this VM counted, and those that other VMs reported.
-  struct Counts {
+  /// Returns at most \p Limit records for the other VMs: blocked requests
+  /// first, then the latest changes. A record is due for a while after each
+  /// change, and blocked requests are repeated from time to time.
+  std::vector<CrashRecord> recordsToShare(std::size_t Limit) const;
+  /// Makes the records of blocked requests due, for a VM that has just started.
+  void repeatBlocked();
+
+private:
+  /// The number of crashes from which a request is blocked.
+  static constexpr unsigned BlockingCrashCount = 3;
+
+  struct ServerCount {
+    /// The crashes that any VM counted.
+    unsigned Known = 0;
+    /// The crashes that this VM saw.
     unsigned Local = 0;
-    unsigned Peers = 0;
   };
-  Counts countsOf(std::uint64_t Fingerprint) const;
-  /// Returns how many requests this VM counted crashes against.
-  std::size_t localCountSize() const;
+  struct RequestCount {
+    std::uint32_t Resets = 0;
+    std::map<std::uint32_t, ServerCount> Servers;
+    Instant LastCrash;
+    /// The record is due in messages to other VMs until then.
+    Instant SharedUntil;
 
-  struct Entry {
-    std::uint64_t Fingerprint = 0;
-    unsigned Count = 0;
+    unsigned total() const;
   };
-  /// Returns at most \p Limit counts of this VM for the other VMs.
-  std::vector<Entry> countsToShare(std::size_t Limit) const;
 
-private:
-  struct CrashCount {
-    unsigned Local = 0;
-    unsigned Peers = 0;
-    Instant LastChange;
-  };
+  bool isDue(const RequestCount &Count, Instant Now) const;
+  void share(RequestCount &Count) const;
   void discardOldCounts();
 
   const Clock &Time;
-  std::map<std::uint64_t, CrashCount> CountsByRequest;
+  std::map<std::uint64_t, RequestCount> Counts;
 };
 
 } // namespace turmericpass
--- a/Source/Serving/CrashDetector.cpp
+++ b/Source/Serving/CrashDetector.cpp
@@ -1,9 +1,11 @@
 #include "Serving/CrashDetector.h"
 
+#include "Core/Hash.h"
 #include "Serving/CrashCounter.h"
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Logger.h"
 
+#include <set>
 #include <utility>
 
 namespace turmericpass {
@@ -17,6 +19,13 @@
 /// A running server accepts a connection within a few milliseconds.
 constexpr Duration CheckConnectTimeout = std::chrono::milliseconds(300);
 
+/// Returns a key of the incarnation of the server, which is the same on all
+/// VMs.
+std::uint32_t lifetimeKey(const ServerEntry &Entry) {
+  return static_cast<std::uint32_t>(
+      hash64(Entry.Id, static_cast<std::uint64_t>(Entry.StartUnixMillis)));
+}
+
 } // namespace
 
 CrashDetector::CrashDetector(EventLoop &Loop, BackendChannels &Channels,
@@ -28,10 +37,13 @@
 
 void CrashDetector::checkForCrash(const std::string &Server,
                                   std::uint64_t Fingerprint) {
-  std::vector<std::uint64_t> &Fingerprints = this->PendingFingerprints[Server];
-  Fingerprints.push_back(Fingerprint);
-  if (Fingerprints.size() == 1)
-    this->Loop.after(CheckDelay, [this, Server] { this->checkServer(Server); });
+  PendingCheck &Check = this->PendingChecks[Server];
+  Check.Fingerprints.push_back(Fingerprint);
+  if (Check.Fingerprints.size() > 1)
+    return;
+  if (const KnownServer *State = this->Servers.find(Server))
+    Check.Lifetime = lifetimeKey(State->Entry);
+  this->Loop.after(CheckDelay, [this, Server] { this->checkServer(Server); });
 }
 
 void CrashDetector::checkServer(const std::string &Server) {
@@ -40,7 +52,7 @@
   if (!State || !Current) {
     // The server is no longer in the list. A server that leaves normally is
     // removed as well, so this does not prove a crash.
-    this->PendingFingerprints.erase(Server);
+    this->PendingChecks.erase(Server);
     return;
   }
   const auto Service = Current->Services.find(State->Entry.Service);
@@ -74,19 +86,17 @@
     return;
   const std::string Server = std::move(Found->second);
   this->RunningChecks.erase(Found);
-  const std::vector<std::uint64_t> Fingerprints =
-      std::exchange(this->PendingFingerprints[Server], {});
-  this->PendingFingerprints.erase(Server);
+  const PendingCheck Check = std::exchange(this->PendingChecks[Server], {});
+  this->PendingChecks.erase(Server);
   if (Crashed) {
     this->Servers.recordFailure(Server);
-    for (std::uint64_t Fingerprint : Fingerprints) {
-      this->Crashes.addCrash(Fingerprint);
-      const CrashCounter::Counts Counts = this->Crashes.countsOf(Fingerprint);
+    for (std::uint64_t Fingerprint :
+         std::set(Check.Fingerprints.begin(), Check.Fingerprints.end())) {
+      this->Crashes.addCrash(Fingerprint, Check.Lifetime);
       this->Log.log(LogLevel::Info, "Counted a crash against a request.",
                     {{"server", Server},
                      {"fingerprint", Fingerprint},
-                     {"counted_here", Counts.Local},
-                     {"counted_elsewhere", Counts.Peers}});
+                     {"crashes", this->Crashes.crashesOf(Fingerprint)}});
     }
   }
   this->Log.log(LogLevel::Info,
@@ -94,7 +104,7 @@
                 {{"server", Server},
                  {"crashed", Crashed},
                  {"detail", Detail},
-                 {"requests", Fingerprints.size()}});
+                 {"requests", Check.Fingerprints.size()}});
 }
 
 } // namespace turmericpass
--- a/Source/Serving/CrashDetector.h
+++ b/Source/Serving/CrashDetector.h
@@ -46,9 +46,13 @@
   CrashCounter &Crashes;
   Logger &Log;
   std::function<const ServingSettings *()> Settings;
-  /// The fingerprints of the requests that each server failed and whose check
-  /// has not finished.
-  std::map<std::string, std::vector<std::uint64_t>> PendingFingerprints;
+  /// The requests that a server failed and whose check has not finished.
+  struct PendingCheck {
+    /// The lifetime of the server at the time of the first failure.
+    std::uint32_t Lifetime = 0;
+    std::vector<std::uint64_t> Fingerprints;
+  };
+  std::map<std::string, PendingCheck> PendingChecks;
   std::map<SendId, std::string> RunningChecks;
 };
 
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -65,7 +65,11 @@
       Call.Deadline - Call.ArrivedAt,
       [this, Caller] { this->handleDeadline(Caller); });
   if (this->Dependencies.Crashes.isBlocked(Call.Fingerprint)) {
-    this->logCrashCounts(Call, "Refused a request that crashes servers.");
+    this->Dependencies.Log.log(
+        LogLevel::Info, "Refused a request that crashes servers.",
+        {{"request", Call.RequestId},
+         {"fingerprint", Call.Fingerprint},
+         {"crashes", this->Dependencies.Crashes.crashesOf(Call.Fingerprint)}});
     this->refuse(Call, "equal requests broke three servers off",
                  DefaultRetryAfter);
     return;
@@ -327,8 +331,7 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
-  this->logCrashCounts(*Call, "Reset the crash count of a request.");
-  this->Dependencies.Crashes.resetCount(Call->Fingerprint);
+  this->resetCrashCount(*Call);
   this->Overload.recordServiceTime(
       Call->Service, this->Dependencies.Loop.clock().now() - Call->SentAt);
   this->endSend(*Call, false);
@@ -361,18 +364,20 @@
   this->retry(*Call, Detail);
 }
 
-void OnlineService::logCrashCounts(const OnlineCall &Call,
-                                   std::string_view Message) {
-  const CrashCounter::Counts Counts =
-      this->Dependencies.Crashes.countsOf(Call.Fingerprint);
-  if (Counts.Local + Counts.Peers == 0)
+void OnlineService::resetCrashCount(const OnlineCall &Call) {
+  // A server may also fail a request that it does not run.
+  const int Status = Call.AnswerHead ? Call.AnswerHead->Status : 0;
+  if (!Call.HeadForwarded && (Status < 200 || Status >= 300))
     return;
-  this->Dependencies.Log.log(LogLevel::Info, Message,
-                             {{"request", Call.RequestId},
-                              {"server", Call.Server},
-                              {"fingerprint", Call.Fingerprint},
-                              {"counted_here", Counts.Local},
-                              {"counted_elsewhere", Counts.Peers}});
+  const unsigned Crashes =
+      this->Dependencies.Crashes.resetCount(Call.Fingerprint);
+  if (Crashes > 0)
+    this->Dependencies.Log.log(LogLevel::Info,
+                               "Reset the crash count of a request.",
+                               {{"request", Call.RequestId},
+                                {"server", Call.Server},
+                                {"fingerprint", Call.Fingerprint},
+                                {"crashes", Crashes}});
 }
 
 void OnlineService::retry(OnlineCall &Call, std::string_view Reason) {
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -84,8 +84,8 @@
   /// Answers with the error \p Status, or aborts an answer that has begun.
   void fail(OnlineCall &Call, int Status, std::string_view Reason);
   void finishCall(OnlineCall &Call, int Status, std::string_view Outcome);
-  /// Logs the crashes counted against the request, if there are any.
-  void logCrashCounts(const OnlineCall &Call, std::string_view Message);
+  /// Resets the crash count of a request that a server has run to its end.
+  void resetCrashCount(const OnlineCall &Call);
   /// Retries a request that its server refused or did not accept a connection
   /// for. After all servers did so, the request pauses, and is refused once its
   /// target latency has passed.
--- a/Tests/Node/AggregationTest.cpp
+++ b/Tests/Node/AggregationTest.cpp
@@ -113,7 +113,7 @@
   Summary.Loads[serverKey("s")] = {3, 2};
   Summary.Members = {{nodeKey("n2"), "10.1.0.9:7660", 5, 12, true, false}};
   Summary.AvoidedServers = {4};
-  Summary.Crashes = {{77, 3}};
+  Summary.Crashes = {{77, 1, 2, {{5, 3}}}};
   const std::string Bytes = encodeSummary(Summary);
   cr_assert(isZoneSummary(Bytes));
   cr_assert_not(isZoneSummary(encodeDigest(PeerDigest())));
@@ -123,7 +123,9 @@
   cr_assert_str_eq(Read->Members.at(0).Address.c_str(), "10.1.0.9:7660");
   cr_assert(Read->Members.at(0).Stopping);
   cr_assert_eq(Read->Members.at(0).Weight, 12);
-  cr_assert_eq(Read->Crashes.at(0).Count, 3);
+  cr_assert_eq(Read->Crashes.at(0).Servers.at(0).Count, 3);
+  cr_assert_eq(Read->Crashes.at(0).Resets, 1);
+  cr_assert_eq(Read->Crashes.at(0).AgeSeconds, 2);
   cr_assert(rc::check([&](const std::string &Foreign) {
     (void)decodeSummary(Foreign);
     const auto Length = *rc::gen::inRange<std::size_t>(0, Bytes.size());
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -48,7 +48,7 @@
   Digest.Sequence = Sequence;
   Digest.HasStoreView = true;
   Digest.ServerLoads[serverKey("s")] = {2, 1};
-  Digest.Crashes = {{77, 3}};
+  Digest.Crashes = {{77, 1, 2, {{5, 3}}}};
   return Digest;
 }
 
@@ -105,7 +105,9 @@
   cr_assert_eq(Read->Sequence, 9);
   cr_assert(Read->HasStoreView);
   cr_assert_eq(Read->ServerLoads.at(serverKey("s")).Online, 2);
-  cr_assert_eq(Read->Crashes.at(0).Count, 3);
+  cr_assert_eq(Read->Crashes.at(0).Servers.at(0).Count, 3);
+  cr_assert_eq(Read->Crashes.at(0).Resets, 1);
+  cr_assert_eq(Read->Crashes.at(0).AgeSeconds, 2);
 }
 
 // Guards against a crash on datagrams or responses of another program.
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -186,6 +186,30 @@
   cr_assert_eq(Bench.answer(7).Status, 503);
 }
 
+// Guards against sending a request again and again to servers that it crashes,
+// because servers that fail it without running it reset the count.
+Test(OnlineService, FailureOfAServerDoesNotResetTheCrashCount) {
+  OnlineBench Bench;
+  Bench.Route.MaxAttempts = 1;
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Bench.start(7, RequestKind::Idempotent);
+    const SendId Send = Bench.Channels.last().Id;
+    Bench.Channels.fail(Send, SendFailure::Unanswered);
+    cr_assert(runUntil(Bench.Loop,
+                       [&] { return Bench.Channels.last().Id == Send + 1; }));
+    Bench.Channels.fail(Send + 1, SendFailure::NotSent);
+    if (Crash == 2)
+      break;
+    Bench.start(7, RequestKind::Idempotent);
+    Bench.Channels.head(Bench.Channels.last().Id, 500);
+    Bench.Channels.done(Bench.Channels.last().Id);
+  }
+  const std::size_t Before = Bench.Channels.All.size();
+  Bench.start(7, RequestKind::Idempotent);
+  cr_assert_eq(Bench.Channels.All.size(), Before);
+  cr_assert_eq(Bench.answer(7).Status, 503);
+}
+
 // Checks that a request is not blocked because of broken connections to a
 // running server.
 Test(OnlineService, BrokenConnectionsOfALivingServerBarNothing) {
