Node: Keep the crash records of blocked requests in the store

What callers saw: after all VMs were lost at the same moment, a request that was blocked before crashed three more servers, and again after the next such loss (BUDGET).

Change: the VM that blocks a request writes its record to a table of its own, other VMs do after three seconds if it did not; each VM reads the table when it starts. A reset is stored as well, and old rows are removed. Records tell other VMs that they are stored. While the store is away, VMs know what they tell each other.

NodeTests 29 passed.

--- a/Source/Node/PeerCodec.cpp
+++ b/Source/Node/PeerCodec.cpp
@@ -7,7 +7,7 @@
 constexpr std::uint32_t FieldsPerLoad = 3;
 /// A crash record is an array of the fields of the request, and of two fields
 /// for each server.
-constexpr std::uint32_t CrashHeadFields = 3;
+constexpr std::uint32_t CrashHeadFields = 4;
 constexpr std::uint32_t FieldsPerCrash = 2;
 
 } // namespace
@@ -43,6 +43,7 @@
     Record.Fingerprint = readField<std::uint64_t>(Fields, 0);
     Record.Resets = readField<std::uint32_t>(Fields, 1);
     Record.AgeSeconds = readField<std::uint32_t>(Fields, 2);
+    Record.Stored = readField<bool>(Fields, 3);
     for (std::uint32_t I = CrashHeadFields; I < Size; I += FieldsPerCrash)
       Record.Servers.push_back({readField<std::uint32_t>(Fields, I),
                                 readField<std::uint32_t>(Fields, I + 1)});
@@ -69,6 +70,7 @@
     Out.pack(Record.Fingerprint);
     Out.pack(Record.Resets);
     Out.pack(Record.AgeSeconds);
+    Out.pack(Record.Stored);
     for (const CrashRecord::ServerCrashes &Each : Record.Servers) {
       Out.pack(Each.Server);
       Out.pack(Each.Count);
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -34,6 +34,8 @@
       Detector(Dependencies.Loop, Dependencies.Channels, this->Servers,
                this->Crashes, Dependencies.Log,
                [this] { return this->Settings.current(); }),
+      BlockedRequests(Dependencies.Loop, Dependencies.Store, this->Crashes,
+                      Dependencies.Log),
       Placement(Dependencies.Loop.clock(), this->Servers, this->Loads,
                 Dependencies.Channels, this->Config.Zone, this->Self),
       Peers(Dependencies.Loop.clock(), this->Loads, this->Crashes, this->Self,
@@ -151,6 +153,7 @@
   this->ServerFeed.start();
   this->JobFeed.start();
   this->Registry.start();
+  this->BlockedRequests.start();
   EventLoop &Loop = this->Dependencies.Loop;
   this->tick();
   Loop.every(TakeoverPeriod, [this] { this->takeOverJobs(); });
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -7,6 +7,7 @@
 #include "BatchJobs/JobTakeover.h"
 #include "Core/IdSource.h"
 #include "Node/ActiveSettings.h"
+#include "Node/CrashArchive.h"
 #include "Node/DeploymentAdapter.h"
 #include "Node/NodeConfig.h"
 #include "Node/NodeRegistry.h"
@@ -89,6 +90,7 @@
   LoadTracker Loads;
   CrashCounter Crashes;
   CrashDetector Detector;
+  CrashArchive BlockedRequests;
   PlacementPolicy Placement;
   PeerDirectory Peers;
   ActiveSettings Settings;
--- a/Source/Serving/CrashCounter.cpp
+++ b/Source/Serving/CrashCounter.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// A count without a new crash for this long is discarded.
-constexpr Duration CountLifetime = std::chrono::minutes(10);
-
 constexpr std::size_t MaxCounts = 4096;
 
 /// The number of servers of a request that are remembered, which is more than
@@ -24,14 +21,18 @@
 constexpr Duration RepeatPeriod = std::chrono::seconds(10);
 constexpr Duration RepeatTime = std::chrono::milliseconds(450);
 
-std::uint32_t wholeSeconds(Duration Age) {
+/// How long the VM that blocked a request may take to store that before the
+/// other VMs do.
+constexpr Duration StoreDelayOfOthers = std::chrono::seconds(3);
+
+} // namespace
+
+std::uint32_t CrashCounter::wholeSeconds(Duration Age) {
   return static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::seconds>(std::max(Age, Duration(0)))
           .count());
 }
 
-} // namespace
-
 std::uint64_t CrashCounter::fingerprint(std::string_view Target,
                                         std::string_view Body) {
   return hash64(Body, hash64(Target));
@@ -56,8 +57,13 @@
   if (Count.Servers.size() >= MaxServersPerRequest &&
       !Count.Servers.contains(Server))
     return;
+  const unsigned Before = Count.total();
   ServerCount &OfServer = Count.Servers[Server];
   OfServer.Known = std::max(OfServer.Known, ++OfServer.Local);
+  if (Before < BlockingCrashCount && Count.total() >= BlockingCrashCount) {
+    Count.BlockedAt = this->Time.now();
+    Count.StoresChange = true;
+  }
 }
 
 unsigned CrashCounter::resetCount(std::uint64_t Fingerprint) {
@@ -68,6 +74,8 @@
   const unsigned Before = Count.total();
   ++Count.Resets;
   Count.Servers.clear();
+  Count.StoresChange = Count.Stored;
+  Count.Stored = false;
   this->share(Count);
   return Before;
 }
@@ -89,7 +97,10 @@
   if (Changed) {
     Count.Resets = Record.Resets;
     Count.Servers.clear();
+    Count.Stored = false;
   }
+  Count.Stored = Count.Stored || Record.Stored;
+  const unsigned Before = Count.total();
   for (const CrashRecord::ServerCrashes &Each : Record.Servers) {
     if (Count.Servers.size() >= MaxServersPerRequest &&
         !Count.Servers.contains(Each.Server))
@@ -103,6 +114,8 @@
   // The age is rounded up, so that it grows even if VMs merge the records of
   // each other again and again.
   Count.LastCrash = std::max(Count.LastCrash, Now - Age);
+  if (Before < BlockingCrashCount && Count.total() >= BlockingCrashCount)
+    Count.BlockedAt = Now;
   if (Changed)
     this->share(Count);
   return Changed;
@@ -144,17 +157,45 @@
   Due.resize(std::min(Due.size(), Limit));
   std::vector<CrashRecord> Records;
   Records.reserve(Due.size());
-  for (const Entry *Each : Due) {
-    CrashRecord &Record = Records.emplace_back();
-    Record.Fingerprint = Each->first;
-    Record.Resets = Each->second.Resets;
-    Record.AgeSeconds = wholeSeconds(Now - Each->second.LastCrash);
-    for (const auto &[Server, Count] : Each->second.Servers)
-      Record.Servers.push_back({Server, Count.Known});
+  for (const Entry *Each : Due)
+    Records.push_back(this->makeRecord(Each->first, Each->second, Now));
+  return Records;
+}
+
+CrashRecord CrashCounter::makeRecord(std::uint64_t Fingerprint,
+                                     const RequestCount &Count,
+                                     Instant Now) const {
+  CrashRecord Record;
+  Record.Fingerprint = Fingerprint;
+  Record.Resets = Count.Resets;
+  Record.AgeSeconds = wholeSeconds(Now - Count.LastCrash);
+  for (const auto &[Server, OfServer] : Count.Servers)
+    Record.Servers.push_back({Server, OfServer.Known});
+  Record.Stored = Count.Stored;
+  return Record;
+}
+
+std::vector<CrashRecord> CrashCounter::recordsToStore() const {
+  const Instant Now = this->Time.now();
+  std::vector<CrashRecord> Records;
+  for (const auto &[Fingerprint, Count] : this->Counts) {
+    const bool IsLeftToOthers = Count.total() < BlockingCrashCount ||
+                                Now - Count.BlockedAt < StoreDelayOfOthers;
+    if (!Count.Stored && (Count.StoresChange || !IsLeftToOthers))
+      Records.push_back(this->makeRecord(Fingerprint, Count, Now));
   }
   return Records;
 }
 
+void CrashCounter::markStored(const CrashRecord &Record) {
+  const auto Found = this->Counts.find(Record.Fingerprint);
+  if (Found == this->Counts.end() || Found->second.Resets != Record.Resets)
+    return;
+  Found->second.Stored = true;
+  Found->second.StoresChange = false;
+  this->share(Found->second);
+}
+
 void CrashCounter::repeatBlocked() {
   for (auto &[Fingerprint, Count] : this->Counts)
     if (Count.total() >= BlockingCrashCount)
--- a/Source/Serving/CrashCounter.h
+++ b/Source/Serving/CrashCounter.h
@@ -18,8 +18,14 @@
 /// add up and outlive the VM that saw a crash. This class performs no I/O.
 class CrashCounter {
 public:
+  /// A count without a new crash for this long is discarded.
+  static constexpr Duration CountLifetime = std::chrono::minutes(10);
+
   explicit CrashCounter(const Clock &Time) : Time(Time) {}
 
+  /// Returns \p Age in whole seconds, rounded up.
+  static std::uint32_t wholeSeconds(Duration Age);
+
   /// Returns a hash of the target and the body, which is the same for equal
   /// requests.
   static std::uint64_t fingerprint(std::string_view Target,
@@ -49,6 +55,13 @@
   /// Makes the records of blocked requests due, for a VM that has just started.
   void repeatBlocked();
 
+  /// Returns the records that this VM has to write to the store, where they
+  /// outlive a loss of all VMs: of the requests that it blocked or unblocked,
+  /// and of those that another VM blocked but has not stored after a while.
+  std::vector<CrashRecord> recordsToStore() const;
+  /// Records that the store has \p Record.
+  void markStored(const CrashRecord &Record);
+
 private:
   /// The number of crashes from which a request is blocked.
   static constexpr unsigned BlockingCrashCount = 3;
@@ -63,6 +76,12 @@
     std::uint32_t Resets = 0;
     std::map<std::uint32_t, ServerCount> Servers;
     Instant LastCrash;
+    /// The time at which this VM knew that the request is blocked.
+    Instant BlockedAt;
+    /// This VM blocked or unblocked the request and has to store that.
+    bool StoresChange = false;
+    /// The store has a record with the same number of resets.
+    bool Stored = false;
     /// The record is due in messages to other VMs until then.
     Instant SharedUntil;
 
@@ -71,6 +90,8 @@
 
   bool isDue(const RequestCount &Count, Instant Now) const;
   void share(RequestCount &Count) const;
+  CrashRecord makeRecord(std::uint64_t Fingerprint, const RequestCount &Count,
+                         Instant Now) const;
   void discardOldCounts();
 
   const Clock &Time;
--- a/Source/Serving/CrashRecord.h
+++ b/Source/Serving/CrashRecord.h
@@ -25,6 +25,8 @@
   /// The time since the last crash, in whole seconds, rounded up.
   std::uint32_t AgeSeconds = 0;
   std::vector<ServerCrashes> Servers;
+  /// The store has this record.
+  bool Stored = false;
 };
 
 } // namespace turmericpass
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -48,7 +48,7 @@
   Digest.Sequence = Sequence;
   Digest.HasStoreView = true;
   Digest.ServerLoads[serverKey("s")] = {2, 1};
-  Digest.Crashes = {{77, 1, 2, {{5, 3}}}};
+  Digest.Crashes = {{77, 1, 2, {{5, 3}}, true}};
   return Digest;
 }
 
@@ -108,6 +108,7 @@
   cr_assert_eq(Read->Crashes.at(0).Servers.at(0).Count, 3);
   cr_assert_eq(Read->Crashes.at(0).Resets, 1);
   cr_assert_eq(Read->Crashes.at(0).AgeSeconds, 2);
+  cr_assert(Read->Crashes.at(0).Stored);
 }
 
 // Guards against a crash on datagrams or responses of another program.
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -39,6 +39,8 @@
   /// Reads fail while it is set.
   bool Away = false;
   int Transactions = 0;
+  /// The store's clock.
+  std::int64_t StoreMillis = 0;
 
   const RowLimits &limits() const override { return this->Limits; }
 
@@ -89,8 +91,10 @@
       }
       Page->Rows.push_back(Row);
     }
-    if (Page)
+    if (Page) {
       Page->Version = this->Version;
+      Page->StoreMillis = this->StoreMillis;
+    }
     this->Loop.after(Duration(0), [Page = std::move(Page),
                                    Done = std::move(Done)] { Done(Page); });
   }
