BatchJobs: Keep the failed attempts of an item with its progress

Besides, every status but 422 counted as a failed attempt, so an item could be given up before max_attempts answers of 500.

Change: the number of failed attempts is part of an item's progress, which is saved at each of them; only status 500 counts. Progress without the field, as earlier versions wrote it, is still read.

--- a/Source/BatchJobs/JobLoader.cpp
+++ b/Source/BatchJobs/JobLoader.cpp
@@ -27,8 +27,11 @@
       Runs[At->second].State = ItemState::Committed;
   for (const ItemProgress &Known : Progress)
     if (Known.Index < Runs.size()) {
-      Runs[Known.Index].LastEventId = Known.LastEventId;
-      Runs[Known.Index].Output = Known.Output;
+      ItemRun &Run = Runs[Known.Index];
+      if (Known.HasEvents)
+        Run.LastEventId = Known.LastEventId;
+      Run.Output = Known.Output;
+      Run.Failures = Run.SavedFailures = Known.Failures;
     }
   return Runs;
 }
--- a/Source/BatchJobs/JobRecords.cpp
+++ b/Source/BatchJobs/JobRecords.cpp
@@ -1,5 +1,6 @@
 #include "BatchJobs/JobRecords.h"
 
+#include <algorithm>
 #include <exception>
 #include <msgpack.hpp>
 
@@ -23,9 +24,14 @@
   Visit(R.ItemId, R.Succeeded, R.Output);
 }
 template <typename F> void visitFields(ItemProgress &R, F Visit) {
-  Visit(R.Index, R.LastEventId, R.Output);
+  Visit(R.Index, R.LastEventId, R.Output, R.Failures, R.HasEvents);
 }
 
+/// The number of fields that each record has, also one of an earlier version.
+/// Later fields keep their default values if they are missing.
+template <typename R> constexpr std::size_t RequiredFields = SIZE_MAX;
+template <> constexpr std::size_t RequiredFields<ItemProgress> = 3;
+
 template <typename R>
 void packRecord(msgpack::packer<msgpack::sbuffer> &Out, const R &Record) {
   R Copy = Record;
@@ -46,12 +52,20 @@
 template <typename R> R unpackRecord(const msgpack::object &Object) {
   R Record;
   visitFields(Record, [&](auto &...Fields) {
+    constexpr std::size_t Required =
+        std::min(RequiredFields<R>, sizeof...(Fields));
     if (Object.type != msgpack::type::ARRAY ||
-        Object.via.array.size != 1 + sizeof...(Fields) ||
+        Object.via.array.size < 1 + Required ||
+        Object.via.array.size > 1 + sizeof...(Fields) ||
         Object.via.array.ptr[0].as<unsigned>() != RecordVersion)
       throw msgpack::type_error();
+    const std::size_t Size = Object.via.array.size;
     std::size_t Index = 1;
-    (Object.via.array.ptr[Index++].convert(Fields), ...);
+    const auto ReadNext = [&](auto &Field) {
+      if (Index < Size)
+        Object.via.array.ptr[Index++].convert(Field);
+    };
+    (ReadNext(Fields), ...);
   });
   return Record;
 }
--- a/Source/BatchJobs/JobRecords.h
+++ b/Source/BatchJobs/JobRecords.h
@@ -63,13 +63,18 @@
   std::string Output;
 };
 
-/// The partial output of an unfinished item, up to event LastEventId. Another
-/// VM that takes the job over resumes the item from it.
+/// The state of an unfinished item: its partial output, up to event
+/// LastEventId, and its failed attempts. Another VM that takes the job over
+/// goes on from it.
 struct ItemProgress {
   /// The index of the item among the items of its job.
   std::uint64_t Index = 0;
   std::uint64_t LastEventId = 0;
   std::string Output;
+  /// The number of failed attempts. Records of earlier versions do not have it.
+  int Failures = 0;
+  /// Whether any event was received.
+  bool HasEvents = true;
 };
 
 std::string encodeMetadata(const JobMetadata &Metadata);
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr int UnprocessableStatus = 422;
+/// The status that counts towards the maximum number of attempts.
+constexpr int FailedAttemptStatus = 500;
 
 /// The delay before a preempted item restarts. It lets the VMs exchange their
 /// load counts; otherwise the same callers may preempt the item again.
@@ -321,21 +323,24 @@
 }
 
 void JobRunner::handleFailure(const ItemKey &Key, ItemRun &Run, int Status) {
-  ++Run.Failures;
-  const OwnedJob &Job = this->Jobs.at(Key.JobId);
+  if (Status == FailedAttemptStatus)
+    ++Run.Failures;
+  OwnedJob &Job = this->Jobs.at(Key.JobId);
   const RouteSettings *Route = this->routeOf(Job);
   const int MaxAttempts = Route ? Route->MaxAttempts : 1;
   if (Status == UnprocessableStatus) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the server rejected the item as unprocessable");
-  } else if (Status == 500 && Run.Failures >= MaxAttempts) {
+  } else if (Status == FailedAttemptStatus && Run.Failures >= MaxAttempts) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the item reached the maximum number of attempts");
   } else {
     this->postponeItem(Key, Run, FailureDelay,
                        "the server returned status " + std::to_string(Status));
+    // Another owner must not start to count at 0 again.
+    this->saveProgressOf(Key.JobId, Job);
   }
 }
 
@@ -466,11 +471,15 @@
 }
 
 void JobRunner::saveProgress() {
-  for (auto &[JobId, Job] : this->Jobs) {
-    const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
-    if (!Progress.empty())
-      this->Dependencies.Store.saveProgress(JobId, Progress);
-  }
+  for (auto &[JobId, Job] : this->Jobs)
+    this->saveProgressOf(JobId, Job);
+}
+
+std::size_t JobRunner::saveProgressOf(const std::string &JobId, OwnedJob &Job) {
+  const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
+  if (!Progress.empty())
+    this->Dependencies.Store.saveProgress(JobId, Progress);
+  return Progress.size();
 }
 
 void JobRunner::releaseJobs() {
@@ -478,14 +487,13 @@
   for (auto &[JobId, Job] : this->Jobs) {
     for (ItemRun &Run : Job.Items)
       this->stopItem(Run, true);
-    const std::vector<ItemProgress> Progress = Job.takeUnsavedProgress();
-    this->Dependencies.Store.saveProgress(JobId, Progress);
+    const std::size_t Begun = this->saveProgressOf(JobId, Job);
     const std::size_t Committed = this->Dependencies.Store.commitResults(
         JobId, Job, "", this->Dependencies.Loop.clock().now() + CommitTimeout,
         this->Dependencies.Directory, [](JobStore::ChangeOutcome) {});
     this->Dependencies.Log.log(LogLevel::Info, "Released a job to other VMs.",
                                {{"job", JobId},
-                                {"begun", Progress.size()},
+                                {"begun", Begun},
                                 {"finished", Job.UncommittedResults.size()},
                                 {"committed", Committed}});
   }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -121,6 +121,9 @@
   void startCommit(const std::string &JobId);
   void handleCommitOutcome(const std::string &JobId,
                            JobStore::ChangeOutcome Outcome);
+  /// Saves the progress of the job's unfinished items. Returns how many
+  /// changed.
+  std::size_t saveProgressOf(const std::string &JobId, OwnedJob &Job);
   const RouteSettings *routeOf(const OwnedJob &Job) const;
 
   JobRunnerDependencies Dependencies;
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -80,12 +80,15 @@
     ItemRun &Run = this->Items[I];
     const bool IsUnfinished =
         Run.State == ItemState::Pending || Run.State == ItemState::Running;
-    if (!IsUnfinished || !Run.LastEventId ||
-        Run.LastEventId == Run.SavedEventId ||
+    const bool HasNewEvents =
+        Run.LastEventId && Run.LastEventId != Run.SavedEventId;
+    if (!IsUnfinished || (!HasNewEvents && Run.Failures == Run.SavedFailures) ||
         Run.Output.size() > MaxProgressBytes)
       continue;
     Run.SavedEventId = Run.LastEventId;
-    Unsaved.push_back({I, *Run.LastEventId, Run.Output});
+    Run.SavedFailures = Run.Failures;
+    Unsaved.push_back({I, Run.LastEventId.value_or(0), Run.Output, Run.Failures,
+                       Run.LastEventId.has_value()});
   }
   return Unsaved;
 }
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -39,8 +39,10 @@
   Instant LastEventAt;
   /// The earliest time at which the item may start again.
   Instant EarliestStart;
-  /// The number of responses that reported a failure of the item.
+  /// The number of responses that reported a failure of the item, and how many
+  /// of them are included in the progress in the store.
   int Failures = 0;
+  int SavedFailures = 0;
   EventSplitter Events;
   /// The data of the events received so far, joined with line feeds.
   std::string Output;
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 using namespace turmericpass;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -155,6 +156,53 @@
   cr_assert_eq(Bench.Loads.totalLoad("s1").Batch, 6);
 }
 
+// Guards against an item that fails at each run and is sent again and again,
+// because each VM that takes its job over counts the failures from 0.
+Test(JobRunner, FailuresOfAnItemOutliveItsVm) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  Bench.Channels.head(1, 500);
+  JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
+                   Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
+                   Bench.Detector, Bench.Protocol, Bench.Log, Bench.Stats,
+                   [&] { return &Bench.Settings; }, [] { return 0; },
+                   [] { return false; }, [] { return 0; }, "other"});
+  const KnownJob Known = *Bench.Directory.find("j");
+  JobMetadata Metadata = Known.Metadata;
+  Metadata.Owner = "other";
+  ++Metadata.Epoch;
+  runFor(Bench.Loop, 20ms);
+  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
+                        Bench.Time.now() + std::chrono::seconds(5),
+                        Bench.Directory,
+                        [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 2; }));
+  Bench.Channels.head(2, 500);
+  cr_assert(runUntil(Bench.Loop, [&] {
+    Other.schedule();
+    return Bench.Channels.All.size() == 3;
+  }));
+  Bench.Channels.head(3, 500);
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.results("j").empty(); }));
+  cr_assert_not(Bench.results("j").at(0).Succeeded);
+}
+
+// Guards against an item that is given up early, because refusals without the
+// mark of a refusal count as failed attempts.
+Test(JobRunner, OnlyFailedAttemptsCountTowardsTheMaximum) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  for (const int Status : {502, 504, 500}) {
+    const SendId Send = Bench.Channels.last().Id;
+    Bench.Channels.head(Send, Status);
+    cr_assert(runUntil(Bench.Loop, [&] {
+      Bench.Runner.schedule();
+      return Bench.Channels.last().Id == Send + 1;
+    }));
+  }
+}
+
 // Guards against items that keep running after their job was cancelled.
 Test(JobRunner, EndedJobStopsItsItems) {
   RunnerBench Bench;
--- a/Tests/BatchJobs/RecordFuzzTest.cpp
+++ b/Tests/BatchJobs/RecordFuzzTest.cpp
@@ -58,3 +58,18 @@
   cr_assert_not(decodeItems(Huge));
   cr_assert_not(decodeItems(std::string("\x92\x01\xdd\xff\xff\xff\xff", 7)));
 }
+
+// Guards against the loss of all progress of a job at an upgrade, because an
+// earlier version wrote fewer fields.
+Test(JobRecords, ProgressOfAnEarlierVersionIsRead) {
+  const Result<ItemProgress> Read =
+      decodeProgress(std::string_view("\x94\x01\x03\x07\xa4part", 9));
+  cr_assert(Read);
+  cr_assert_eq(Read->LastEventId, 7);
+  cr_assert_eq(Read->Failures, 0);
+  cr_assert(Read->HasEvents);
+  const Result<ItemProgress> Current =
+      decodeProgress(encodeProgress({3, 0, "", 2, false}));
+  cr_assert_eq(Current->Failures, 2);
+  cr_assert_not(Current->HasEvents);
+}
