Serving: Suspect only requests that had just begun, and end each crash check

A check of a server that accepts the connection and never answers lasted for ever, and later crashes of that server were not counted.

Change: requests count as suspects only up to two events, as items did already. A check ends after a second.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -34,10 +34,6 @@
 /// again. It remains pending, so that it expires at the end of its retention.
 constexpr Duration BlockedItemDelay = std::chrono::seconds(20);
 
-/// Requests that crash servers do so soon after they start. An item that
-/// received more events than this is not suspected when its server crashes.
-constexpr int MaxCrashEvents = 2;
-
 /// The number of free slots that late items leave on each server while other
 /// VMs have waiting items that can meet their deadline.
 constexpr int SlotsReservedForUrgent = 2;
@@ -397,7 +393,8 @@
     return;
   this->stopItem(*Run, false);
   this->Dependencies.Servers.recordFailure(Run->Server);
-  if (Failure != SendFailure::NotSent && Run->NewEvents <= MaxCrashEvents)
+  if (Failure != SendFailure::NotSent &&
+      Run->NewEvents <= CrashDetector::MaxEventsOfSuspect)
     this->Dependencies.Detector.checkForCrash(
         Run->Server,
         CrashCounter::fingerprint(Run->Item.Target, Run->Item.Body));
--- a/Source/Serving/CrashDetector.cpp
+++ b/Source/Serving/CrashDetector.cpp
@@ -19,6 +19,10 @@
 /// A running server accepts a connection within a few milliseconds.
 constexpr Duration CheckConnectTimeout = std::chrono::milliseconds(300);
 
+/// A check that gets no answer ends after this time, so that the server is
+/// checked again after its next failure.
+constexpr Duration CheckTimeout = std::chrono::milliseconds(1000);
+
 /// Returns a key of the incarnation of the server, which is the same on all
 /// VMs.
 std::uint32_t lifetimeKey(const ServerEntry &Entry) {
@@ -66,8 +70,16 @@
   // An idle connection does not show whether the server has crashed, so the
   // check opens a new one.
   this->Channels.forget(State->Entry.Address);
-  this->RunningChecks.emplace(this->Channels.send(std::move(Order), *this),
-                              Server);
+  const SendId Id = this->Channels.send(std::move(Order), *this);
+  this->RunningChecks.emplace(Id, Server);
+  this->Loop.after(CheckTimeout, [this, Id] { this->endUnansweredCheck(Id); });
+}
+
+void CrashDetector::endUnansweredCheck(SendId Id) {
+  if (!this->RunningChecks.contains(Id))
+    return;
+  this->Channels.cancel(Id);
+  this->finishCheck(Id, false, "connected, but not answered");
 }
 
 void CrashDetector::answerDone(SendId Id) {
--- a/Source/Serving/CrashDetector.h
+++ b/Source/Serving/CrashDetector.h
@@ -21,6 +21,10 @@
 /// request.
 class CrashDetector : private SendHandler {
 public:
+  /// Requests that crash servers do so soon after they start. A request that
+  /// received more events than this is not suspected when its server crashes.
+  static constexpr int MaxEventsOfSuspect = 2;
+
   /// \p Settings returns the settings in force, or nullptr if there are none.
   CrashDetector(EventLoop &Loop, BackendChannels &Channels,
                 ServerDirectory &Servers, CrashCounter &Crashes, Logger &Log,
@@ -38,6 +42,8 @@
                   std::string_view Detail) override;
 
   void checkServer(const std::string &Server);
+  /// Ends a check whose server accepted the connection, if that is still open.
+  void endUnansweredCheck(SendId Id);
   void finishCheck(SendId Id, bool Crashed, std::string_view Detail);
 
   EventLoop &Loop;
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -360,7 +360,8 @@
     this->retryAfterRefusal(*Call, Detail);
     return;
   }
-  this->Dependencies.Detector.checkForCrash(Server, Call->Fingerprint);
+  if (Call->EventsOfSend <= CrashDetector::MaxEventsOfSuspect)
+    this->Dependencies.Detector.checkForCrash(Server, Call->Fingerprint);
   this->retry(*Call, Detail);
 }
 
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -226,6 +226,43 @@
   }
 }
 
+// Guards against counting the crash of a server against streams that were well
+// under way there.
+Test(OnlineService, StreamUnderWayIsNotSuspectedOfACrash) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Stream);
+  Bench.stream(1, "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\n");
+  Bench.Channels.fail(1, SendFailure::AnswerTruncated);
+  Bench.start(2, RequestKind::Stream);
+  Bench.stream(2, "id: 0\ndata: a\n\n");
+  Bench.Channels.fail(2, SendFailure::AnswerTruncated);
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() >= 3; }));
+  for (SendId Check = 3; Check <= Bench.Channels.All.size(); ++Check)
+    Bench.Channels.fail(Check, SendFailure::NotSent);
+  runFor(Bench.Loop, 100ms);
+  cr_assert_eq(Bench.Crashes.size(), 1);
+}
+
+// Guards against crashes that are not counted because an earlier check of the
+// server never got an answer.
+Test(OnlineService, CheckWithoutAnAnswerEnds) {
+  OnlineBench Bench;
+  Bench.Route.MaxAttempts = 1;
+  Bench.Servers.remove("s2");
+  for (CallerId Caller : {1, 2}) {
+    Bench.start(Caller, RequestKind::Idempotent);
+    const SendId Send = Bench.Channels.last().Id;
+    Bench.Channels.fail(Send, SendFailure::Unanswered);
+    cr_assert(runUntil(Bench.Loop,
+                       [&] { return Bench.Channels.last().Id == Send + 1; }));
+    cr_assert(runUntil(Bench.Loop, [&] {
+      return Bench.Channels.Cancelled.contains(Send + 1);
+    }));
+  }
+  cr_assert_eq(Bench.Crashes.size(), 0);
+}
+
 // Checks that a negative number in a header is not taken for a huge one.
 Test(OnlineRequest, NegativeNumbersAreNotRead) {
   cr_assert_not(parseHeaderNumber("-1"));
