Serving, Node: Block the parts of prompts under which servers crash

Cause: crashes were counted by target and body, so that each of these requests had one crash.

Change: a crash counts against the request and against each part that it shares, and a part is blocked after three crashes under three different requests. A server that runs a request without a crash clears it and its parts, on all VMs; a VM that saw that recently does not accept the opposite from others. A blocked suspect is tried again after 5 s, then less and less often, by one VM, because a part of all prompts may be blocked while all servers crash for other reasons. CrashGuard takes these decisions out of OnlineService. Blocked requests get a Retry-After of 5 s, since no trial is sooner.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -249,9 +249,8 @@
   if (!Route)
     return true;
   const Instant Now = this->Dependencies.Loop.clock().now();
-  const std::uint64_t Fingerprint =
-      CrashCounter::fingerprint(Run.Item.Target, Run.Item.Body);
-  if (this->Dependencies.Crashes.isBlocked(Fingerprint)) {
+  if (this->Dependencies.Crashes.isBlocked(
+          makeCrashSuspects(Run.Item.Target, Run.Item.Body, ""))) {
     this->postponeItem(Key, Run, BlockedItemDelay,
                        "the item is suspected of crashing servers");
     return true;
@@ -374,8 +373,8 @@
     this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is truncated");
     return;
   }
-  this->Dependencies.Crashes.resetCount(
-      CrashCounter::fingerprint(Run->Item.Target, Run->Item.Body));
+  this->Dependencies.Crashes.recordSuccess(
+      makeCrashSuspects(Run->Item.Target, Run->Item.Body, ""));
   this->stopItem(*Run, false);
   this->Policy.recordCompletion(Run->RunTime,
                                 this->Dependencies.Loop.clock().now() -
@@ -396,8 +395,7 @@
   if (Failure != SendFailure::NotSent &&
       Run->NewEvents <= CrashDetector::MaxEventsOfSuspect)
     this->Dependencies.Detector.checkForCrash(
-        Run->Server,
-        CrashCounter::fingerprint(Run->Item.Target, Run->Item.Body));
+        Run->Server, makeCrashSuspects(Run->Item.Target, Run->Item.Body, ""));
   this->postponeItem(Key, *Run, BrokenAnswerDelay, Detail);
 }
 
--- a/Source/Node/CrashArchive.cpp
+++ b/Source/Node/CrashArchive.cpp
@@ -102,13 +102,13 @@
     Stored->Record.AgeSeconds = CrashCounter::wholeSeconds(Age);
     Stored->Record.Stored = true;
     this->Crashes.mergeRecord(Stored->Record);
-    if (this->Crashes.isBlocked(Stored->Record.Fingerprint))
+    if (this->Crashes.crashesOf(Stored->Record.Suspect) > 0)
       ++Blocked;
   }
   if (Blocked > 0)
     this->Log.log(LogLevel::Info,
-                  "The store names requests that crash servers.",
-                  {{"requests", Blocked}});
+                  "Read which requests crash servers from the store.",
+                  {{"suspects", Blocked}});
 }
 
 void CrashArchive::removeRow(const StoredRow &Row) {
@@ -130,20 +130,20 @@
   if (!this->StoreClockOffset)
     return;
   for (const CrashRecord &Record : this->Crashes.recordsToStore())
-    if (!this->NextWrites.contains(Record.Fingerprint))
+    if (!this->NextWrites.contains(Record.Suspect))
       this->writeRecord(Record);
 }
 
 void CrashArchive::writeRecord(const CrashRecord &Record) {
   const Instant Now = this->Loop.clock().now();
-  this->NextWrites[Record.Fingerprint] = Now + RetryDelay;
+  this->NextWrites[Record.Suspect] = Now + RetryDelay;
   const Duration CrashedAt = clockTime(this->Loop.clock()) +
                              *this->StoreClockOffset -
                              std::chrono::seconds(Record.AgeSeconds);
   RowTransaction Change;
   Change.Part = Part;
   Change.Writes = {
-      {Table, std::to_string(Record.Fingerprint),
+      {Table, std::to_string(Record.Suspect),
        encode({CrashedAt / std::chrono::milliseconds(1), Record})}};
   this->Store.transact(
       std::move(Change), [this, Record](const TransactionResult &Transaction) {
@@ -154,7 +154,7 @@
         this->Log.log(Committed ? LogLevel::Info : LogLevel::Warning,
                       Committed ? "Stored a crash record."
                                 : "Failed to store a crash record.",
-                      {{"fingerprint", Record.Fingerprint},
+                      {{"suspect", Record.Suspect},
                        {"resets", Record.Resets},
                        {"servers", Record.Servers.size()},
                        {"detail", Transaction.Detail}});
--- a/Source/Node/CrashArchive.h
+++ b/Source/Node/CrashArchive.h
@@ -15,8 +15,8 @@
 class EventLoop;
 class Logger;
 
-/// Keeps the crash records of blocked requests in the store, so that a request
-/// stays blocked after all VMs were lost at the same time. While the store is
+/// Keeps the crash records of blocked suspects in the store, so that they
+/// stay blocked after all VMs were lost at the same time. While the store is
 /// away, the VMs know what they tell each other.
 class CrashArchive {
 public:
@@ -53,7 +53,7 @@
   /// The difference between the store's clock and the clock of this VM, once
   /// the table was read.
   std::optional<Duration> StoreClockOffset;
-  /// The earliest time of the next write for each request. A write that is in
+  /// The earliest time of the next write for each suspect. A write that is in
   /// progress or has failed is not repeated before.
   std::map<std::uint64_t, Instant> NextWrites;
 };
--- a/Source/Node/PeerCodec.cpp
+++ b/Source/Node/PeerCodec.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 constexpr std::uint32_t FieldsPerLoad = 3;
-/// A crash record is an array of the fields of the request, and of two fields
+/// A crash record is an array of the fields of the suspect, and of two fields
 /// for each server.
-constexpr std::uint32_t CrashHeadFields = 4;
+constexpr std::uint32_t CrashHeadFields = 7;
 constexpr std::uint32_t FieldsPerCrash = 2;
 
 } // namespace
@@ -40,10 +40,13 @@
         (Size - CrashHeadFields) % FieldsPerCrash != 0)
       throw msgpack::type_error();
     CrashRecord &Record = Crashes.emplace_back();
-    Record.Fingerprint = readField<std::uint64_t>(Fields, 0);
+    Record.Suspect = readField<std::uint64_t>(Fields, 0);
     Record.Resets = readField<std::uint32_t>(Fields, 1);
     Record.AgeSeconds = readField<std::uint32_t>(Fields, 2);
     Record.Stored = readField<bool>(Fields, 3);
+    Record.IsPart = readField<bool>(Fields, 4);
+    Record.Trials = readField<std::uint32_t>(Fields, 5);
+    Record.Requests = readField<std::vector<std::uint32_t>>(Fields, 6);
     for (std::uint32_t I = CrashHeadFields; I < Size; I += FieldsPerCrash)
       Record.Servers.push_back({readField<std::uint32_t>(Fields, I),
                                 readField<std::uint32_t>(Fields, I + 1)});
@@ -67,10 +70,13 @@
   for (const CrashRecord &Record : Crashes) {
     Out.pack_array(static_cast<std::uint32_t>(
         CrashHeadFields + FieldsPerCrash * Record.Servers.size()));
-    Out.pack(Record.Fingerprint);
+    Out.pack(Record.Suspect);
     Out.pack(Record.Resets);
     Out.pack(Record.AgeSeconds);
     Out.pack(Record.Stored);
+    Out.pack(Record.IsPart);
+    Out.pack(Record.Trials);
+    Out.pack(Record.Requests);
     for (const CrashRecord::ServerCrashes &Each : Record.Servers) {
       Out.pack(Each.Server);
       Out.pack(Each.Count);
--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -25,7 +25,7 @@
 constexpr Duration OtherZoneSilenceLimit = std::chrono::seconds(3);
 
 constexpr std::size_t MaxSentDigests = 64;
-constexpr std::size_t MaxSummaryCrashes = 32;
+constexpr std::size_t MaxSummaryCrashes = 48;
 
 std::string nameOf(NodeKey Key) { return std::to_string(Key); }
 
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t MinConnections = 8;
 
 /// The maximum number of crash records in a digest.
-constexpr std::size_t MaxSharedCrashes = 32;
+constexpr std::size_t MaxSharedCrashes = 48;
 
 } // namespace
 
@@ -36,6 +36,10 @@
                [this] { return this->Settings.current(); }),
       BlockedRequests(Dependencies.Loop, Dependencies.Store, this->Crashes,
                       Dependencies.Log),
+      Guard(this->Crashes, this->Detector, Dependencies.Log,
+            [this](std::uint64_t Suspect) {
+              return this->isPickedFor(std::to_string(Suspect));
+            }),
       Placement(Dependencies.Loop.clock(), this->Servers, this->Loads,
                 Dependencies.Channels, this->Config.Zone, this->Self),
       Peers(Dependencies.Loop.clock(), this->Loads, this->Crashes, this->Self,
@@ -61,10 +65,9 @@
                    this->handleStoreView(From, View);
                  }),
       Online({Dependencies.Loop, this->Front, Dependencies.Channels,
-              this->Servers, this->Loads, this->Placement, this->Crashes,
-              this->Detector, Dependencies.Ids,
-              Dependencies.Adapter.backendProtocol(), Dependencies.Log,
-              this->Stats}),
+              this->Servers, this->Loads, this->Placement, this->Guard,
+              Dependencies.Ids, Dependencies.Adapter.backendProtocol(),
+              Dependencies.Log, this->Stats}),
       KnownJobs(Dependencies.Log), Jobs(Dependencies.Loop, Dependencies.Store,
                                         Dependencies.Ids, Dependencies.Log),
       Runner({Dependencies.Loop, Dependencies.Channels, this->Jobs,
@@ -432,6 +435,12 @@
   }
 }
 
+bool ServingNode::isPickedFor(const std::string &Key) const {
+  std::vector<std::string> Nodes = this->Peers.aliveNames();
+  Nodes.push_back(this->Peers.ownName());
+  return rendezvousPick(Key, Nodes) == static_cast<int>(Nodes.size()) - 1;
+}
+
 void ServingNode::deleteExpiredJobs() {
   if (this->StoppingSince || !this->JobFeed.isCurrent())
     return;
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -18,6 +18,7 @@
 #include "RawHttp/CallerServer.h"
 #include "Rows/RowFeed.h"
 #include "Serving/CrashDetector.h"
+#include "Serving/CrashGuard.h"
 #include "Serving/OnlineService.h"
 #include "Serving/PlacementPolicy.h"
 #include "Serving/ServerDirectory.h"
@@ -78,6 +79,8 @@
   void updateFeedIntervals();
   void tick();
   void takeOverJobs();
+  /// Returns whether \p Key falls to this VM among those that are alive.
+  bool isPickedFor(const std::string &Key) const;
   void deleteExpiredJobs();
   void checkStop();
 
@@ -91,6 +94,7 @@
   CrashCounter Crashes;
   CrashDetector Detector;
   CrashArchive BlockedRequests;
+  CrashGuard Guard;
   PlacementPolicy Placement;
   PeerDirectory Peers;
   ActiveSettings Settings;
--- a/Source/Serving/BackendProtocol.h
+++ b/Source/Serving/BackendProtocol.h
@@ -25,6 +25,10 @@
   /// The id of the last event that the sender has received. The answer
   /// continues after that event.
   std::string LastEventId;
+  /// Lists the parts of the prompt in their order, separated by commas. A part
+  /// is an id, which requests with the same part have in common, a colon, and
+  /// its number of tokens. The last part belongs to one request alone.
+  std::string PromptParts;
   /// The time in seconds that a caller should wait before its next attempt.
   std::string RetryAfter;
   /// The content type of an event stream.
--- a/Source/Serving/CrashDetector.cpp
+++ b/Source/Serving/CrashDetector.cpp
@@ -5,7 +5,7 @@
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Logger.h"
 
-#include <set>
+#include <algorithm>
 #include <utility>
 
 namespace turmericpass {
@@ -40,10 +40,14 @@
       Log(Log), Settings(std::move(Settings)) {}
 
 void CrashDetector::checkForCrash(const std::string &Server,
-                                  std::uint64_t Fingerprint) {
+                                  const CrashSuspects &Suspects) {
   PendingCheck &Check = this->PendingChecks[Server];
-  Check.Fingerprints.push_back(Fingerprint);
-  if (Check.Fingerprints.size() > 1)
+  const bool IsKnown = std::any_of(
+      Check.Requests.begin(), Check.Requests.end(),
+      [&](const CrashSuspects &S) { return S.Request == Suspects.Request; });
+  if (!IsKnown)
+    Check.Requests.push_back(Suspects);
+  if (Check.Requests.size() > 1 || IsKnown)
     return;
   if (const KnownServer *State = this->Servers.find(Server))
     Check.Lifetime = lifetimeKey(State->Entry);
@@ -91,6 +95,17 @@
   this->finishCheck(Id, Failure == SendFailure::NotSent, Detail);
 }
 
+std::string CrashDetector::describeParts(const CrashSuspects &Suspects) const {
+  std::string Text;
+  for (const std::uint64_t Part : Suspects.Parts) {
+    if (!Text.empty())
+      Text.append(" ");
+    Text.append(std::to_string(Part)).append(":");
+    Text.append(std::to_string(this->Crashes.crashesOf(Part)));
+  }
+  return Text;
+}
+
 void CrashDetector::finishCheck(SendId Id, bool Crashed,
                                 std::string_view Detail) {
   const auto Found = this->RunningChecks.find(Id);
@@ -102,21 +117,20 @@
   this->PendingChecks.erase(Server);
   if (Crashed) {
     this->Servers.recordFailure(Server);
-    for (std::uint64_t Fingerprint :
-         std::set(Check.Fingerprints.begin(), Check.Fingerprints.end())) {
-      this->Crashes.addCrash(Fingerprint, Check.Lifetime);
+    this->Crashes.addCrash(Check.Requests, Check.Lifetime);
+    for (const CrashSuspects &Suspects : Check.Requests)
       this->Log.log(LogLevel::Info, "Counted a crash against a request.",
                     {{"server", Server},
-                     {"fingerprint", Fingerprint},
-                     {"crashes", this->Crashes.crashesOf(Fingerprint)}});
-    }
+                     {"suspect", Suspects.Request},
+                     {"crashes", this->Crashes.crashesOf(Suspects.Request)},
+                     {"part_crashes", this->describeParts(Suspects)}});
   }
   this->Log.log(LogLevel::Info,
                 "Checked whether a server that failed requests has crashed.",
                 {{"server", Server},
                  {"crashed", Crashed},
                  {"detail", Detail},
-                 {"requests", Check.Fingerprints.size()}});
+                 {"requests", Check.Requests.size()}});
 }
 
 } // namespace turmericpass
--- a/Source/Serving/CrashDetector.h
+++ b/Source/Serving/CrashDetector.h
@@ -3,6 +3,7 @@
 
 #include "Loop/EventLoop.h"
 #include "RawHttp/BackendChannels.h"
+#include "Serving/CrashSuspects.h"
 #include "Serving/ServingSettings.h"
 
 #include <functional>
@@ -32,7 +33,7 @@
 
   /// Reports that \p Server failed a request at the start of its execution or
   /// earlier. The server is checked after a short delay.
-  void checkForCrash(const std::string &Server, std::uint64_t Fingerprint);
+  void checkForCrash(const std::string &Server, const CrashSuspects &Suspects);
 
 private:
   void answerHead(SendId, const RawHead &) override {}
@@ -41,6 +42,8 @@
   void sendFailed(SendId Id, SendFailure Failure,
                   std::string_view Detail) override;
 
+  /// Returns the parts of a prompt with their crash counts, for the log.
+  std::string describeParts(const CrashSuspects &Suspects) const;
   void checkServer(const std::string &Server);
   /// Ends a check whose server accepted the connection, if that is still open.
   void endUnansweredCheck(SendId Id);
@@ -56,7 +59,7 @@
   struct PendingCheck {
     /// The lifetime of the server at the time of the first failure.
     std::uint32_t Lifetime = 0;
-    std::vector<std::uint64_t> Fingerprints;
+    std::vector<CrashSuspects> Requests;
   };
   std::map<std::string, PendingCheck> PendingChecks;
   std::map<SendId, std::string> RunningChecks;
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -4,6 +4,7 @@
 #include "Loop/EventLoop.h"
 #include "RawHttp/BackendChannels.h"
 #include "RawHttp/CallerPort.h"
+#include "Serving/CrashSuspects.h"
 #include "Serving/EventSplitter.h"
 #include "Serving/ServingSettings.h"
 #include "Serving/StallPolicy.h"
@@ -24,7 +25,12 @@
   /// do not change how this request is served.
   RouteSettings Route;
   std::string Service;
-  std::uint64_t Fingerprint = 0;
+  CrashSuspects Suspects;
+  /// The request is blocked, and is sent to find out whether it still crashes
+  /// servers.
+  bool IsTrial = false;
+  /// A server ran the request without a crash.
+  bool IsKnownSound = false;
   Instant ArrivedAt;
   /// The end of the time limit of the caller or of the route, whichever comes
   /// first.
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -2,8 +2,7 @@
 
 #include "Core/Hash.h"
 #include "Core/IdSource.h"
-#include "Serving/CrashCounter.h"
-#include "Serving/CrashDetector.h"
+#include "Serving/CrashGuard.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/OnlineRequest.h"
 #include "Serving/PlacementPolicy.h"
@@ -32,6 +31,11 @@
 /// The retry delay that a refused caller is told if no better estimate exists.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(300);
 
+/// A request that crashes servers is not tried again sooner.
+constexpr Duration BlockedRetryAfter = std::chrono::seconds(5);
+constexpr std::string_view CrashingRequestReason =
+    "servers crashed under requests like this one";
+
 } // namespace
 
 OnlineService::OnlineService(OnlineServiceDependencies Dependencies)
@@ -47,8 +51,9 @@
   const HttpHeaders &Headers = Call.Request.Headers;
   Call.RequestId = rawHeader(Headers, this->Dependencies.Protocol.RequestId);
   Call.Service = pickService(Route, hash64(Call.RequestId));
-  Call.Fingerprint =
-      CrashCounter::fingerprint(Call.Request.Target, Call.Request.Body);
+  Call.Suspects = makeCrashSuspects(
+      Call.Request.Target, Call.Request.Body,
+      rawHeader(Headers, this->Dependencies.Protocol.PromptParts));
   Call.ArrivedAt = this->Dependencies.Loop.clock().now();
   Call.Deadline = Call.ArrivedAt + Route.Timeout;
   if (const auto LimitMs = parseHeaderNumber(
@@ -64,17 +69,10 @@
   Call.DeadlineTimer = this->Dependencies.Loop.after(
       Call.Deadline - Call.ArrivedAt,
       [this, Caller] { this->handleDeadline(Caller); });
-  if (this->Dependencies.Crashes.isBlocked(Call.Fingerprint)) {
-    this->Dependencies.Log.log(
-        LogLevel::Info, "Refused a request that crashes servers.",
-        {{"request", Call.RequestId},
-         {"fingerprint", Call.Fingerprint},
-         {"crashes", this->Dependencies.Crashes.crashesOf(Call.Fingerprint)}});
-    this->refuse(Call, "equal requests broke three servers off",
-                 DefaultRetryAfter);
-    return;
-  }
-  this->sendToServer(Call);
+  if (this->Dependencies.Guard.admit(Call))
+    this->sendToServer(Call);
+  else
+    this->refuse(Call, CrashingRequestReason, BlockedRetryAfter);
 }
 
 OnlineCall *OnlineService::findCall(SendId Id) {
@@ -305,6 +303,7 @@
   if (!Complete.empty()) {
     this->Dependencies.Callers.sendPiece(Call.Caller, Complete);
     Call.Stall.recordEvent(this->Dependencies.Loop.clock().now());
+    this->Dependencies.Guard.eventsReceived(Call);
     if (this->Dependencies.Callers.unsentBytes(Call.Caller) >
         AnswerMemory::MaxUnsentBytes) {
       Call.ReadingPaused = true;
@@ -331,7 +330,7 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
-  this->resetCrashCount(*Call);
+  this->Dependencies.Guard.answered(*Call);
   this->Overload.recordServiceTime(
       Call->Service, this->Dependencies.Loop.clock().now() - Call->SentAt);
   this->endSend(*Call, false);
@@ -360,27 +359,10 @@
     this->retryAfterRefusal(*Call, Detail);
     return;
   }
-  if (Call->EventsOfSend <= CrashDetector::MaxEventsOfSuspect)
-    this->Dependencies.Detector.checkForCrash(Server, Call->Fingerprint);
+  this->Dependencies.Guard.sendFailed(*Call);
   this->retry(*Call, Detail);
 }
 
-void OnlineService::resetCrashCount(const OnlineCall &Call) {
-  // A server may also fail a request that it does not run.
-  const int Status = Call.AnswerHead ? Call.AnswerHead->Status : 0;
-  if (!Call.HeadForwarded && (Status < 200 || Status >= 300))
-    return;
-  const unsigned Crashes =
-      this->Dependencies.Crashes.resetCount(Call.Fingerprint);
-  if (Crashes > 0)
-    this->Dependencies.Log.log(LogLevel::Info,
-                               "Reset the crash count of a request.",
-                               {{"request", Call.RequestId},
-                                {"server", Call.Server},
-                                {"fingerprint", Call.Fingerprint},
-                                {"crashes", Crashes}});
-}
-
 void OnlineService::retry(OnlineCall &Call, std::string_view Reason) {
   this->Dependencies.Loop.cancel(std::exchange(Call.StallTimer, 0));
   Call.Events.reset();
@@ -389,7 +371,7 @@
       {{"request", Call.RequestId},
        {"server", Call.Server},
        {"reason", Reason},
-       {"fingerprint", Call.Fingerprint},
+       {"suspect", Call.Suspects.Request},
        {"events", Call.EventsOfSend},
        {"possible_runs", Call.PossibleRuns},
        {"refusals", Call.Refusals},
@@ -400,8 +382,8 @@
       (Call.Route.mayRepeat() && Call.PossibleRuns < Call.Route.MaxAttempts);
   if (!MayRetry)
     this->fail(Call, BadGateway, Reason);
-  else if (this->Dependencies.Crashes.isBlocked(Call.Fingerprint))
-    this->fail(Call, BadGateway, "equal requests broke three servers off");
+  else if (!this->Dependencies.Guard.mayRetry(Call))
+    this->fail(Call, BadGateway, CrashingRequestReason);
   else
     this->sendToServer(Call);
 }
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -11,8 +11,7 @@
 
 namespace turmericpass {
 
-class CrashDetector;
-class CrashCounter;
+class CrashGuard;
 class IdSource;
 class LoadTracker;
 class Logger;
@@ -28,8 +27,7 @@
   ServerDirectory &Servers;
   LoadTracker &Loads;
   const PlacementPolicy &Placement;
-  CrashCounter &Crashes;
-  CrashDetector &Detector;
+  CrashGuard &Guard;
   IdSource &Ids;
   const BackendProtocol &Protocol;
   Logger &Log;
@@ -84,8 +82,6 @@
   /// Answers with the error \p Status, or aborts an answer that has begun.
   void fail(OnlineCall &Call, int Status, std::string_view Reason);
   void finishCall(OnlineCall &Call, int Status, std::string_view Outcome);
-  /// Resets the crash count of a request that a server has run to its end.
-  void resetCrashCount(const OnlineCall &Call);
   /// Retries a request that its server refused or did not accept a connection
   /// for. After all servers did so, the request pauses, and is refused once its
   /// target latency has passed.
--- a/Tests/Node/AggregationTest.cpp
+++ b/Tests/Node/AggregationTest.cpp
@@ -113,7 +113,7 @@
   Summary.Loads[serverKey("s")] = {3, 2};
   Summary.Members = {{nodeKey("n2"), "10.1.0.9:7660", 5, 12, true, false}};
   Summary.AvoidedServers = {4};
-  Summary.Crashes = {{77, 1, 2, {{5, 3}}, true}};
+  Summary.Crashes = {{77, 1, 2, true, true, 4, {{5, 3}}, {8, 9, 10}}};
   const std::string Bytes = encodeSummary(Summary);
   cr_assert(isZoneSummary(Bytes));
   cr_assert_not(isZoneSummary(encodeDigest(PeerDigest())));
@@ -127,6 +127,9 @@
   cr_assert_eq(Read->Crashes.at(0).Resets, 1);
   cr_assert_eq(Read->Crashes.at(0).AgeSeconds, 2);
   cr_assert(Read->Crashes.at(0).Stored);
+  cr_assert(Read->Crashes.at(0).IsPart);
+  cr_assert_eq(Read->Crashes.at(0).Trials, 4);
+  cr_assert_eq(Read->Crashes.at(0).Requests.size(), 3);
   cr_assert(rc::check([&](const std::string &Foreign) {
     (void)decodeSummary(Foreign);
     const auto Length = *rc::gen::inRange<std::size_t>(0, Bytes.size());
--- a/Tests/Node/CrashArchiveTest.cpp
+++ b/Tests/Node/CrashArchiveTest.cpp
@@ -33,7 +33,7 @@
 
   void block() {
     for (std::uint32_t Server = 1; Server <= 3; ++Server)
-      this->Crashes.addCrash(CrashingRequest, Server);
+      this->Crashes.addCrash({{CrashingRequest, {}}}, Server);
   }
 
   CrashCounter Crashes;
@@ -51,8 +51,9 @@
   First.block();
   cr_assert(runUntil(Bench.Loop, [&] { return Bench.storedRows() == 1; }));
   ArchiveVm Second(Bench);
-  cr_assert(runUntil(
-      Bench.Loop, [&] { return Second.Crashes.isBlocked(CrashingRequest); }));
+  cr_assert(runUntil(Bench.Loop, [&] {
+    return Second.Crashes.isBlocked({CrashingRequest, {}});
+  }));
 }
 
 // Guards against a VM that never learns of blocked requests because the store
@@ -65,10 +66,11 @@
   Bench.Rows.Away = true;
   ArchiveVm Second(Bench);
   runFor(Bench.Loop, 50ms);
-  cr_assert_not(Second.Crashes.isBlocked(CrashingRequest));
+  cr_assert_not(Second.Crashes.isBlocked({CrashingRequest, {}}));
   Bench.Rows.Away = false;
-  cr_assert(runUntil(
-      Bench.Loop, [&] { return Second.Crashes.isBlocked(CrashingRequest); }));
+  cr_assert(runUntil(Bench.Loop, [&] {
+    return Second.Crashes.isBlocked({CrashingRequest, {}});
+  }));
 }
 
 // Guards against blocking a request again that has succeeded since.
@@ -79,13 +81,13 @@
   cr_assert(runUntil(Bench.Loop, [&] { return Bench.storedRows() == 1; }));
   runFor(Bench.Loop, 20ms);
   const int Before = Bench.Rows.Transactions;
-  First.Crashes.resetCount(CrashingRequest);
+  First.Crashes.recordSuccess({CrashingRequest, {}});
   cr_assert(runUntil(Bench.Loop,
                      [&] { return Bench.Rows.Transactions == Before + 1; }));
   runFor(Bench.Loop, 20ms);
   ArchiveVm Second(Bench);
   runFor(Bench.Loop, 50ms);
-  cr_assert_not(Second.Crashes.isBlocked(CrashingRequest));
+  cr_assert_not(Second.Crashes.isBlocked({CrashingRequest, {}}));
 }
 
 // Guards against a block without end, and against rows that nobody removes.
@@ -97,7 +99,7 @@
   Bench.Rows.StoreMillis = (CrashCounter::CountLifetime + 5s) / 1ms;
   ArchiveVm Second(Bench);
   cr_assert(runUntil(Bench.Loop, [&] { return Bench.storedRows() == 0; }));
-  cr_assert_not(Second.Crashes.isBlocked(CrashingRequest));
+  cr_assert_not(Second.Crashes.isBlocked({CrashingRequest, {}}));
 }
 
 // Guards against writes of requests that are not blocked, and of a blocked
@@ -106,7 +108,7 @@
   ArchiveBench Bench;
   ArchiveVm First(Bench);
   ArchiveVm Second(Bench);
-  First.Crashes.addCrash(1, 1);
+  First.Crashes.addCrash({{1, {}}}, 1);
   First.block();
   cr_assert(runUntil(Bench.Loop, [&] { return Bench.storedRows() == 1; }));
   for (int Round = 0; Round < 3; ++Round) {
--- a/Tests/Node/CrashExchangeTest.cpp
+++ b/Tests/Node/CrashExchangeTest.cpp
@@ -31,14 +31,16 @@
 
   void crash(int Vm, const std::string &Server,
              std::uint64_t Request = CrashingRequest) {
-    this->Vms[Vm]->Crashes.addCrash(Request, serverKey(Server));
+    this->Vms[Vm]->Crashes.addCrash({{Request, {}}}, serverKey(Server));
   }
 
   /// A server runs the request successfully.
-  void succeed(int Vm) { this->Vms[Vm]->Crashes.resetCount(CrashingRequest); }
+  void succeed(int Vm) {
+    this->Vms[Vm]->Crashes.recordSuccess({CrashingRequest, {}});
+  }
 
   bool isBlocked(int Vm) const {
-    return this->Vms.at(Vm)->Crashes.isBlocked(CrashingRequest);
+    return this->Vms.at(Vm)->Crashes.isBlocked({CrashingRequest, {}});
   }
 
   /// Lets every VM send several digests to every other one.
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -48,7 +48,7 @@
   Digest.Sequence = Sequence;
   Digest.HasStoreView = true;
   Digest.ServerLoads[serverKey("s")] = {2, 1};
-  Digest.Crashes = {{77, 1, 2, {{5, 3}}, true}};
+  Digest.Crashes = {{77, 1, 2, true, true, 4, {{5, 3}}, {8, 9, 10}}};
   return Digest;
 }
 
@@ -109,6 +109,9 @@
   cr_assert_eq(Read->Crashes.at(0).Resets, 1);
   cr_assert_eq(Read->Crashes.at(0).AgeSeconds, 2);
   cr_assert(Read->Crashes.at(0).Stored);
+  cr_assert(Read->Crashes.at(0).IsPart);
+  cr_assert_eq(Read->Crashes.at(0).Trials, 4);
+  cr_assert_eq(Read->Crashes.at(0).Requests.size(), 3);
 }
 
 // Guards against a crash on datagrams or responses of another program.
@@ -130,7 +133,7 @@
   Old.ServerLoads.clear();
   Bench.Peers.handleDigest("1.1.1.1:1", Old);
   cr_assert_eq(Bench.Loads.totalLoad("s").Online, 2);
-  cr_assert(Bench.Crashes.isBlocked(77));
+  cr_assert(Bench.Crashes.isBlocked({0, {77}}));
 }
 
 // Guards against counting the load of a VM that has stopped, and against
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -244,6 +244,45 @@
   cr_assert_eq(Bench.Crashes.size(), 1);
 }
 
+// Guards against requests that crash servers by a part that their prompts
+// share, and against a Retry-After that brings them back at once.
+Test(OnlineService, RequestWithABlockedPartIsRefused) {
+  OnlineBench Bench;
+  for (std::uint32_t Server = 1; Server <= 3; ++Server)
+    Bench.Crashes.addCrash({makeCrashSuspects("/x/" + std::to_string(Server),
+                                              "", "a:1,bad:2,o:3")},
+                           Server);
+  Bench.Crashes.recordSuccess(makeCrashSuspects("/y", "", "a:1,o:3"));
+  Bench.start(1, RequestKind::Stream, true, "4000", "a:1,bad:2,own:3");
+  cr_assert_eq(Bench.answer(1).Status, 503);
+  cr_assert_str_eq(rawHeader(Bench.answer(1).Headers, "Retry-After").data(),
+                   "5.00");
+  cr_assert_eq(Bench.Channels.All.size(), 0);
+  Bench.start(2, RequestKind::Stream, true, "4000", "a:1,good:2,own:3");
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+}
+
+// Guards against a part that nobody tries again because its trial was refused
+// by a full server, and against a trial at several servers.
+Test(OnlineService, TrialEndsWithTheFirstRun) {
+  OnlineBench Bench;
+  Bench.IsChosenForTrials = true;
+  CrashRecord Blocked;
+  Blocked.Suspect = sharedPromptParts("bad:2,o:3").front();
+  Blocked.IsPart = true;
+  Blocked.AgeSeconds = 60;
+  Blocked.Servers = {{1, 1}, {2, 1}, {3, 1}};
+  Blocked.Requests = {1, 2, 3};
+  Bench.Crashes.mergeRecord(Blocked);
+  Bench.start(1, RequestKind::Stream, true, "4000", "bad:2,own:3");
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+  Bench.Channels.head(1, 503, {{"Not-Run", "1"}});
+  cr_assert_eq(Bench.Channels.All.size(), 2);
+  Bench.Channels.fail(2, SendFailure::Unanswered);
+  cr_assert_eq(Bench.Channels.All.size(), 2);
+  cr_assert_eq(Bench.answer(1).Status, 502);
+}
+
 // Guards against crashes that are not counted because an earlier check of the
 // server never got an answer.
 Test(OnlineService, CheckWithoutAnAnswerEnds) {
--- a/Tests/Support/OnlineBench.h
+++ b/Tests/Support/OnlineBench.h
@@ -4,6 +4,7 @@
 #include "Core/IdSource.h"
 #include "Serving/CrashCounter.h"
 #include "Serving/CrashDetector.h"
+#include "Serving/CrashGuard.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/OnlineService.h"
 #include "Serving/PlacementPolicy.h"
@@ -32,18 +33,23 @@
   ServingSettings Settings;
   CrashDetector Detector{Loop,    Channels, Servers,
                          Crashes, Log,      [this] { return &this->Settings; }};
+  /// Whether this VM is the one that tries a blocked request.
+  bool IsChosenForTrials = false;
+  CrashGuard Guard{Crashes, Detector, Log,
+                   [this](std::uint64_t) { return this->IsChosenForTrials; }};
   PlacementPolicy Placement{Time, Servers, Loads, Channels, "a", "self"};
   RouteSettings Route;
   OnlineService Online;
 
   OnlineBench()
-      : Online({Loop, Callers, Channels, Servers, Loads, Placement, Crashes,
-                Detector, Ids, Protocol, Log, Stats}) {
+      : Online({Loop, Callers, Channels, Servers, Loads, Placement, Guard, Ids,
+                Protocol, Log, Stats}) {
     Protocol.RequestId = "Id";
     Protocol.RemainingMs = "Remaining";
     Protocol.ExpectedServer = "Server";
     Protocol.NotRun = "Not-Run";
     Protocol.LastEventId = "After";
+    Protocol.PromptParts = "Parts";
     Protocol.RetryAfter = "Retry-After";
     Route.Name = "route";
     Route.Timeout = std::chrono::seconds(5);
@@ -54,7 +60,8 @@
   }
 
   void start(CallerId Caller, RequestKind Kind, bool Resumable = false,
-             const std::string &Remaining = "4000") {
+             const std::string &Remaining = "4000",
+             const std::string &Parts = "") {
     Route.Kind = Kind;
     Route.Resumable = Resumable;
     RawRequest Request;
@@ -65,6 +72,8 @@
                        {"Remaining", Remaining},
                        {"Connection", "keep-alive"},
                        {"X-Own", "kept"}};
+    if (!Parts.empty())
+      Request.Headers.emplace_back("Parts", Parts);
     Request.Body = "body";
     Online.startCall(Caller, std::move(Request), Route);
   }
