Serving, BatchJobs: Take a stream that ends inside an event for a broken one

Cause: an answer may have no length and end with its connection, so that the crash of a server looks like the end of the answer. A stream that ended inside an event was passed on as complete, with the part of the event; an empty one counted as a whole answer, cleared the crash counts of its request, and as an item's answer became its result.

Change: such a stream goes on at another server if its route allows that, and is broken off otherwise; an empty stream counts as broken if its head states no length. The state of a call is built in OnlineRequest.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -313,6 +313,7 @@
     return;
   }
   this->Dependencies.Servers.recordSuccess(Run->Server);
+  Run->AnswerHasLength = Head.hasLength();
   if (Head.Status < 200 || Head.Status >= 300)
     this->handleFailure(Key, *Run, Head.Status);
 }
@@ -369,7 +370,7 @@
   ItemRun *Run = this->findItemOfSend(Id, Key);
   if (!Run)
     return;
-  if (!Run->Events.incompleteEvent().empty()) {
+  if (Run->answerBrokeOff()) {
     this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is truncated");
     return;
   }
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -53,6 +53,8 @@
   Duration RunTime{0};
   /// The number of events received in response to the current send.
   int NewEvents = 0;
+  /// The answer to the current send says where it ends.
+  bool AnswerHasLength = false;
   /// How often the item moved because its server sent no event.
   int Stalls = 0;
   /// The longest time between two events.
@@ -61,6 +63,11 @@
   /// Appends an event that arrived at \p Now to the output. Returns false and
   /// does nothing if its id does not follow that of the last one.
   bool appendEvent(const StreamEvent &Event, Instant Now);
+  /// Returns whether an answer that has ended was broken off.
+  bool answerBrokeOff() const {
+    return !this->Events.incompleteEvent().empty() ||
+           (!this->LastEventId && !this->AnswerHasLength);
+  }
   /// Discards the output, so that the item starts from the beginning.
   void discardOutput();
   /// Returns the time without an event after which the item moves to another
--- a/Source/RawHttp/RawMessage.cpp
+++ b/Source/RawHttp/RawMessage.cpp
@@ -32,6 +32,11 @@
                     [](char A, char B) { return lower(A) == lower(B); });
 }
 
+bool RawHead::hasLength() const {
+  return !this->header("Content-Length").empty() ||
+         !this->header("Transfer-Encoding").empty();
+}
+
 std::string_view rawHeader(const HttpHeaders &Headers, std::string_view Name) {
   for (const auto &[Key, Value] : Headers)
     if (equalsIgnoringCase(Key, Name))
--- a/Source/RawHttp/RawMessage.h
+++ b/Source/RawHttp/RawMessage.h
@@ -28,6 +28,9 @@
   /// Returns the value of header \p Name, whose letter case is ignored, or an
   /// empty view if the header is missing.
   std::string_view header(std::string_view Name) const;
+  /// Returns whether the head says where the body ends. If not, the body ends
+  /// with the connection.
+  bool hasLength() const;
 };
 
 /// A complete request that was received or is to be sent.
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -68,6 +68,14 @@
   /// The body of an answer that is forwarded only when it is complete.
   std::string Body;
   std::optional<Instant> FirstByteAt;
+
+  /// Returns whether an event stream that has ended was broken off. The end of
+  /// a stream without a length looks the same if its server crashes.
+  bool streamBrokeOff() const {
+    return !this->Events.incompleteEvent().empty() ||
+           (!this->LastEventId && this->EventsOfSend == 0 &&
+            !this->AnswerHead->hasLength());
+  }
 };
 
 } // namespace turmericpass
--- a/Source/Serving/OnlineRequest.cpp
+++ b/Source/Serving/OnlineRequest.cpp
@@ -1,7 +1,10 @@
 #include "Serving/OnlineRequest.h"
 
+#include "Core/Hash.h"
+
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace turmericpass {
 
@@ -14,6 +17,31 @@
 
 } // namespace
 
+OnlineCall makeOnlineCall(CallerId Caller, RawRequest Request,
+                          const RouteSettings &Route,
+                          const BackendProtocol &Protocol, Instant Now) {
+  OnlineCall Call;
+  Call.Caller = Caller;
+  Call.Request = std::move(Request);
+  Call.Route = Route;
+  const HttpHeaders &Headers = Call.Request.Headers;
+  Call.RequestId = rawHeader(Headers, Protocol.RequestId);
+  Call.Service = pickService(Route, hash64(Call.RequestId));
+  Call.Suspects = makeCrashSuspects(Call.Request.Target, Call.Request.Body,
+                                    rawHeader(Headers, Protocol.PromptParts));
+  Call.ArrivedAt = Now;
+  Call.Deadline = Now + Route.Timeout;
+  if (const auto LimitMs =
+          parseHeaderNumber(rawHeader(Headers, Protocol.RemainingMs)))
+    Call.CallerTimeLimit = std::chrono::milliseconds(*LimitMs);
+  if (Call.CallerTimeLimit)
+    Call.Deadline = std::min(Call.Deadline, Now + *Call.CallerTimeLimit);
+  if (const auto LastId =
+          parseHeaderNumber(rawHeader(Headers, Protocol.LastEventId)))
+    Call.LastEventId = static_cast<std::uint64_t>(*LastId);
+  return Call;
+}
+
 BackendRequest makeOnlineRequest(const OnlineCall &Call,
                                  const std::string &Server,
                                  const std::string &Address,
--- a/Source/Serving/OnlineRequest.h
+++ b/Source/Serving/OnlineRequest.h
@@ -11,6 +11,11 @@
 
 namespace turmericpass {
 
+/// Returns the state of a request of \p Caller that arrived at \p Now.
+OnlineCall makeOnlineCall(CallerId Caller, RawRequest Request,
+                          const RouteSettings &Route,
+                          const BackendProtocol &Protocol, Instant Now);
+
 /// Builds the request that runs \p Call on \p Server at \p Address. The server
 /// gets the time that is left at \p Now, and the last event that the caller
 /// has, if there is one.
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -1,6 +1,5 @@
 #include "Serving/OnlineService.h"
 
-#include "Core/Hash.h"
 #include "Core/IdSource.h"
 #include "Serving/CrashGuard.h"
 #include "Serving/LoadTracker.h"
@@ -43,28 +42,10 @@
 
 void OnlineService::startCall(CallerId Caller, RawRequest Request,
                               const RouteSettings &Route) {
-  auto NewCall = std::make_unique<OnlineCall>();
+  auto NewCall = std::make_unique<OnlineCall>(makeOnlineCall(
+      Caller, std::move(Request), Route, this->Dependencies.Protocol,
+      this->Dependencies.Loop.clock().now()));
   OnlineCall &Call = *NewCall;
-  Call.Caller = Caller;
-  Call.Request = std::move(Request);
-  Call.Route = Route;
-  const HttpHeaders &Headers = Call.Request.Headers;
-  Call.RequestId = rawHeader(Headers, this->Dependencies.Protocol.RequestId);
-  Call.Service = pickService(Route, hash64(Call.RequestId));
-  Call.Suspects = makeCrashSuspects(
-      Call.Request.Target, Call.Request.Body,
-      rawHeader(Headers, this->Dependencies.Protocol.PromptParts));
-  Call.ArrivedAt = this->Dependencies.Loop.clock().now();
-  Call.Deadline = Call.ArrivedAt + Route.Timeout;
-  if (const auto LimitMs = parseHeaderNumber(
-          rawHeader(Headers, this->Dependencies.Protocol.RemainingMs)))
-    Call.CallerTimeLimit = std::chrono::milliseconds(*LimitMs);
-  if (Call.CallerTimeLimit)
-    Call.Deadline =
-        std::min(Call.Deadline, Call.ArrivedAt + *Call.CallerTimeLimit);
-  if (const auto LastId = parseHeaderNumber(
-          rawHeader(Headers, this->Dependencies.Protocol.LastEventId)))
-    Call.LastEventId = static_cast<std::uint64_t>(*LastId);
   this->Calls.emplace(Caller, std::move(NewCall));
   Call.DeadlineTimer = this->Dependencies.Loop.after(
       Call.Deadline - Call.ArrivedAt,
@@ -330,6 +311,10 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
+  if (Call->IsEventStream && Call->streamBrokeOff()) {
+    this->handleBrokenAnswer(*Call, "the stream ended inside an event");
+    return;
+  }
   this->Dependencies.Guard.answered(*Call);
   this->Overload.recordServiceTime(
       Call->Service, this->Dependencies.Loop.clock().now() - Call->SentAt);
@@ -339,8 +324,6 @@
     this->finishCall(*Call, Call->AnswerHead->Status, "answered");
     return;
   }
-  this->Dependencies.Callers.sendPiece(Call->Caller,
-                                       Call->Events.incompleteEvent());
   this->Dependencies.Callers.finish(Call->Caller);
   this->finishCall(*Call, Call->AnswerHead->Status, "streamed");
 }
@@ -350,17 +333,23 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
-  const std::string Server = Call->Server;
-  this->endSend(*Call, false);
-  this->Dependencies.Servers.recordFailure(Server);
-  if (Failure == SendFailure::NotSent) {
-    --Call->PossibleRuns;
-    ++Call->Refusals;
-    this->retryAfterRefusal(*Call, Detail);
+  if (Failure != SendFailure::NotSent) {
+    this->handleBrokenAnswer(*Call, Detail);
     return;
   }
-  this->Dependencies.Guard.sendFailed(*Call);
-  this->retry(*Call, Detail);
+  this->endSend(*Call, false);
+  this->Dependencies.Servers.recordFailure(Call->Server);
+  --Call->PossibleRuns;
+  ++Call->Refusals;
+  this->retryAfterRefusal(*Call, Detail);
+}
+
+void OnlineService::handleBrokenAnswer(OnlineCall &Call,
+                                       std::string_view Reason) {
+  this->endSend(Call, false);
+  this->Dependencies.Servers.recordFailure(Call.Server);
+  this->Dependencies.Guard.sendFailed(Call);
+  this->retry(Call, Reason);
 }
 
 void OnlineService::retry(OnlineCall &Call, std::string_view Reason) {
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -63,6 +63,9 @@
   void sendToServer(OnlineCall &Call);
   /// Ends the send in progress, if there is one, and removes it from the load.
   void endSend(OnlineCall &Call, bool CloseConnection);
+  /// Handles the end of a send that a server may have run, but that did not get
+  /// a whole answer.
+  void handleBrokenAnswer(OnlineCall &Call, std::string_view Reason);
   /// Sends the request to another server if that is allowed, or fails it.
   void retry(OnlineCall &Call, std::string_view Reason);
   void forwardHead(OnlineCall &Call);
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -203,6 +203,22 @@
   }
 }
 
+// Guards against an item with an empty result because its server crashed before
+// the first event of an answer without a length.
+Test(JobRunner, EmptyAnswerWithoutALengthIsNoResult) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  Bench.Channels.head(1, 200, {{"Content-Type", "text/event-stream"}});
+  Bench.Channels.done(1);
+  cr_assert(runUntil(Bench.Loop, [&] {
+    Bench.Runner.schedule();
+    return Bench.Channels.All.size() == 2;
+  }));
+  Bench.complete(2);
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.results("j").empty(); }));
+  cr_assert_str_eq(Bench.results("j").at(0).Output.c_str(), "a\nb");
+}
+
 // Guards against items that keep running after their job was cancelled.
 Test(JobRunner, EndedJobStopsItsItems) {
   RunnerBench Bench;
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -123,6 +123,49 @@
   cr_assert_not(Bench.answer(1).Complete);
 }
 
+// Guards against a stream that looks complete although its server crashed: the
+// answer has no length, and the end of the connection ends it inside an event.
+Test(OnlineService, StreamThatEndsInsideAnEventIsBrokenOff) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Stream);
+  Bench.stream(1, "id: 0\ndata: a\n\nid: 1\nda");
+  Bench.Channels.done(1);
+  cr_assert(Bench.answer(1).Broken);
+  cr_assert_not(Bench.answer(1).Complete);
+  cr_assert_eq(Bench.answer(1).Body.find("id: 1"), std::string::npos);
+}
+
+// Guards against a stream that is broken off although another server can go on
+// with it.
+Test(OnlineService, ResumableStreamThatEndsInsideAnEventIsResumed) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Stream, true);
+  Bench.stream(1, "id: 0\ndata: a\n\nid: 1\nda");
+  Bench.Channels.done(1);
+  cr_assert_eq(Bench.Channels.All.size(), 2);
+  cr_assert_str_eq(Bench.sentHeader(2, "After").c_str(), "0");
+  Bench.stream(2, "id: 1\ndata: b\n\n");
+  Bench.Channels.done(2);
+  cr_assert(Bench.answer(1).Complete);
+  cr_assert_str_eq(Bench.answer(1).Body.c_str(),
+                   "id: 0\ndata: a\n\nid: 1\ndata: b\n\n");
+}
+
+// Guards against an empty stream without a length that looks complete, and that
+// clears a request that crashes servers.
+Test(OnlineService, EmptyStreamWithoutALengthIsBrokenOff) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Stream, true);
+  Bench.stream(1, "");
+  Bench.Channels.done(1);
+  cr_assert_eq(Bench.Channels.All.size(), 2);
+  Bench.start(2, RequestKind::Stream);
+  Bench.Channels.head(
+      3, 200, {{"Content-Type", "text/event-stream"}, {"Content-Length", "0"}});
+  Bench.Channels.done(3);
+  cr_assert(Bench.answer(2).Complete);
+}
+
 // Checks that the request of a disconnected caller is cancelled at its server,
 // unless it is an at-most-once request, which must not be interrupted.
 Test(OnlineService, CallerThatLeavesStopsWhatMayBeStopped) {
