BatchJobs: Keep an item that servers crashed under in the queue

Cause: items were counted as suspects like callers' requests. After three crashes an item was postponed by 20 s again and again, and all VMs passed the count on.

Change: items are no suspects. What they run successfully still clears the parts that they share with callers' requests.

Measured: JobRunner.ItemUnderWhichServersCrashedIsSentAgain fails before (no sixth send within 20 s) and passes now; BatchJobsTests 46 passed.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -5,7 +5,6 @@
 #include "Loop/EventLoop.h"
 #include "Serving/AnswerMemory.h"
 #include "Serving/CrashCounter.h"
-#include "Serving/CrashDetector.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/PlacementPolicy.h"
 #include "Serving/ServerDirectory.h"
@@ -30,9 +29,6 @@
 constexpr Duration RefusalDelay = std::chrono::milliseconds(60);
 constexpr Duration BrokenAnswerDelay = std::chrono::milliseconds(150);
 constexpr Duration FailureDelay = std::chrono::milliseconds(250);
-/// The delay before an item that is suspected of crashing servers is considered
-/// again. It remains pending, so that it expires at the end of its retention.
-constexpr Duration BlockedItemDelay = std::chrono::seconds(20);
 
 /// The number of free slots that late items leave on each server while other
 /// VMs have waiting items that can meet their deadline.
@@ -249,12 +245,6 @@
   if (!Route)
     return true;
   const Instant Now = this->Dependencies.Loop.clock().now();
-  if (this->Dependencies.Crashes.isBlocked(
-          makeCrashSuspects(Run.Item.Target, Run.Item.Body, ""))) {
-    this->postponeItem(Key, Run, BlockedItemDelay,
-                       "the item is suspected of crashing servers");
-    return true;
-  }
   const KnownServer *Server = this->Dependencies.Placement.chooseBatchServer(
       pickService(*Route, hash64(Run.Item.Id)), ReservedSlots,
       hash64(Run.Item.Id,
@@ -374,8 +364,11 @@
     this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is truncated");
     return;
   }
+  // An item is owed whatever crashed under it, but it clears the parts that it
+  // shares with callers' requests.
   this->Dependencies.Crashes.recordSuccess(
-      makeCrashSuspects(Run->Item.Target, Run->Item.Body, ""));
+      {0, sharedPromptParts(rawHeader(
+              Run->Item.Headers, this->Dependencies.Protocol.PromptParts))});
   this->stopItem(*Run, false);
   this->Policy.recordCompletion(Run->RunTime,
                                 this->Dependencies.Loop.clock().now() -
@@ -385,18 +378,13 @@
   this->schedule();
 }
 
-void JobRunner::sendFailed(SendId Id, SendFailure Failure,
-                           std::string_view Detail) {
+void JobRunner::sendFailed(SendId Id, SendFailure, std::string_view Detail) {
   ItemKey Key;
   ItemRun *Run = this->findItemOfSend(Id, Key);
   if (!Run)
     return;
   this->stopItem(*Run, false);
   this->Dependencies.Servers.recordFailure(Run->Server);
-  if (Failure != SendFailure::NotSent &&
-      Run->NewEvents <= CrashDetector::MaxEventsOfSuspect)
-    this->Dependencies.Detector.checkForCrash(
-        Run->Server, makeCrashSuspects(Run->Item.Target, Run->Item.Body, ""));
   this->postponeItem(Key, *Run, BrokenAnswerDelay, Detail);
 }
 
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -14,7 +14,6 @@
 
 namespace turmericpass {
 
-class CrashDetector;
 class CrashCounter;
 class EventLoop;
 class LoadTracker;
@@ -33,7 +32,6 @@
   LoadTracker &Loads;
   const PlacementPolicy &Placement;
   CrashCounter &Crashes;
-  CrashDetector &Detector;
   const BackendProtocol &Protocol;
   Logger &Log;
   Metrics &Stats;
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -124,7 +124,7 @@
                "unchanged progress was saved again");
   JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
                    Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
-                   Bench.Detector, Bench.Protocol, Bench.Log, Bench.Stats,
+                   Bench.Protocol, Bench.Log, Bench.Stats,
                    [&] { return &Bench.Settings; }, [] { return 0; },
                    [] { return false; }, [] { return 0; }, "other"});
   const KnownJob Known = *Bench.Directory.find("j");
@@ -164,7 +164,7 @@
   Bench.Channels.head(1, 500);
   JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
                    Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
-                   Bench.Detector, Bench.Protocol, Bench.Log, Bench.Stats,
+                   Bench.Protocol, Bench.Log, Bench.Stats,
                    [&] { return &Bench.Settings; }, [] { return 0; },
                    [] { return false; }, [] { return 0; }, "other"});
   const KnownJob Known = *Bench.Directory.find("j");
@@ -219,6 +219,28 @@
   cr_assert_str_eq(Bench.results("j").at(0).Output.c_str(), "a\nb");
 }
 
+// Guards against an accepted item that is never placed again because several
+// servers crashed for other reasons while they ran it.
+Test(JobRunner, ItemUnderWhichServersCrashedIsSentAgain) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  std::size_t ItemSends = 1;
+  const Instant Start = Bench.Time.now();
+  std::size_t Played = 0;
+  cr_assert(runUntil(Bench.Loop, [&] {
+    Bench.Runner.schedule();
+    for (; Played < Bench.Channels.All.size() && ItemSends < 6; ++Played) {
+      const FakeChannels::Sent &Sent = Bench.Channels.All[Played];
+      const bool IsItem = Sent.Order.Request.Method == "POST";
+      ItemSends += IsItem ? 1 : 0;
+      Bench.Channels.fail(Sent.Id, IsItem ? SendFailure::Unanswered
+                                          : SendFailure::NotSent);
+    }
+    return ItemSends >= 6;
+  }));
+  cr_assert_lt(Bench.Time.now() - Start, Duration(10s));
+}
+
 // Guards against items that keep running after their job was cancelled.
 Test(JobRunner, EndedJobStopsItsItems) {
   RunnerBench Bench;
