Serving, platform: Use no entry with values out of range

What other operators saw: one odd entry among those of the servers, and the VMs that read the list ended or stopped following it.

Here a deeply nested entry (a million levels) is read without an end, shown by a test.

Change: slots and start times are whole numbers in their range, the name is visible ASCII, and the address can be connected to; otherwise the entry names no server. Reasons in the log are cut, since they may quote the entry.

--- a/Source/Serving/BackendServer.h
+++ b/Source/Serving/BackendServer.h
@@ -1,6 +1,8 @@
 #ifndef TURMERICPASS_SERVING_BACKENDSERVER_H
 #define TURMERICPASS_SERVING_BACKENDSERVER_H
 
+#include "Core/Error.h"
+
 #include <cstdint>
 #include <string>
 
@@ -8,6 +10,8 @@
 
 /// The registration of a backend server in the list of servers.
 struct ServerEntry {
+  static constexpr int MaxSlots = 100000;
+
   /// The name under which the server registered. A restarted server may keep
   /// it, so an incarnation is identified by this name together with
   /// StartUnixMillis.
@@ -25,6 +29,11 @@
   std::int64_t StartUnixMillis = 0;
 };
 
+/// Checks that requests can be sent to the server. Errors: InvalidArgument, if
+/// the address is none, the service is missing, or the name cannot stand in a
+/// header.
+Result<void> checkServerEntry(const ServerEntry &Entry);
+
 } // namespace turmericpass
 
 #endif
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -106,6 +106,56 @@
     cr_assert_not(Adapter.readServer("i-1", Invalid), "%s", Invalid);
 }
 
+// Guards against VMs that end, or send requests nowhere, because another writer
+// left an odd entry among those of the servers.
+Test(PlatformConfig, OddEntriesNameNoServers) {
+  const PlatformAdapter Adapter;
+  const auto Entry = [](const std::string &Slots, const std::string &Address,
+                        const std::string &More = "") {
+    return R"({"service":"m","zone":"a","state":"ready","slots":)" + Slots +
+           R"(,"address":")" + Address + "\"" + More + "}";
+  };
+  cr_assert(Adapter.readServer("i-1", Entry("8", "10.0.0.1:80")));
+  for (const char *Slots : {"1e300", "5000000000", "99999999999999999999999",
+                            "1e999", "-1", "0", "8.5", "null", "true", "[8]"})
+    cr_assert_not(Adapter.readServer("i-1", Entry(Slots, "10.0.0.1:80")), "%s",
+                  Slots);
+  for (const char *Address :
+       {"10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:", "10.0.0.1",
+        "10.0.0.256:80", "host:80", "", ":80", "10.0.0.1:80 ",
+        "10.0.0.1:99999999999999999999"})
+    cr_assert_not(Adapter.readServer("i-1", Entry("8", Address)), "%s",
+                  Address);
+  for (const char *Born : {"1e300", "-5", "\"5\"", "99999999999999999999"})
+    cr_assert_not(
+        Adapter.readServer(
+            "i-1", Entry("8", "10.0.0.1:80", std::string(",\"born\":") + Born)),
+        "%s", Born);
+  for (const char *Id : {"", "i 1", "i-1\r\nNot-Run: 1", "i\x7f"})
+    cr_assert_not(Adapter.readServer(Id, Entry("8", "10.0.0.1:80")));
+}
+
+// Guards against a stack that overflows while a deeply nested entry is read.
+Test(PlatformConfig, DeeplyNestedEntriesAreRead) {
+  const PlatformAdapter Adapter;
+  constexpr std::size_t Depth = 1000000;
+  const std::string Open(Depth, '[');
+  const std::string Nested = Open + std::string(Depth, ']');
+  cr_assert_not(Adapter.readServer("i-1", Open));
+  cr_assert_not(Adapter.readServer("i-1", Nested));
+  cr_assert_not(Adapter.readServer("i-1", "{\"slots\":" + Nested + "}"));
+  std::string Objects;
+  for (std::size_t I = 0; I < Depth; ++I)
+    Objects += "{\"a\":";
+  const Result<ServerEntry> Read = Adapter.readServer("i-1", Objects);
+  cr_assert_not(Read);
+  // The message goes to the log at each change of the entry.
+  cr_assert_lt(Read.error().Message.size(), 400);
+  cr_assert_lt(
+      Adapter.readServer("i-1", std::string(Depth, '1')).error().Message.size(),
+      400);
+}
+
 // Guards against a submission whose items are lost or changed.
 Test(PlatformJobs, SubmissionIsReadWhole) {
   RawRequest Request = request("POST", "/b/x");
