RawHttp, Serving: Take no second copy of a refusal for another request's

What other operators saw: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED), or these ran at a second server (TWICE).

Here a refusal ends its connection, and a copy that names another request is skipped. But the check of a server after a failure names no request: its refusal left the connection open, and a copy counted as the refusal of the next request.

Change: the check closes its connection, and on a connection that carried a request without an id, an answer without an id counts as broken, not as a refusal.

--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -244,10 +244,9 @@
       this->CurrentRequest.EchoHeader.empty()
           ? std::string_view()
           : Head.header(this->CurrentRequest.EchoHeader);
-  // Once a server has echoed the header, an answer without it is not known to
-  // belong to the current request.
-  const bool IsUnidentified = Echo.empty() && this->ServerEchoes &&
-                              !this->CurrentRequest.EchoHeader.empty();
+  const bool IsUnidentified =
+      Echo.empty() && !this->CurrentRequest.EchoHeader.empty() &&
+      (this->ServerEchoes || this->CarriedUnnamedRequest);
   if (IsUnidentified)
     this->RejectionReason = "the answer does not name its request";
   this->SkippingAnswer =
@@ -279,6 +278,8 @@
   SendHandler *Receiver = this->Handler;
   TcpBackendChannels &Channels = this->Owner;
   Channels.Sends.erase(EndedSend);
+  this->CarriedUnnamedRequest =
+      this->CarriedUnnamedRequest || this->CurrentRequest.EchoHeader.empty();
   this->CurrentRequest = BackendRequest();
   this->UsableUntil = Channels.Loop.clock().now() + this->IdleLimit;
   // The server's end of the connection is noticed by reading.
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -65,8 +65,11 @@
   /// The current answer belongs to an earlier request.
   bool SkippingAnswer = false;
   bool Reusable = false;
-  /// An answer on this connection had the echo header.
+  /// An answer on this connection had the echo header, so that each one has.
   bool ServerEchoes = false;
+  /// The connection has carried a request without the echo header. A second
+  /// copy of its answer cannot be told from an answer that lacks the header.
+  bool CarriedUnnamedRequest = false;
   /// The reason for which the current answer is not accepted, if any.
   std::string_view RejectionReason;
   std::size_t BodyBytes = 0;
--- a/Source/Serving/CrashDetector.cpp
+++ b/Source/Serving/CrashDetector.cpp
@@ -70,7 +70,9 @@
   Order.Request.Method = "GET";
   Order.Request.Target =
       Service == Current->Services.end() ? "/" : Service->second.HealthPath;
-  Order.Request.Headers = {{"Host", State->Entry.Address}};
+  // The answer names no request, so the connection must not carry another one.
+  Order.Request.Headers = {{"Host", State->Entry.Address},
+                           {"Connection", "close"}};
   // An idle connection does not show whether the server has crashed, so the
   // check opens a new one.
   this->Channels.forget(State->Entry.Address);
