Serving, BatchJobs: Stop the use of a server that says it leaves

Cause: a server that leaves says so in its answers too, with the rule that no request goes there from a machine that passed such an answer on (DRAIN). Only the list of servers was looked at, which lags, and which a VM may not reach.

Change: the mark is read in the heads of answers to callers' requests and to items, refusals included. The server is not used again until it has restarted, also if its entry vanishes and returns. A refused request goes on at once if only servers are left that it has not tried.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -5,6 +5,7 @@
 #include "Loop/EventLoop.h"
 #include "Serving/AnswerMemory.h"
 #include "Serving/CrashCounter.h"
+#include "Serving/LeavingAnswer.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/PlacementPolicy.h"
 #include "Serving/ServerDirectory.h"
@@ -295,6 +296,8 @@
   ItemRun *Run = this->findItemOfSend(Id, Key);
   if (!Run)
     return;
+  recordIfLeaving(Run->Server, Head, this->Dependencies.Protocol,
+                  this->Dependencies.Servers, this->Dependencies.Log);
   if (this->Dependencies.Protocol.indicatesNotRun(Head)) {
     if (Head.Status == this->Dependencies.Protocol.WrongServerStatus)
       this->Dependencies.Servers.recordFailure(Run->Server);
--- a/Source/Serving/BackendProtocol.h
+++ b/Source/Serving/BackendProtocol.h
@@ -20,6 +20,8 @@
   /// Present in the answer of a server that refused the request without running
   /// it.
   std::string NotRun;
+  /// Present in each answer of a server that leaves.
+  std::string Leaving;
   /// The status of a refusal by a server that is not the expected one.
   int WrongServerStatus = 421;
   /// The id of the last event that the sender has received. The answer
@@ -34,6 +36,12 @@
   /// The content type of an event stream.
   std::string EventStreamType = "text/event-stream";
 
+  /// Returns whether \p Head states that the server leaves.
+  bool indicatesLeaving(const RawHead &Head) const {
+    const std::string_view Value = Head.header(this->Leaving);
+    return !Value.empty() && Value != "0";
+  }
+
   /// Returns whether \p Head states that the server did not run the request.
   bool indicatesNotRun(const RawHead &Head) const {
     return Head.Status == this->WrongServerStatus ||
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/IdSource.h"
 #include "Serving/CrashGuard.h"
+#include "Serving/LeavingAnswer.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/OnlineRequest.h"
 #include "Serving/PlacementPolicy.h"
@@ -172,6 +173,8 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
+  recordIfLeaving(Call->Server, Head, this->Dependencies.Protocol,
+                  this->Dependencies.Servers, this->Dependencies.Log);
   if (this->Dependencies.Protocol.indicatesNotRun(Head)) {
     --Call->PossibleRuns;
     ++Call->Refusals;
@@ -404,9 +407,12 @@
 void OnlineService::retryAfterRefusal(OnlineCall &Call,
                                       std::string_view Reason) {
   const Instant Now = this->Dependencies.Loop.clock().now();
-  const std::size_t Servers =
-      this->Dependencies.Servers.usableServers(Call.Service).size();
-  const bool AllTried = Call.TriedServers.size() >= Servers;
+  const std::vector<const KnownServer *> Servers =
+      this->Dependencies.Servers.usableServers(Call.Service);
+  const bool AllTried =
+      std::all_of(Servers.begin(), Servers.end(), [&](const KnownServer *Each) {
+        return Call.TriedServers.contains(Each->Entry.Id);
+      });
   if (!AllTried) {
     this->retry(Call, Reason);
     return;
--- a/Source/Serving/ServerDirectory.cpp
+++ b/Source/Serving/ServerDirectory.cpp
@@ -20,6 +20,9 @@
 /// covers several digest intervals.
 constexpr Duration PeerReportTime = std::chrono::milliseconds(600);
 
+/// The number of leaving servers from which those that have gone are forgotten.
+constexpr std::size_t MaxLeavingServers = 1024;
+
 } // namespace
 
 bool ServerDirectory::update(ServerEntry Entry) {
@@ -49,6 +52,24 @@
       Server.ExpiresAt = std::min(Server.ExpiresAt, MissingUntil);
 }
 
+bool ServerDirectory::recordLeaving(const std::string &Id) {
+  const auto Found = this->Servers.find(Id);
+  if (Found == this->Servers.end() || this->saidLeaving(Found->second.Entry))
+    return false;
+  if (this->LeavingStarts.size() >= MaxLeavingServers)
+    std::erase_if(this->LeavingStarts, [this](const auto &Each) {
+      return !this->Servers.contains(Each.first);
+    });
+  this->LeavingStarts[Id] = Found->second.Entry.StartUnixMillis;
+  return true;
+}
+
+bool ServerDirectory::saidLeaving(const ServerEntry &Entry) const {
+  const auto Found = this->LeavingStarts.find(Entry.Id);
+  return Found != this->LeavingStarts.end() &&
+         Found->second == Entry.StartUnixMillis;
+}
+
 void ServerDirectory::recordFailure(const std::string &Id) {
   const auto Found = this->Servers.find(Id);
   if (Found == this->Servers.end())
@@ -101,7 +122,7 @@
   const Instant Now = this->Time.now();
   for (const auto &[Id, Server] : this->Servers)
     if (Server.Entry.Service == Service && !Server.Entry.Leaving &&
-        Now < Server.ExpiresAt)
+        Now < Server.ExpiresAt && !this->saidLeaving(Server.Entry))
       Found.push_back(&Server);
   return Found;
 }
--- a/Source/Serving/ServerDirectory.h
+++ b/Source/Serving/ServerDirectory.h
@@ -44,6 +44,9 @@
   /// entries may only have expired while the list was unavailable.
   void replaceAll(std::vector<ServerEntry> Entries, Instant MissingUntil);
 
+  /// Records that the server said that it leaves. It is not used any more until
+  /// it has restarted, whatever the list says. Returns whether that is new.
+  bool recordLeaving(const std::string &Id);
   /// Records that a request to the server got no answer or an incomplete one.
   void recordFailure(const std::string &Id);
   /// Records that the server answered a request.
@@ -69,8 +72,13 @@
   }
 
 private:
+  bool saidLeaving(const ServerEntry &Entry) const;
+
   const Clock &Time;
   std::map<std::string, KnownServer> Servers;
+  /// The start times of the servers that said that they leave. An entry may
+  /// vanish and come back while the server is still leaving.
+  std::map<std::string, std::int64_t> LeavingStarts;
 };
 
 } // namespace turmericpass
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -241,6 +241,17 @@
   cr_assert_lt(Bench.Time.now() - Start, Duration(10s));
 }
 
+// Guards against items that go to a server that leaves, because only callers'
+// requests notice that.
+Test(JobRunner, ServerThatSaysItLeavesGetsNoMoreItems) {
+  RunnerBench Bench;
+  cr_assert(Bench.startJob("j", 1));
+  Bench.Channels.head(1, 500, {{"Leaving", "1"}});
+  runFor(Bench.Loop, 400ms);
+  Bench.Runner.schedule();
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+}
+
 // Guards against items that keep running after their job was cancelled.
 Test(JobRunner, EndedJobStopsItsItems) {
   RunnerBench Bench;
--- a/Tests/Serving/OnlineServiceTest.cpp
+++ b/Tests/Serving/OnlineServiceTest.cpp
@@ -326,6 +326,47 @@
   cr_assert_eq(Bench.answer(1).Status, 502);
 }
 
+// Guards against requests to a server that leaves, after the list of servers
+// still shows it as ready, or shows it again after an outage.
+Test(OnlineService, ServerThatSaysItLeavesGetsNoMoreRequests) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Idempotent);
+  const std::string Leaving = Bench.sentHeader(1, "Server");
+  Bench.Channels.head(1, 200, {{"Leaving", "1"}});
+  Bench.Channels.done(1);
+  cr_assert_eq(Bench.answer(1).Status, 200);
+  const ServerEntry Entry = Bench.Servers.find(Leaving)->Entry;
+  const auto CheckUnused = [&](CallerId Caller) {
+    Bench.start(Caller, RequestKind::Idempotent);
+    const SendId Send = Bench.Channels.last().Id;
+    cr_assert_str_neq(Bench.sentHeader(Send, "Server").c_str(),
+                      Leaving.c_str());
+    Bench.Channels.head(Send, 200);
+    Bench.Channels.done(Send);
+  };
+  for (CallerId Caller = 2; Caller < 12; ++Caller)
+    CheckUnused(Caller);
+  Bench.Servers.update(Entry);
+  CheckUnused(12);
+  Bench.Servers.remove(Leaving);
+  Bench.Servers.update(Entry);
+  for (CallerId Caller = 13; Caller < 23; ++Caller)
+    CheckUnused(Caller);
+  ServerEntry Restarted = Entry;
+  ++Restarted.StartUnixMillis;
+  Bench.Servers.update(Restarted);
+  cr_assert_eq(Bench.Servers.usableServers("model").size(), 2);
+}
+
+// Guards against a refusal whose mark of a leaving server is overlooked.
+Test(OnlineService, RefusalOfALeavingServerIsNoticed) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::AtMostOnce);
+  Bench.Channels.head(1, 503, {{"Not-Run", "1"}, {"Leaving", "1"}});
+  cr_assert_eq(Bench.Channels.All.size(), 2);
+  cr_assert_eq(Bench.Servers.usableServers("model").size(), 1);
+}
+
 // Guards against crashes that are not counted because an earlier check of the
 // server never got an answer.
 Test(OnlineService, CheckWithoutAnAnswerEnds) {
--- a/Tests/Support/OnlineBench.h
+++ b/Tests/Support/OnlineBench.h
@@ -48,6 +48,7 @@
     Protocol.RemainingMs = "Remaining";
     Protocol.ExpectedServer = "Server";
     Protocol.NotRun = "Not-Run";
+    Protocol.Leaving = "Leaving";
     Protocol.LastEventId = "After";
     Protocol.PromptParts = "Parts";
     Protocol.RetryAfter = "Retry-After";
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -49,6 +49,7 @@
     Protocol.RemainingMs = "Remaining";
     Protocol.ExpectedServer = "Server";
     Protocol.NotRun = "Not-Run";
+    Protocol.Leaving = "Leaving";
     Protocol.LastEventId = "After";
     Protocol.RetryAfter = "Retry-After";
     RouteSettings Route;
