--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -25,7 +25,6 @@
 constexpr Duration OtherZoneSilenceLimit = std::chrono::seconds(3);
 
 constexpr std::size_t MaxSentDigests = 64;
-constexpr std::size_t MaxSummaryCrashes = 48;
 
 std::string nameOf(NodeKey Key) { return std::to_string(Key); }
 
@@ -266,7 +265,8 @@
         Node == this->Listed.end() ? 0 : Node->second.Weight);
   }
   Summary.AvoidedServers.assign(Avoided.begin(), Avoided.end());
-  Summary.Crashes = this->Crashes.recordsToShare(MaxSummaryCrashes);
+  Summary.Crashes =
+      this->Crashes.recordsToShare(CrashCounter::MaxSharedRecords);
   return Summary;
 }
 
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -18,9 +18,6 @@
 /// The minimum number of connections that one VM may open to a server.
 constexpr std::size_t MinConnections = 8;
 
-/// The maximum number of crash records in a digest.
-constexpr std::size_t MaxSharedCrashes = 48;
-
 } // namespace
 
 ServingNode::ServingNode(ServingNodeDependencies Dependencies,
@@ -387,7 +384,7 @@
   Digest.Stopping = this->StoppingSince.has_value();
   Digest.HasStoreView = this->hasStoreView();
   Digest.ServerLoads = this->Loads.localLoads();
-  Digest.Crashes = this->Crashes.recordsToShare(MaxSharedCrashes);
+  Digest.Crashes = this->Crashes.recordsToShare(CrashCounter::MaxSharedRecords);
   Digest.HasUrgentItems = this->Runner.hasUrgentItems();
   Digest.AvoidedServers = this->Servers.avoidedServers();
   Digest.WaitingItems = this->Runner.waitingItemCount();
@@ -444,13 +441,9 @@
 void ServingNode::deleteExpiredJobs() {
   if (this->StoppingSince || !this->JobFeed.isCurrent())
     return;
-  std::vector<std::string> Nodes = this->Peers.aliveNames();
-  Nodes.push_back(this->Peers.ownName());
-  const int OwnIndex = static_cast<int>(Nodes.size()) - 1;
-  this->Cleaner.clean(this->JobFeed.storeMillis(),
-                      [&](const std::string &JobId) {
-                        return rendezvousPick(JobId, Nodes) == OwnIndex;
-                      });
+  this->Cleaner.clean(
+      this->JobFeed.storeMillis(),
+      [this](const std::string &JobId) { return this->isPickedFor(JobId); });
 }
 
 void ServingNode::reload(const NodeConfig &NewConfig) {
--- a/Source/Serving/CrashCounter.h
+++ b/Source/Serving/CrashCounter.h
@@ -24,6 +24,9 @@
   /// A count without a new crash for this long is discarded.
   static constexpr Duration CountLifetime = std::chrono::minutes(10);
 
+  /// The maximum number of records in a message to other VMs, some 2 KB.
+  static constexpr std::size_t MaxSharedRecords = 48;
+
   explicit CrashCounter(const Clock &Time) : Time(Time) {}
 
   /// Returns \p Age in whole seconds, rounded up.
--- a/Tests/Node/CrashExchangeTest.cpp
+++ b/Tests/Node/CrashExchangeTest.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::uint64_t CrashingRequest = 0xffffffffffffff00;
-constexpr std::size_t DigestLimit = 32;
+constexpr std::size_t DigestLimit = CrashCounter::MaxSharedRecords;
 
 /// VMs that exchange their crash counts by digests, in memory.
 class CrashFleet {
--- a/Tests/Serving/CrashCounterTest.cpp
+++ b/Tests/Serving/CrashCounterTest.cpp
@@ -104,10 +104,12 @@
   CutOff.crashUnder("first:200", 3);
   Bench.Crashes.recordSuccess(request(1, "first:200"));
   Bench.Time.advance(1s);
-  for (const CrashRecord &Record : CutOff.Crashes.recordsToShare(48))
+  for (const CrashRecord &Record :
+       CutOff.Crashes.recordsToShare(CrashCounter::MaxSharedRecords))
     Bench.Crashes.mergeRecord(Record);
   cr_assert_not(Bench.isBlocked("first:200"));
-  for (const CrashRecord &Record : Bench.Crashes.recordsToShare(48))
+  for (const CrashRecord &Record :
+       Bench.Crashes.recordsToShare(CrashCounter::MaxSharedRecords))
     CutOff.Crashes.mergeRecord(Record);
   cr_assert_not(CutOff.isBlocked("first:200"));
 }
@@ -139,7 +141,8 @@
   Bench.crashUnder("bad:50", 3);
   Bench.Time.advance(10s);
   cr_assert(Bench.isTried("bad:50"));
-  for (const CrashRecord &Record : Bench.Crashes.recordsToShare(48))
+  for (const CrashRecord &Record :
+       Bench.Crashes.recordsToShare(CrashCounter::MaxSharedRecords))
     Other.Crashes.mergeRecord(Record);
   cr_assert(Other.isBlocked("bad:50"));
   cr_assert_not(Other.isTried("bad:50"));
