Serving: Report to other VMs only the servers that this VM found failing

Cause: two VMs that had both seen a server fail reported it to each other for ever: a report extended the time for which the other one avoids the server, and that time decided what it reported. Callers' requests end this by a success, but items wait for a server that is not avoided.

Change: the time of the own failures is kept apart, and only it is reported.

--- a/Source/Serving/ServerDirectory.cpp
+++ b/Source/Serving/ServerDirectory.cpp
@@ -76,8 +76,10 @@
     return;
   KnownServer &Server = Found->second;
   const int Doublings = std::min(Server.Failures++, MaxDoublings);
-  Server.AvoidedUntil =
+  Server.AvoidedForOwnFailuresUntil =
       this->Time.now() + InitialAvoidanceTime * (1 << Doublings);
+  Server.AvoidedUntil =
+      std::max(Server.AvoidedUntil, Server.AvoidedForOwnFailuresUntil);
 }
 
 void ServerDirectory::recordSuccess(const std::string &Id) {
@@ -87,6 +89,7 @@
   Found->second.Failures = 0;
   Found->second.LastActivityAt = this->Time.now();
   Found->second.AvoidedUntil = Instant();
+  Found->second.AvoidedForOwnFailuresUntil = Instant();
 }
 
 void ServerDirectory::recordActivity(const std::string &Id) {
@@ -106,7 +109,7 @@
   std::vector<std::uint32_t> Keys;
   const Instant Now = this->Time.now();
   for (const auto &[Id, Server] : this->Servers)
-    if (Server.Failures > 0 && Server.AvoidedUntil > Now)
+    if (Server.AvoidedForOwnFailuresUntil > Now)
       Keys.push_back(serverKey(Id));
   return Keys;
 }
--- a/Source/Serving/ServerDirectory.h
+++ b/Source/Serving/ServerDirectory.h
@@ -18,8 +18,11 @@
   /// vanished while the list was unreliable.
   Instant ExpiresAt = Instant::max();
   /// The end of the time for which other servers are preferred because requests
-  /// to this one failed.
+  /// to this one failed, on this VM or on others.
   Instant AvoidedUntil;
+  /// The same because of failures on this VM alone. Only this is reported to
+  /// other VMs: VMs that pass on each other's reports would never stop.
+  Instant AvoidedForOwnFailuresUntil;
   /// The number of failures since the last success.
   int Failures = 0;
   /// The time at which the server last sent any data to this VM.
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -220,3 +220,26 @@
     cr_assert_leq(Count, Slots, "%s got %d requests", Server.c_str(), Count);
   cr_assert_not(Requests.contains("s1"));
 }
+
+// Guards against servers that two VMs avoid for ever, each because the other
+// one does: after a burst of failures, items that wait are never placed again.
+Test(ServerDirectory, AvoidanceEndsOnVmsThatReportItToEachOther) {
+  ManualClock Time;
+  Time.advance(1h);
+  ServerDirectory First(Time);
+  ServerDirectory Second(Time);
+  for (ServerDirectory *Vm : {&First, &Second}) {
+    Vm->update({"s1", "model", "127.0.0.1:1", "a", 8, false, 1});
+    Vm->recordFailure("s1");
+  }
+  for (int Round = 0; Round < 100; ++Round) {
+    Time.advance(100ms);
+    for (const std::uint32_t Key : First.avoidedServers())
+      Second.applyPeerAvoidance(Key);
+    for (const std::uint32_t Key : Second.avoidedServers())
+      First.applyPeerAvoidance(Key);
+  }
+  cr_assert(First.avoidedServers().empty());
+  cr_assert_leq(First.find("s1")->AvoidedUntil, Time.now());
+  cr_assert_leq(Second.find("s1")->AvoidedUntil, Time.now());
+}
