--- a/Tests/Serving/CrashCounterTest.cpp
+++ b/Tests/Serving/CrashCounterTest.cpp
@@ -90,6 +90,7 @@
 Test(CrashCounter, CrashOfOneServerDoesNotBlockAPart) {
   CounterBench Bench;
   std::vector<CrashSuspects> Running;
+  Running.reserve(5);
   for (int I = 0; I < 5; ++I)
     Running.push_back(request(I, "first:200,good:50"));
   Bench.Crashes.addCrash(Running, 1);
