Tests: Build the second VM of the takeover tests in one place

Cause: the test on failed attempts repeated the set-up of the test on progress.

Change: dependenciesOfOther and takeOverJob serve both; the assertions stay.

--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -27,6 +27,30 @@
   cr_assert_not(Bench.Runner.owns("j"));
 }
 
+/// Returns what the runner of another VM on the same store depends on.
+JobRunnerDependencies dependenciesOfOther(RunnerBench &Bench) {
+  return {Bench.Loop,       Bench.Channels,
+          Bench.Store,      Bench.Directory,
+          Bench.Servers,    Bench.Loads,
+          Bench.Placement,  Bench.Crashes,
+          Bench.Protocol,   Bench.Log,
+          Bench.Stats,      [&Bench] { return &Bench.Settings; },
+          [] { return 0; }, [] { return false; },
+          [] { return 0; }, "other"};
+}
+
+/// Lets \p Other take job "j" over.
+void takeOverJob(RunnerBench &Bench, JobRunner &Other) {
+  const KnownJob Known = *Bench.Directory.find("j");
+  JobMetadata Metadata = Known.Metadata;
+  Metadata.Owner = "other";
+  ++Metadata.Epoch;
+  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
+                        Bench.Time.now() + std::chrono::seconds(5),
+                        Bench.Directory,
+                        [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
+}
+
 } // namespace
 
 // Guards against a result that is stored twice because the answer to its commit
@@ -122,19 +146,8 @@
   Bench.Runner.saveProgress();
   cr_assert_eq(Bench.Rows.Transactions, 2,
                "unchanged progress was saved again");
-  JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
-                   Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
-                   Bench.Protocol, Bench.Log, Bench.Stats,
-                   [&] { return &Bench.Settings; }, [] { return 0; },
-                   [] { return false; }, [] { return 0; }, "other"});
-  const KnownJob Known = *Bench.Directory.find("j");
-  JobMetadata Metadata = Known.Metadata;
-  Metadata.Owner = "other";
-  ++Metadata.Epoch;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
-                        Bench.Time.now() + std::chrono::seconds(5),
-                        Bench.Directory,
-                        [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
+  JobRunner Other(dependenciesOfOther(Bench));
+  takeOverJob(Bench, Other);
   cr_assert(
       runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 2; }));
   cr_assert_str_eq(
@@ -162,20 +175,9 @@
   RunnerBench Bench;
   cr_assert(Bench.startJob("j", 1));
   Bench.Channels.head(1, 500);
-  JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
-                   Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
-                   Bench.Protocol, Bench.Log, Bench.Stats,
-                   [&] { return &Bench.Settings; }, [] { return 0; },
-                   [] { return false; }, [] { return 0; }, "other"});
-  const KnownJob Known = *Bench.Directory.find("j");
-  JobMetadata Metadata = Known.Metadata;
-  Metadata.Owner = "other";
-  ++Metadata.Epoch;
+  JobRunner Other(dependenciesOfOther(Bench));
   runFor(Bench.Loop, 20ms);
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
-                        Bench.Time.now() + std::chrono::seconds(5),
-                        Bench.Directory,
-                        [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
+  takeOverJob(Bench, Other);
   cr_assert(
       runUntil(Bench.Loop, [&] { return Bench.Channels.All.size() == 2; }));
   Bench.Channels.head(2, 500);
