BatchJobs: Separate the choice of items to start from their runs

ItemStarter now holds the decision, its policy and its budget, without I/O. The order of the items is as before. Items whose route is not in the settings no longer count as waiting for a slot, since no slot would start them.

--- /dev/null
+++ b/Source/BatchJobs/ItemStarter.cpp
@@ -0,0 +1,73 @@
+#include "BatchJobs/ItemStarter.h"
+
+#include "Core/Hash.h"
+#include "Serving/PlacementPolicy.h"
+
+#include <utility>
+
+namespace turmericpass {
+
+namespace {
+
+/// The number of free slots that late items leave on each server while other
+/// VMs have waiting items that can meet their deadline.
+constexpr int SlotsReservedForUrgent = 2;
+
+} // namespace
+
+ItemStarter::ItemStarter(const Clock &Time, const PlacementPolicy &Placement,
+                         ItemStarterCallbacks Callbacks)
+    : Time(Time), Placement(Placement), Callbacks(std::move(Callbacks)) {}
+
+void ItemStarter::startItems(const std::vector<ItemCandidate> &Waiting) {
+  this->WaitingItemCount = static_cast<int>(Waiting.size());
+  this->HasUrgentItems = false;
+  if (Waiting.empty())
+    return;
+  std::vector<const ItemCandidate *> OnTime;
+  std::vector<const ItemCandidate *> Late;
+  for (const ItemCandidate &Item : Waiting)
+    (this->Policy.canBeOnTime(Item.TimeLeft, Item.Events) ? OnTime : Late)
+        .push_back(&Item);
+  this->updateBudget(Waiting.front().Service);
+  if (this->Policy.isNextStartForLateItem() && !Late.empty() &&
+      this->startItem(*Late.front(), 0)) {
+    this->Policy.recordStart(false);
+    Late.erase(Late.begin());
+  }
+  for (const ItemCandidate *Item : OnTime) {
+    this->HasUrgentItems = !this->startItem(*Item, 0);
+    if (this->HasUrgentItems)
+      return;
+    this->Policy.recordStart(true);
+  }
+  // Urgent items may wait for other reasons than a lack of slots, so late items
+  // are held back only on servers with few free slots.
+  const int ReservedSlots =
+      this->Callbacks.OtherVmsHaveUrgentItems() ? SlotsReservedForUrgent : 0;
+  for (const ItemCandidate *Item : Late) {
+    if (!this->startItem(*Item, ReservedSlots))
+      return;
+    this->Policy.recordStart(false);
+  }
+}
+
+void ItemStarter::updateBudget(std::string_view Service) {
+  if (this->Placement.areLoadsDelayed())
+    this->Budget.update(this->Time.now(), this->WaitingItemCount,
+                        this->Callbacks.OtherVmsWaitingItems(),
+                        this->Placement.freeBatchSlots(Service));
+}
+
+bool ItemStarter::startItem(const ItemCandidate &Item, int ReservedSlots) {
+  const auto Now =
+      static_cast<std::uint64_t>(this->Time.now().time_since_epoch().count());
+  const KnownServer *Server = this->Placement.chooseBatchServer(
+      Item.Service, ReservedSlots, hash64(Item.ItemId, Now));
+  if (!Server || (this->Placement.areLoadsDelayed() && !this->Budget.take()))
+    return false;
+  this->Callbacks.Start(Item.Key, *Server);
+  return true;
+}
+
+} // namespace turmericpass
--- /dev/null
+++ b/Source/BatchJobs/ItemStarter.h
@@ -0,0 +1,81 @@
+#ifndef TURMERICPASS_BATCHJOBS_ITEMSTARTER_H
+#define TURMERICPASS_BATCHJOBS_ITEMSTARTER_H
+
+#include "BatchJobs/ItemSchedulingPolicy.h"
+#include "BatchJobs/ItemStartBudget.h"
+#include "BatchJobs/WaitingItems.h"
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace turmericpass {
+
+class PlacementPolicy;
+struct KnownServer;
+
+/// A waiting item and what decides when and where it starts. The views must
+/// stay valid while the item is passed to ItemStarter.
+struct ItemCandidate {
+  ItemKey Key;
+  std::string_view ItemId;
+  /// The service whose servers can run the item.
+  std::string_view Service;
+  /// The time until the item is due. It is negative if that has passed.
+  Duration TimeLeft{0};
+  /// The number of events that the item has produced.
+  std::uint64_t Events = 0;
+};
+
+/// The functions that ItemStarter depends on.
+struct ItemStarterCallbacks {
+  /// Returns whether another VM has waiting items that can still meet their
+  /// deadline.
+  std::function<bool()> OtherVmsHaveUrgentItems;
+  /// Returns the number of items that wait for a slot on other VMs.
+  std::function<int()> OtherVmsWaitingItems;
+  /// Sends an item to a server.
+  std::function<void(const ItemKey &, const KnownServer &)> Start;
+};
+
+/// Decides which waiting items start now and on which servers. This class
+/// performs no I/O.
+class ItemStarter {
+public:
+  ItemStarter(const Clock &Time, const PlacementPolicy &Placement,
+              ItemStarterCallbacks Callbacks);
+
+  /// Starts items on free slots. \p Waiting has all waiting items of this VM in
+  /// the order in which to start them.
+  void startItems(const std::vector<ItemCandidate> &Waiting);
+
+  /// Records a completed item. See ItemSchedulingPolicy::recordCompletion().
+  void recordCompletion(Duration RunTime, Duration Elapsed,
+                        std::uint64_t Events) {
+    this->Policy.recordCompletion(RunTime, Elapsed, Events);
+  }
+
+  /// Returns whether the last call of startItems() left an item waiting that
+  /// could still meet its deadline.
+  bool hasUrgentItems() const { return this->HasUrgentItems; }
+  /// Returns the number of items in the last call of startItems().
+  int waitingItemCount() const { return this->WaitingItemCount; }
+
+private:
+  void updateBudget(std::string_view Service);
+  /// Starts a waiting item on a server that then still has \p ReservedSlots
+  /// free slots. Returns false if there is no such server.
+  bool startItem(const ItemCandidate &Item, int ReservedSlots);
+
+  const Clock &Time;
+  const PlacementPolicy &Placement;
+  ItemStarterCallbacks Callbacks;
+  ItemSchedulingPolicy Policy;
+  ItemStartBudget Budget;
+  int WaitingItemCount = 0;
+  bool HasUrgentItems = false;
+};
+
+} // namespace turmericpass
+
+#endif
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -31,10 +31,6 @@
 constexpr Duration BrokenAnswerDelay = std::chrono::milliseconds(150);
 constexpr Duration FailureDelay = std::chrono::milliseconds(250);
 
-/// The number of free slots that late items leave on each server while other
-/// VMs have waiting items that can meet their deadline.
-constexpr int SlotsReservedForUrgent = 2;
-
 /// How long one commit is retried before it counts as failed.
 constexpr Duration CommitTimeout = std::chrono::seconds(3);
 
@@ -50,7 +46,13 @@
 JobRunner::JobRunner(JobRunnerDependencies Dependencies)
     : Dependencies(std::move(Dependencies)),
       Loader(this->Dependencies.Loop, this->Dependencies.Store,
-             this->Dependencies.Log) {}
+             this->Dependencies.Log),
+      Starter(this->Dependencies.Loop.clock(), this->Dependencies.Placement,
+              {this->Dependencies.OtherVmsHaveUrgentItems,
+               this->Dependencies.OtherVmsWaitingItems,
+               [this](const ItemKey &Key, const KnownServer &Server) {
+                 this->startItem(Key, Server);
+               }}) {}
 
 const OwnedJob *JobRunner::find(const std::string &JobId) const {
   const auto Found = this->Jobs.find(JobId);
@@ -140,8 +142,7 @@
 
 void JobRunner::schedule() {
   if (this->Jobs.empty() || this->Releasing) {
-    this->WaitingItemCount = 0;
-    this->HasUrgentItems = false;
+    this->Starter.startItems({});
     return;
   }
   this->preemptItems();
@@ -181,90 +182,44 @@
   }
 }
 
-bool JobRunner::canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const {
-  const RouteSettings *Route = this->routeOf(Job);
-  const Duration Age = std::chrono::milliseconds(
-      this->Dependencies.StoreMillis() - Job.Metadata.AcceptedAtMillis);
-  return Route && this->Policy.canBeOnTime(Route->JobTargetLatency - Age,
-                                           Run.LastEventId.value_or(0));
-}
-
-void JobRunner::startItems() {
-  this->failExpiredItems();
-  std::vector<ItemKey> OnTime;
-  std::vector<ItemKey> Late;
+std::vector<ItemCandidate> JobRunner::itemCandidates() const {
+  const std::int64_t StoreNow = this->Dependencies.StoreMillis();
+  std::vector<ItemCandidate> Candidates;
   for (ItemKey &Key :
        waitingItems(this->Jobs, this->Dependencies.Loop.clock().now())) {
     const OwnedJob &Job = this->Jobs.at(Key.JobId);
-    const bool CanBeOnTime = this->canBeOnTime(Job, Job.Items[Key.Index]);
-    (CanBeOnTime ? OnTime : Late).push_back(std::move(Key));
-  }
-  this->WaitingItemCount = static_cast<int>(OnTime.size() + Late.size());
-  this->updateStartBudget();
-  if (this->Policy.isNextStartForLateItem() && !Late.empty() &&
-      this->startItem(Late.front(), 0)) {
-    this->Policy.recordStart(false);
-    Late.erase(Late.begin());
-  }
-  this->HasUrgentItems = false;
-  for (const ItemKey &Key : OnTime) {
-    this->HasUrgentItems = !this->startItem(Key, 0);
-    if (this->HasUrgentItems)
-      return;
-    this->Policy.recordStart(true);
-  }
-  // Urgent items may wait for other reasons than a lack of slots, so late items
-  // are held back only on servers with few free slots.
-  const int ReservedSlots =
-      this->Dependencies.OtherVmsHaveUrgentItems() ? SlotsReservedForUrgent : 0;
-  for (const ItemKey &Key : Late) {
-    if (!this->startItem(Key, ReservedSlots))
-      return;
-    this->Policy.recordStart(false);
+    const RouteSettings *Route = this->routeOf(Job);
+    if (!Route)
+      continue;
+    const ItemRun &Run = Job.Items[Key.Index];
+    const Duration Age =
+        std::chrono::milliseconds(StoreNow - Job.Metadata.AcceptedAtMillis);
+    Candidates.push_back(
+        {std::move(Key), Run.Item.Id, pickService(*Route, hash64(Run.Item.Id)),
+         Route->JobTargetLatency - Age, Run.LastEventId.value_or(0)});
   }
+  return Candidates;
 }
 
-void JobRunner::updateStartBudget() {
-  if (!this->Dependencies.Placement.areLoadsDelayed() ||
-      this->WaitingItemCount == 0)
-    return;
-  // Usually all items belong to one service.
-  const RouteSettings *Route = this->routeOf(this->Jobs.begin()->second);
-  if (!Route || Route->Services.empty())
-    return;
-  this->StartBudget.update(this->Dependencies.Loop.clock().now(),
-                           this->WaitingItemCount,
-                           this->Dependencies.OtherVmsWaitingItems(),
-                           this->Dependencies.Placement.freeBatchSlots(
-                               Route->Services.front().Service));
+void JobRunner::startItems() {
+  this->failExpiredItems();
+  this->Starter.startItems(this->itemCandidates());
 }
 
-bool JobRunner::startItem(const ItemKey &Key, int ReservedSlots) {
+void JobRunner::startItem(const ItemKey &Key, const KnownServer &Server) {
   const OwnedJob &Job = this->Jobs.at(Key.JobId);
   ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
-  const RouteSettings *Route = this->routeOf(Job);
-  if (!Route)
-    return true;
-  const Instant Now = this->Dependencies.Loop.clock().now();
-  const KnownServer *Server = this->Dependencies.Placement.chooseBatchServer(
-      pickService(*Route, hash64(Run.Item.Id)), ReservedSlots,
-      hash64(Run.Item.Id,
-             static_cast<std::uint64_t>(Now.time_since_epoch().count())));
-  if (!Server || (this->Dependencies.Placement.areLoadsDelayed() &&
-                  !this->StartBudget.take()))
-    return false;
-  BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server->Entry,
+  BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server.Entry,
                                          this->Dependencies.Protocol);
-  Run.Server = Server->Entry.Id;
+  Run.Server = Server.Entry.Id;
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
-  Run.StartedAt = Run.LastEventAt = Now;
+  Run.StartedAt = Run.LastEventAt = this->Dependencies.Loop.clock().now();
   if (!Run.FirstStartedAt)
     Run.FirstStartedAt = Run.StartedAt;
   Run.ActiveSend = this->Dependencies.Channels.send(std::move(Order), *this);
   this->ItemsBySend.emplace(Run.ActiveSend, Key);
   this->Dependencies.Loads.addBatchItem(Run.Server);
-  return true;
 }
 
 ItemRun *JobRunner::findItemOfSend(SendId Id, ItemKey &Key) {
@@ -373,10 +328,10 @@
       {0, sharedPromptParts(rawHeader(
               Run->Item.Headers, this->Dependencies.Protocol.PromptParts))});
   this->stopItem(*Run, false);
-  this->Policy.recordCompletion(Run->RunTime,
-                                this->Dependencies.Loop.clock().now() -
-                                    *Run->FirstStartedAt,
-                                Run->LastEventId.value_or(0));
+  this->Starter.recordCompletion(Run->RunTime,
+                                 this->Dependencies.Loop.clock().now() -
+                                     *Run->FirstStartedAt,
+                                 Run->LastEventId.value_or(0));
   this->finishItem(Key, *Run, true, "complete");
   this->schedule();
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -1,10 +1,8 @@
 #ifndef TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 #define TURMERICPASS_BATCHJOBS_JOBRUNNER_H
 
-#include "BatchJobs/ItemSchedulingPolicy.h"
-#include "BatchJobs/ItemStartBudget.h"
+#include "BatchJobs/ItemStarter.h"
 #include "BatchJobs/JobLoader.h"
-#include "BatchJobs/WaitingItems.h"
 #include "Serving/BackendProtocol.h"
 #include "Serving/ServingSettings.h"
 
@@ -79,9 +77,9 @@
   bool isReleasing() const { return this->Releasing; }
   std::size_t ownedJobCount() const { return this->Jobs.size(); }
   /// Returns whether an item that can still meet its deadline waits for a slot.
-  bool hasUrgentItems() const { return this->HasUrgentItems; }
+  bool hasUrgentItems() const { return this->Starter.hasUrgentItems(); }
   /// Returns the number of items that wait for a slot.
-  int waitingItemCount() const { return this->WaitingItemCount; }
+  int waitingItemCount() const { return this->Starter.waitingItemCount(); }
   const OwnedJob *find(const std::string &JobId) const;
 
 private:
@@ -100,14 +98,13 @@
   /// needed for callers' requests.
   void preemptItems();
   void startItems();
-  void updateStartBudget();
   /// Fails the pending items of jobs whose retention has ended.
   void failExpiredItems();
-  bool canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const;
-  /// Starts a waiting item on a server that then still has \p ReservedSlots
-  /// free slots, or postpones the item. Returns false if there is no such
-  /// server.
-  bool startItem(const ItemKey &Key, int ReservedSlots);
+  /// Returns the items that wait for a slot, in the order in which to start
+  /// them.
+  std::vector<ItemCandidate> itemCandidates() const;
+  /// Sends a waiting item to \p Server.
+  void startItem(const ItemKey &Key, const KnownServer &Server);
   void stopItem(ItemRun &Run, bool CloseConnection);
   void postponeItem(const ItemKey &Key, ItemRun &Run, Duration Delay,
                     std::string_view Reason);
@@ -128,12 +125,7 @@
   JobLoader Loader;
   std::map<std::string, OwnedJob> Jobs;
   std::unordered_map<SendId, ItemKey> ItemsBySend;
-  ItemSchedulingPolicy Policy;
-  /// Whether the last call of startItems() left an item waiting that could
-  /// still meet its deadline.
-  ItemStartBudget StartBudget;
-  int WaitingItemCount = 0;
-  bool HasUrgentItems = false;
+  ItemStarter Starter;
   bool Releasing = false;
 };
 
