BatchJobs: Log why items wait and none of them starts

After one second without a start, a VM now logs the service, its usable and avoided servers, its free slots and the reason, and again every ten seconds; and once for each job that the settings have no route for it.

--- a/Source/BatchJobs/ItemStarter.h
+++ b/Source/BatchJobs/ItemStarter.h
@@ -6,11 +6,13 @@
 #include "BatchJobs/WaitingItems.h"
 
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 namespace turmericpass {
 
+class Logger;
 class PlacementPolicy;
 struct KnownServer;
 
@@ -42,7 +44,7 @@
 /// performs no I/O.
 class ItemStarter {
 public:
-  ItemStarter(const Clock &Time, const PlacementPolicy &Placement,
+  ItemStarter(const Clock &Time, const PlacementPolicy &Placement, Logger &Log,
               ItemStarterCallbacks Callbacks);
 
   /// Starts items on free slots. \p Waiting has all waiting items of this VM in
@@ -67,13 +69,19 @@
   /// free slots. Returns false if there is no such server.
   bool startItem(const ItemCandidate &Item, int ReservedSlots);
 
+  /// Logs why the items of \p Service wait if they have done so for a while.
+  void logWait(std::string_view Service, int Items);
+
   const Clock &Time;
   const PlacementPolicy &Placement;
+  Logger &Log;
   ItemStarterCallbacks Callbacks;
   ItemSchedulingPolicy Policy;
   ItemStartBudget Budget;
   int WaitingItemCount = 0;
   bool HasUrgentItems = false;
+  /// The time at which the next line about waiting items may be logged.
+  std::optional<Instant> NextWaitLog;
 };
 
 } // namespace turmericpass
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -48,6 +48,7 @@
       Loader(this->Dependencies.Loop, this->Dependencies.Store,
              this->Dependencies.Log),
       Starter(this->Dependencies.Loop.clock(), this->Dependencies.Placement,
+              this->Dependencies.Log,
               {this->Dependencies.OtherVmsHaveUrgentItems,
                this->Dependencies.OtherVmsWaitingItems,
                [this](const ItemKey &Key, const KnownServer &Server) {
@@ -173,8 +174,13 @@
   const std::int64_t StoreNow = this->Dependencies.StoreMillis();
   for (auto &[JobId, Job] : this->Jobs) {
     const RouteSettings *Route = this->routeOf(Job);
-    if (!Route || StoreNow - Job.Metadata.AcceptedAtMillis <=
-                      Route->JobRetention.count() / 1000 + RetentionMarginMs)
+    if (!Route) {
+      this->recordMissingRoute(JobId, Job);
+      continue;
+    }
+    Job.RouteIsMissing = false;
+    if (StoreNow - Job.Metadata.AcceptedAtMillis <=
+        Route->JobRetention.count() / 1000 + RetentionMarginMs)
       continue;
     for (std::size_t I = 0; I < Job.Items.size(); ++I)
       if (Job.Items[I].State == ItemState::Pending)
@@ -182,6 +188,21 @@
   }
 }
 
+void JobRunner::recordMissingRoute(const std::string &JobId, OwnedJob &Job) {
+  const ServingSettings *Settings = this->Dependencies.Settings();
+  if (!Settings || Job.Loading || std::exchange(Job.RouteIsMissing, true))
+    return;
+  this->Dependencies.Log.log(
+      LogLevel::Warning, "The settings have no route for a job any more.",
+      {{"job", JobId},
+       {"route", Job.Metadata.Route},
+       {"settings_version", Settings->Version},
+       {"pending", std::count_if(Job.Items.begin(), Job.Items.end(),
+                                 [](const ItemRun &Run) {
+                                   return Run.State == ItemState::Pending;
+                                 })}});
+}
+
 std::vector<ItemCandidate> JobRunner::itemCandidates() const {
   const std::int64_t StoreNow = this->Dependencies.StoreMillis();
   std::vector<ItemCandidate> Candidates;
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -100,6 +100,8 @@
   void startItems();
   /// Fails the pending items of jobs whose retention has ended.
   void failExpiredItems();
+  /// Logs once that the settings have no route for the job.
+  void recordMissingRoute(const std::string &JobId, OwnedJob &Job);
   /// Returns the items that wait for a slot, in the order in which to start
   /// them.
   std::vector<ItemCandidate> itemCandidates() const;
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -88,6 +88,8 @@
   bool Committing = false;
   /// Whether the items are still being read from the store.
   bool Loading = true;
+  /// Whether the newest known settings have no route for the job.
+  bool RouteIsMissing = false;
 
   /// Adopts the metadata from the store. Only the owner commits results, in the
   /// order of UncommittedResults. If the store has more results than this VM
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -5,6 +5,7 @@
 #include "Serving/LoadTracker.h"
 #include "Serving/ServerDirectory.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -108,6 +109,22 @@
   return Best;
 }
 
+BatchCapacity PlacementPolicy::batchCapacity(std::string_view Service) const {
+  BatchCapacity Capacity;
+  const Instant Now = this->Time.now();
+  for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    ++Capacity.Servers;
+    if (Server->AvoidedUntil > Now) {
+      ++Capacity.AvoidedServers;
+      continue;
+    }
+    const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
+    Capacity.FreeSlots +=
+        std::max(0, Server->Entry.Slots - Load.Online - Load.Batch);
+  }
+  return Capacity;
+}
+
 int PlacementPolicy::freeBatchSlots(std::string_view Service) const {
   int Free = 0;
   for (const KnownServer *Server : this->Servers.usableServers(Service)) {
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -24,6 +24,15 @@
   int WaitingRequests = 0;
 };
 
+/// What the servers of a service offer to batch items.
+struct BatchCapacity {
+  /// The number of usable servers, and how many of them are avoided.
+  int Servers = 0;
+  int AvoidedServers = 0;
+  /// The slots that no request uses at the servers that are not avoided.
+  int FreeSlots = 0;
+};
+
 /// Chooses the server for a request, based on the load that all VMs put on each
 /// server. This class performs no I/O.
 class PlacementPolicy {
@@ -47,6 +56,9 @@
                                        int ReservedSlots,
                                        std::uint64_t Random = 0) const;
 
+  /// Returns what the servers of \p Service offer to items, for logs.
+  BatchCapacity batchCapacity(std::string_view Service) const;
+
   /// Returns the number of slots of \p Service that are free for items.
   int freeBatchSlots(std::string_view Service) const;
 
