BatchJobs: Keep a service without servers from holding up the others

Cause: JobRunner tried the waiting items of all jobs in one order and stopped at the first that found no server. The turn of late items, the estimate of run times and the budget for starts were shared by all services too.

Change: ItemStarter chooses the items of each service by themselves, with a policy and a budget for each. The order within a service is as before. Items of a service without a usable server no longer count as urgent for other VMs.

--- a/Source/BatchJobs/ItemStarter.cpp
+++ b/Source/BatchJobs/ItemStarter.cpp
@@ -3,6 +3,7 @@
 #include "Core/EnumTable.h"
 #include "Core/Hash.h"
 #include "Serving/PlacementPolicy.h"
+#include "Serving/ServerDirectory.h"
 #include "Telemetry/Logger.h"
 
 #include <utility>
@@ -41,59 +42,73 @@
 } // namespace
 
 ItemStarter::ItemStarter(const Clock &Time, const PlacementPolicy &Placement,
-                         Logger &Log, ItemStarterCallbacks Callbacks)
-    : Time(Time), Placement(Placement), Log(Log),
+                         const ServerDirectory &Servers, Logger &Log,
+                         ItemStarterCallbacks Callbacks)
+    : Time(Time), Placement(Placement), Servers(Servers), Log(Log),
       Callbacks(std::move(Callbacks)) {}
 
 void ItemStarter::startItems(const std::vector<ItemCandidate> &Waiting) {
   this->WaitingItemCount = static_cast<int>(Waiting.size());
   this->HasUrgentItems = false;
-  if (Waiting.empty()) {
-    this->NextWaitLog.reset();
-    return;
-  }
-  std::vector<const ItemCandidate *> OnTime;
-  std::vector<const ItemCandidate *> Late;
+  std::map<std::string_view, ServiceItems> ItemsByService;
   for (const ItemCandidate &Item : Waiting)
-    (this->Policy.canBeOnTime(Item.TimeLeft, Item.Events) ? OnTime : Late)
-        .push_back(&Item);
-  this->updateBudget(Waiting.front().Service);
-  if (this->Policy.isNextStartForLateItem() && !Late.empty() &&
-      this->startItem(*Late.front(), 0)) {
-    this->Policy.recordStart(false);
+    ItemsByService[Item.Service].push_back(&Item);
+  for (auto &[Service, State] : this->Services)
+    if (!ItemsByService.contains(Service))
+      State.NextWaitLog.reset();
+  for (const auto &[Service, Items] : ItemsByService)
+    this->startItemsOf(Service, Items);
+}
+
+void ItemStarter::startItemsOf(std::string_view Service,
+                               const ServiceItems &Items) {
+  ServiceState &State =
+      this->Services.try_emplace(std::string(Service)).first->second;
+  ServiceItems OnTime;
+  ServiceItems Late;
+  for (const ItemCandidate *Item : Items)
+    (State.Policy.canBeOnTime(Item->TimeLeft, Item->Events) ? OnTime : Late)
+        .push_back(Item);
+  if (this->Placement.areLoadsDelayed())
+    State.Budget.update(this->Time.now(), static_cast<int>(Items.size()),
+                        this->Callbacks.OtherVmsWaitingItems(),
+                        this->Placement.freeBatchSlots(Service));
+  if (State.Policy.isNextStartForLateItem() && !Late.empty() &&
+      this->startItem(State, *Late.front(), 0)) {
+    State.Policy.recordStart(false);
     Late.erase(Late.begin());
   }
   for (const ItemCandidate *Item : OnTime) {
-    this->HasUrgentItems = !this->startItem(*Item, 0);
-    if (this->HasUrgentItems)
+    if (!this->startItem(State, *Item, 0)) {
+      // Without a server, the item competes for no slot with other VMs' items.
+      if (this->Servers.hasUsableServer(Service))
+        this->HasUrgentItems = true;
+      this->logWait(State, Service, Items.size());
       return;
-    this->Policy.recordStart(true);
+    }
+    State.Policy.recordStart(true);
   }
   // Urgent items may wait for other reasons than a lack of slots, so late items
   // are held back only on servers with few free slots.
   const int ReservedSlots =
       this->Callbacks.OtherVmsHaveUrgentItems() ? SlotsReservedForUrgent : 0;
   for (const ItemCandidate *Item : Late) {
-    if (!this->startItem(*Item, ReservedSlots))
+    if (!this->startItem(State, *Item, ReservedSlots)) {
+      this->logWait(State, Service, Items.size());
       return;
-    this->Policy.recordStart(false);
+    }
+    State.Policy.recordStart(false);
   }
 }
 
-void ItemStarter::updateBudget(std::string_view Service) {
-  if (this->Placement.areLoadsDelayed())
-    this->Budget.update(this->Time.now(), this->WaitingItemCount,
-                        this->Callbacks.OtherVmsWaitingItems(),
-                        this->Placement.freeBatchSlots(Service));
-}
-
-void ItemStarter::logWait(std::string_view Service, int Items) {
+void ItemStarter::logWait(ServiceState &State, std::string_view Service,
+                          std::size_t Items) {
   const Instant Now = this->Time.now();
-  if (!this->NextWaitLog)
-    this->NextWaitLog = Now + LoggedWait;
-  if (Now < *this->NextWaitLog)
+  if (!State.NextWaitLog)
+    State.NextWaitLog = Now + LoggedWait;
+  if (Now < *State.NextWaitLog)
     return;
-  this->NextWaitLog = Now + WaitLogPeriod;
+  State.NextWaitLog = Now + WaitLogPeriod;
   const BatchCapacity Capacity = this->Placement.batchCapacity(Service);
   this->Log.log(LogLevel::Info, "Items wait and none of them starts.",
                 {{"service", Service},
@@ -104,16 +119,15 @@
                  {"reason", WaitReasonNames.nameOf(waitReason(Capacity))}});
 }
 
-bool ItemStarter::startItem(const ItemCandidate &Item, int ReservedSlots) {
+bool ItemStarter::startItem(ServiceState &State, const ItemCandidate &Item,
+                            int ReservedSlots) {
   const auto Now =
       static_cast<std::uint64_t>(this->Time.now().time_since_epoch().count());
   const KnownServer *Server = this->Placement.chooseBatchServer(
       Item.Service, ReservedSlots, hash64(Item.ItemId, Now));
-  if (!Server || (this->Placement.areLoadsDelayed() && !this->Budget.take())) {
-    this->logWait(Item.Service, this->WaitingItemCount);
+  if (!Server || (this->Placement.areLoadsDelayed() && !State.Budget.take()))
     return false;
-  }
-  this->NextWaitLog.reset();
+  State.NextWaitLog.reset();
   this->Callbacks.Start(Item.Key, *Server);
   return true;
 }
--- a/Source/BatchJobs/ItemStarter.h
+++ b/Source/BatchJobs/ItemStarter.h
@@ -6,7 +6,9 @@
 #include "BatchJobs/WaitingItems.h"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -14,6 +16,7 @@
 
 class Logger;
 class PlacementPolicy;
+class ServerDirectory;
 struct KnownServer;
 
 /// A waiting item and what decides when and where it starts. The views must
@@ -40,21 +43,26 @@
   std::function<void(const ItemKey &, const KnownServer &)> Start;
 };
 
-/// Decides which waiting items start now and on which servers. This class
+/// Decides which waiting items start now and on which servers. The items of
+/// each service are chosen apart from those of all others, so that a service
+/// without servers or free slots holds up no other one, and the pace and
+/// lateness of the items of one service do not affect another. This class
 /// performs no I/O.
 class ItemStarter {
 public:
-  ItemStarter(const Clock &Time, const PlacementPolicy &Placement, Logger &Log,
+  ItemStarter(const Clock &Time, const PlacementPolicy &Placement,
+              const ServerDirectory &Servers, Logger &Log,
               ItemStarterCallbacks Callbacks);
 
   /// Starts items on free slots. \p Waiting has all waiting items of this VM in
   /// the order in which to start them.
   void startItems(const std::vector<ItemCandidate> &Waiting);
 
-  /// Records a completed item. See ItemSchedulingPolicy::recordCompletion().
-  void recordCompletion(Duration RunTime, Duration Elapsed,
-                        std::uint64_t Events) {
-    this->Policy.recordCompletion(RunTime, Elapsed, Events);
+  /// Records a completed item of \p Service. See
+  /// ItemSchedulingPolicy::recordCompletion().
+  void recordCompletion(const std::string &Service, Duration RunTime,
+                        Duration Elapsed, std::uint64_t Events) {
+    this->Services[Service].Policy.recordCompletion(RunTime, Elapsed, Events);
   }
 
   /// Returns whether the last call of startItems() left an item waiting that
@@ -64,24 +72,34 @@
   int waitingItemCount() const { return this->WaitingItemCount; }
 
 private:
-  void updateBudget(std::string_view Service);
+  /// What is known of the items of one service.
+  struct ServiceState {
+    ItemSchedulingPolicy Policy;
+    ItemStartBudget Budget;
+    /// The time at which the next line about waiting items may be logged.
+    std::optional<Instant> NextWaitLog;
+  };
+  /// The waiting items of one service, in the order in which to start them.
+  using ServiceItems = std::vector<const ItemCandidate *>;
+
+  void startItemsOf(std::string_view Service, const ServiceItems &Items);
   /// Starts a waiting item on a server that then still has \p ReservedSlots
   /// free slots. Returns false if there is no such server.
-  bool startItem(const ItemCandidate &Item, int ReservedSlots);
-
-  /// Logs why the items of \p Service wait if they have done so for a while.
-  void logWait(std::string_view Service, int Items);
+  bool startItem(ServiceState &State, const ItemCandidate &Item,
+                 int ReservedSlots);
+  /// Logs why the \p Items items of \p Service wait if they have done so for a
+  /// while.
+  void logWait(ServiceState &State, std::string_view Service,
+               std::size_t Items);
 
   const Clock &Time;
   const PlacementPolicy &Placement;
+  const ServerDirectory &Servers;
   Logger &Log;
   ItemStarterCallbacks Callbacks;
-  ItemSchedulingPolicy Policy;
-  ItemStartBudget Budget;
+  std::map<std::string, ServiceState, std::less<>> Services;
   int WaitingItemCount = 0;
   bool HasUrgentItems = false;
-  /// The time at which the next line about waiting items may be logged.
-  std::optional<Instant> NextWaitLog;
 };
 
 } // namespace turmericpass
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -48,7 +48,7 @@
       Loader(this->Dependencies.Loop, this->Dependencies.Store,
              this->Dependencies.Log),
       Starter(this->Dependencies.Loop.clock(), this->Dependencies.Placement,
-              this->Dependencies.Log,
+              this->Dependencies.Servers, this->Dependencies.Log,
               {this->Dependencies.OtherVmsHaveUrgentItems,
                this->Dependencies.OtherVmsWaitingItems,
                [this](const ItemKey &Key, const KnownServer &Server) {
@@ -233,6 +233,7 @@
   BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server.Entry,
                                          this->Dependencies.Protocol);
   Run.Server = Server.Entry.Id;
+  Run.Service = Server.Entry.Service;
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
   Run.StartedAt = Run.LastEventAt = this->Dependencies.Loop.clock().now();
@@ -349,7 +350,7 @@
       {0, sharedPromptParts(rawHeader(
               Run->Item.Headers, this->Dependencies.Protocol.PromptParts))});
   this->stopItem(*Run, false);
-  this->Starter.recordCompletion(Run->RunTime,
+  this->Starter.recordCompletion(Run->Service, Run->RunTime,
                                  this->Dependencies.Loop.clock().now() -
                                      *Run->FirstStartedAt,
                                  Run->LastEventId.value_or(0));
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -32,7 +32,9 @@
   ItemState State = ItemState::Pending;
   /// The request that runs the item, or 0 if the item is not running.
   SendId ActiveSend = 0;
+  /// The server of the last request that ran the item, and its service.
   std::string Server;
+  std::string Service;
   Instant StartedAt;
   /// When the item was first sent to a server.
   std::optional<Instant> FirstStartedAt;
--- a/Source/Serving/ServerDirectory.cpp
+++ b/Source/Serving/ServerDirectory.cpp
@@ -119,15 +119,26 @@
   return Found == this->Servers.end() ? nullptr : &Found->second;
 }
 
+bool ServerDirectory::isUsable(const KnownServer &Server,
+                               std::string_view Service) const {
+  return Server.Entry.Service == Service && !Server.Entry.Leaving &&
+         this->Time.now() < Server.ExpiresAt &&
+         !this->saidLeaving(Server.Entry);
+}
+
 std::vector<const KnownServer *>
 ServerDirectory::usableServers(std::string_view Service) const {
   std::vector<const KnownServer *> Found;
-  const Instant Now = this->Time.now();
   for (const auto &[Id, Server] : this->Servers)
-    if (Server.Entry.Service == Service && !Server.Entry.Leaving &&
-        Now < Server.ExpiresAt && !this->saidLeaving(Server.Entry))
+    if (this->isUsable(Server, Service))
       Found.push_back(&Server);
   return Found;
 }
 
+bool ServerDirectory::hasUsableServer(std::string_view Service) const {
+  return std::any_of(
+      this->Servers.begin(), this->Servers.end(),
+      [&](const auto &Each) { return this->isUsable(Each.second, Service); });
+}
+
 } // namespace turmericpass
--- a/Source/Serving/ServerDirectory.h
+++ b/Source/Serving/ServerDirectory.h
@@ -70,12 +70,16 @@
   std::vector<const KnownServer *>
   usableServers(std::string_view Service) const;
 
+  /// Returns whether a server of \p Service accepts new requests.
+  bool hasUsableServer(std::string_view Service) const;
+
   const std::map<std::string, KnownServer> &all() const {
     return this->Servers;
   }
 
 private:
   bool saidLeaving(const ServerEntry &Entry) const;
+  bool isUsable(const KnownServer &Server, std::string_view Service) const;
 
   const Clock &Time;
   std::map<std::string, KnownServer> Servers;
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -36,6 +36,8 @@
   std::int64_t StoreNow = 0;
   bool OtherVmsHaveUrgentItems = false;
   int OtherVmsWaitingItems = 0;
+  /// The path under which startJob() submits.
+  std::string JobTarget = "/";
   JobRunner Runner;
 
   RunnerBench()
@@ -80,6 +82,7 @@
   bool startJob(const std::string &JobId, std::size_t Count,
                 std::size_t Slots = 100) {
     JobMetadata Metadata = makeMetadata(Count);
+    Metadata.Target = JobTarget;
     std::vector<JobItem> Items;
     for (std::size_t I = 0; I < Count; ++I)
       Items.push_back({"item" + std::to_string(I), "/x", {}, "body", 10});
