BatchJobs: List the items of a route that was removed

Cause: both the start of an item and the end of its retention look up the route and skipped the job without one. On the same path, a route of another kind on the job's path ran its items on its own service, and one failed attempt ended an item.

Change: when the settings, current all the time, have had no batch route for a job for 3 s, its owner gives the pending items up. It concludes nothing from settings that may be older than the job. Items that run end as before.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -62,8 +62,11 @@
 
 const RouteSettings *JobRunner::routeOf(const OwnedJob &Job) const {
   const ServingSettings *Settings = this->Dependencies.Settings();
-  return Settings ? findRoute(*Settings, Job.Metadata.Host, Job.Metadata.Target)
-                  : nullptr;
+  const RouteSettings *Route =
+      Settings ? findRoute(*Settings, Job.Metadata.Host, Job.Metadata.Target)
+               : nullptr;
+  // Where the job's route was, callers' requests may now go to other services.
+  return Route && Route->Kind == RequestKind::Batch ? Route : nullptr;
 }
 
 void JobRunner::runJob(const std::string &JobId) {
@@ -170,37 +173,35 @@
   }
 }
 
-void JobRunner::failExpiredItems() {
+void JobRunner::failItemsThatCannotRun() {
   const std::int64_t StoreNow = this->Dependencies.StoreMillis();
+  const bool SettingsAreCurrent = this->Dependencies.SettingsAreCurrent();
   for (auto &[JobId, Job] : this->Jobs) {
     const RouteSettings *Route = this->routeOf(Job);
-    if (!Route) {
-      this->recordMissingRoute(JobId, Job);
-      continue;
-    }
-    Job.RouteIsMissing = false;
-    if (StoreNow - Job.Metadata.AcceptedAtMillis <=
-        Route->JobRetention.count() / 1000 + RetentionMarginMs)
-      continue;
-    for (std::size_t I = 0; I < Job.Items.size(); ++I)
-      if (Job.Items[I].State == ItemState::Pending)
-        this->finishItem({JobId, I}, Job.Items[I], false, "it has expired");
+    const bool WasMissing = Job.RouteMissingSince.has_value();
+    const bool IsRemoved =
+        Job.recordRoute(Route != nullptr, SettingsAreCurrent,
+                        this->Dependencies.Loop.clock().now());
+    if (Job.RouteMissingSince && !WasMissing)
+      this->Dependencies.Log.log(
+          LogLevel::Warning, "The settings have no route for a job any more.",
+          {{"job", JobId},
+           {"route", Job.Metadata.Route},
+           {"settings_version", this->Dependencies.Settings()->Version}});
+    if (IsRemoved)
+      this->failPendingItems(JobId, Job, "its route was removed");
+    else if (Route &&
+             StoreNow - Job.Metadata.AcceptedAtMillis >
+                 Route->JobRetention.count() / 1000 + RetentionMarginMs)
+      this->failPendingItems(JobId, Job, "it has expired");
   }
 }
 
-void JobRunner::recordMissingRoute(const std::string &JobId, OwnedJob &Job) {
-  const ServingSettings *Settings = this->Dependencies.Settings();
-  if (!Settings || Job.Loading || std::exchange(Job.RouteIsMissing, true))
-    return;
-  this->Dependencies.Log.log(
-      LogLevel::Warning, "The settings have no route for a job any more.",
-      {{"job", JobId},
-       {"route", Job.Metadata.Route},
-       {"settings_version", Settings->Version},
-       {"pending", std::count_if(Job.Items.begin(), Job.Items.end(),
-                                 [](const ItemRun &Run) {
-                                   return Run.State == ItemState::Pending;
-                                 })}});
+void JobRunner::failPendingItems(const std::string &JobId, OwnedJob &Job,
+                                 std::string_view Reason) {
+  for (std::size_t I = 0; I < Job.Items.size(); ++I)
+    if (Job.Items[I].State == ItemState::Pending)
+      this->finishItem({JobId, I}, Job.Items[I], false, Reason);
 }
 
 std::vector<ItemCandidate> JobRunner::itemCandidates() const {
@@ -223,7 +224,7 @@
 }
 
 void JobRunner::startItems() {
-  this->failExpiredItems();
+  this->failItemsThatCannotRun();
   this->Starter.startItems(this->itemCandidates());
 }
 
@@ -293,12 +294,12 @@
     ++Run.Failures;
   OwnedJob &Job = this->Jobs.at(Key.JobId);
   const RouteSettings *Route = this->routeOf(Job);
-  const int MaxAttempts = Route ? Route->MaxAttempts : 1;
   if (Status == UnprocessableStatus) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the server rejected the item as unprocessable");
-  } else if (Status == FailedAttemptStatus && Run.Failures >= MaxAttempts) {
+  } else if (Status == FailedAttemptStatus && Route &&
+             Run.Failures >= Route->MaxAttempts) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the item reached the maximum number of attempts");
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -35,6 +35,8 @@
   Metrics &Stats;
   /// Returns the settings in force, or nullptr before the first ones arrived.
   std::function<const ServingSettings *()> Settings;
+  /// Returns whether Settings() is the newest version in the store.
+  std::function<bool()> SettingsAreCurrent;
   /// Returns the time of the store's clock in milliseconds.
   std::function<std::int64_t()> StoreMillis;
   /// Returns whether another VM has waiting items that can still meet their
@@ -98,10 +100,11 @@
   /// needed for callers' requests.
   void preemptItems();
   void startItems();
-  /// Fails the pending items of jobs whose retention has ended.
-  void failExpiredItems();
-  /// Logs once that the settings have no route for the job.
-  void recordMissingRoute(const std::string &JobId, OwnedJob &Job);
+  /// Fails the pending items of jobs whose retention has ended or whose route
+  /// was removed.
+  void failItemsThatCannotRun();
+  void failPendingItems(const std::string &JobId, OwnedJob &Job,
+                        std::string_view Reason);
   /// Returns the items that wait for a slot, in the order in which to start
   /// them.
   std::vector<ItemCandidate> itemCandidates() const;
@@ -121,6 +124,7 @@
   /// Saves the progress of the job's unfinished items. Returns how many
   /// changed.
   std::size_t saveProgressOf(const std::string &JobId, OwnedJob &Job);
+  /// Returns the batch route of the job, or nullptr if the settings have none.
   const RouteSettings *routeOf(const OwnedJob &Job) const;
 
   JobRunnerDependencies Dependencies;
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -43,12 +43,28 @@
 
 namespace {
 
+/// How long the settings must have no route for a job until its pending items
+/// are given up. It is longer than the time for which the settings count as
+/// current without an answer of the store, so that they are newer than the job.
+constexpr Duration RouteRemovalDelay = std::chrono::seconds(3);
+
 /// The largest output that is saved as progress. An item with more output
 /// starts from the beginning if its VM is lost.
 constexpr std::size_t MaxProgressBytes = std::size_t{40} << 10U;
 
 } // namespace
 
+bool OwnedJob::recordRoute(bool RouteExists, bool SettingsAreCurrent,
+                           Instant Now) {
+  if (RouteExists || !SettingsAreCurrent || this->Loading) {
+    this->RouteMissingSince.reset();
+    return false;
+  }
+  if (!this->RouteMissingSince)
+    this->RouteMissingSince = Now;
+  return Now - *this->RouteMissingSince >= RouteRemovalDelay;
+}
+
 void OwnedJob::adoptMetadata(const KnownJob &Known) {
   const bool SameWrite = Known.Metadata.WriteId == this->Metadata.WriteId;
   if (Known.Version <= this->Version && !SameWrite)
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -90,8 +90,15 @@
   bool Committing = false;
   /// Whether the items are still being read from the store.
   bool Loading = true;
-  /// Whether the newest known settings have no route for the job.
-  bool RouteIsMissing = false;
+  /// Since when the settings, which were current all the time, have had no
+  /// route for the job.
+  std::optional<Instant> RouteMissingSince;
+
+  /// Records whether the settings have a route for the job. Returns whether the
+  /// operator has removed it, so that pending items cannot run any more. That
+  /// is not concluded from settings that may be older than the job, or at once:
+  /// an operator who removes a route by mistake can bring it back.
+  bool recordRoute(bool RouteExists, bool SettingsAreCurrent, Instant Now);
 
   /// Adopts the metadata from the store. Only the owner commits results, in the
   /// order of UncommittedResults. If the store has more results than this VM
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -29,14 +29,23 @@
 
 /// Returns what the runner of another VM on the same store depends on.
 JobRunnerDependencies dependenciesOfOther(RunnerBench &Bench) {
-  return {Bench.Loop,       Bench.Channels,
-          Bench.Store,      Bench.Directory,
-          Bench.Servers,    Bench.Loads,
-          Bench.Placement,  Bench.Crashes,
-          Bench.Protocol,   Bench.Log,
-          Bench.Stats,      [&Bench] { return &Bench.Settings; },
-          [] { return 0; }, [] { return false; },
-          [] { return 0; }, "other"};
+  return {Bench.Loop,
+          Bench.Channels,
+          Bench.Store,
+          Bench.Directory,
+          Bench.Servers,
+          Bench.Loads,
+          Bench.Placement,
+          Bench.Crashes,
+          Bench.Protocol,
+          Bench.Log,
+          Bench.Stats,
+          [&Bench] { return &Bench.Settings; },
+          [] { return true; },
+          [] { return 0; },
+          [] { return false; },
+          [] { return 0; },
+          "other"};
 }
 
 /// Lets \p Other take job "j" over.
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -34,6 +34,7 @@
   JobDirectory Directory{Log};
   JobStore Store{Loop, Rows, Ids, Log};
   std::int64_t StoreNow = 0;
+  bool SettingsAreCurrent = true;
   bool OtherVmsHaveUrgentItems = false;
   int OtherVmsWaitingItems = 0;
   /// The path under which startJob() submits.
@@ -44,6 +45,7 @@
       : Runner({Loop, Channels, Store, Directory, Servers, Loads, Placement,
                 Crashes, Protocol, Log, Stats,
                 [this] { return &this->Settings; },
+                [this] { return this->SettingsAreCurrent; },
                 [this] { return this->StoreNow; },
                 [this] { return this->OtherVmsHaveUrgentItems; },
                 [this] { return this->OtherVmsWaitingItems; }, "self"}) {
