Serving: Leave a slot for items at servers with few slots

Cause: a slot is kept free at servers of other zones, two for urgent items of other VMs, however many slots a server has. The same subtraction stood in the free slots of the start budget and in the items that give way while loads are delayed.

Change: one slot is left for items at each server in all of these places.

--- a/Source/Serving/LoadTracker.cpp
+++ b/Source/Serving/LoadTracker.cpp
@@ -121,7 +121,8 @@
     return 0;
   const ServerLoad Total = this->totalLoad(Server);
   const bool LoadsDelayed = !this->ZoneLoads.empty();
-  const int KeptFree = LoadsDelayed ? SlotsKeptForCallers : 0;
+  const int KeptFree =
+      LoadsDelayed ? slotsKeptFree(Slots, SlotsKeptForCallers) : 0;
   int Excess =
       std::min(Total.Online + Total.Batch + KeptFree - Slots, Total.Batch);
   if (Excess <= 0)
--- a/Source/Serving/LoadTracker.h
+++ b/Source/Serving/LoadTracker.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_SERVING_LOADTRACKER_H
 #define TURMERICPASS_SERVING_LOADTRACKER_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -25,6 +26,13 @@
 /// Returns the key of the server with id \p Id.
 ServerKey serverKey(const std::string &Id);
 
+/// Returns how many of \p Wanted slots may be kept free of batch items at a
+/// server with \p Slots slots. One slot is left for items, or a server with few
+/// slots would never run any.
+constexpr int slotsKeptFree(int Slots, int Wanted) {
+  return std::min(Wanted, std::max(0, Slots - 1));
+}
+
 /// Tracks the load that all VMs put on each server: the requests of this VM,
 /// the loads that the digests of other VMs report, and sums of the loads of
 /// whole availability zones. The sums over all of them are kept up to date, so
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -129,7 +129,8 @@
   int Free = 0;
   for (const KnownServer *Server : this->Servers.usableServers(Service)) {
     const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
-    Free += std::max(0, Server->Entry.Slots - SpareSlots - Load.Online -
+    const int Slots = Server->Entry.Slots;
+    Free += std::max(0, Slots - slotsKeptFree(Slots, SpareSlots) - Load.Online -
                             Load.Batch);
   }
   return Free;
@@ -146,10 +147,11 @@
     const int UsedSlots = Load.Online + Load.Batch;
     // The loads of VMs in other zones become known later than those of the own
     // zone, so a slot is kept free at servers of other zones.
-    const int KeptFree = std::max(
-        ReservedSlots, Server->Entry.Zone == this->Zone && !this->LoadsDelayed
-                           ? 0
-                           : SpareSlots);
+    const int SlotsForOthers =
+        Server->Entry.Zone == this->Zone && !this->LoadsDelayed ? 0
+                                                                : SpareSlots;
+    const int KeptFree = slotsKeptFree(Server->Entry.Slots,
+                                       std::max(ReservedSlots, SlotsForOthers));
     if (UsedSlots + KeptFree >= Server->Entry.Slots ||
         Server->AvoidedUntil > Now)
       continue;
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -51,7 +51,8 @@
                                std::uint64_t Random = 0) const;
 
   /// Returns a server of \p Service that has a free slot for a batch item and
-  /// \p ReservedSlots more, or nullptr if there is none.
+  /// \p ReservedSlots more, or nullptr if there is none. A server with too few
+  /// slots for that is chosen if it runs no request.
   const KnownServer *chooseBatchServer(std::string_view Service,
                                        int ReservedSlots,
                                        std::uint64_t Random = 0) const;
--- a/Tests/BatchJobs/ItemStarterTest.cpp
+++ b/Tests/BatchJobs/ItemStarterTest.cpp
@@ -192,3 +192,22 @@
   cr_assert_not(Bench.Starter.hasUrgentItems());
   cr_assert_eq(Bench.Starter.waitingItemCount(), 1);
 }
+
+// Guards against items that are never sent to idle servers with one or two
+// slots, because other VMs have urgent items or loads become known late.
+Test(ItemStarter, ItemsStartOnIdleServersWithFewSlots) {
+  for (const int Slots : {1, 2})
+    for (const bool Delayed : {false, true})
+      for (const Duration TimeLeft : {-10s, 10s}) {
+        StarterBench Bench;
+        Bench.OtherVmsHaveUrgentItems = true;
+        Bench.addServers("m", 3, Slots);
+        Bench.Placement.setLoadsDelayed(Delayed);
+        Bench.Starter.startItems({});
+        for (int I = 0; I < 3; ++I)
+          Bench.addItem("m", TimeLeft);
+        Bench.runFor(1s);
+        cr_assert(Bench.Waiting.empty(), "slots %d, delayed %d: %zu wait",
+                  Slots, Delayed, Bench.Waiting.size());
+      }
+}
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -189,6 +189,41 @@
   cr_assert_null(Placement.chooseBatchServer("m", 0));
 }
 
+// Guards against idle servers that never get an item because as many slots are
+// kept free as they have: in other zones, with delayed loads, or for urgent
+// items. Where there are more slots, they are still kept free.
+Test(PlacementPolicy, IdleServerTakesAnItemHoweverFewItsSlots) {
+  for (const char *Zone : {"a", "b"})
+    for (const bool Delayed : {false, true})
+      for (const int Reserved : {0, 2})
+        for (int Slots = 1; Slots <= 8; ++Slots) {
+          ManualClock Time;
+          ServerDirectory Servers(Time);
+          LoadTracker Loads("self");
+          FakeChannels Channels;
+          PlacementPolicy Placement(Time, Servers, Loads, Channels, "a",
+                                    "self");
+          Placement.setLoadsDelayed(Delayed);
+          Servers.update({"s", "m", "1.1.1.1:1", Zone, Slots, false, 1});
+          if (Delayed)
+            Loads.setZoneLoads("b", {});
+          cr_assert_gt(Placement.freeBatchSlots("m"), 0);
+          int Items = 0;
+          while (Placement.chooseBatchServer("m", Reserved)) {
+            Loads.addBatchItem("s");
+            ++Items;
+          }
+          const int Kept = std::max(Reserved, Delayed || *Zone == 'b' ? 1 : 0);
+          cr_assert_eq(Items, std::max(1, Slots - Kept),
+                       "zone %s, delayed %d, reserved %d, slots %d: %d items",
+                       Zone, Delayed, Reserved, Slots, Items);
+          cr_assert_eq(Loads.batchItemsToYield("s", Slots), 0);
+          Loads.addOnlineRequest("s");
+          if (Items == Slots)
+            cr_assert_gt(Loads.batchItemsToYield("s", Slots), 0);
+        }
+}
+
 // Replays a wave of callers over 60 VMs that all choose from the same counts,
 // before any of them sees what the others chose. Guards against sending all of
 // them to the one server with the least load.
