Serving: Give callers only events in a resumed stream

Cause: whether an answer is an event stream and has a length was asked for the first answer of a request alone, and an event without an id passed each check. So a 200 with another content type, an empty answer without a length, and the head of another answer inside a stream all counted as the rest of the stream. An error status did not.

Change: each answer that resumes a stream must be an event stream, without a length it needs an event, and text that is no event is not passed on. The request then goes to the next server, or the stream breaks off.

--- a/Source/Serving/EventSplitter.cpp
+++ b/Source/Serving/EventSplitter.cpp
@@ -19,6 +19,13 @@
 }
 
 void readLine(StreamEvent &Event, bool &HasData, std::string_view Line) {
+  if (Line.empty() || Line.starts_with(':'))
+    return;
+  Event.HasFields = true;
+  // A field without a colon has an empty value.
+  if (Line.find(':') == std::string_view::npos && Line != "id" &&
+      Line != "data" && Line != "event" && Line != "retry")
+    Event.IsWellFormed = false;
   if (const auto Id = fieldValue(Line, "id")) {
     std::uint64_t Number = 0;
     const char *End = Id->data() + Id->size();
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -46,6 +46,8 @@
   Instant SentAt;
   /// The number of complete events that the latest send received.
   int EventsOfSend = 0;
+  /// Whether the answer to the latest send says where it ends.
+  bool AnswerHasLength = false;
   /// The servers to which the request was sent.
   std::set<std::string> TriedServers;
   WatchId RetryTimer = 0;
@@ -73,8 +75,14 @@
   /// a stream without a length looks the same if its server crashes.
   bool streamBrokeOff() const {
     return !this->Events.incompleteEvent().empty() ||
-           (!this->LastEventId && this->EventsOfSend == 0 &&
-            !this->AnswerHead->hasLength());
+           (this->EventsOfSend == 0 && !this->AnswerHasLength);
+  }
+
+  /// Returns whether \p Event can be a part of the stream that the caller gets.
+  /// The events of a resumed stream have ids, as those before them.
+  bool belongsToStream(const StreamEvent &Event) const {
+    const bool IsResumed = this->PossibleRuns > 1 && this->LastEventId;
+    return Event.IsWellFormed && (!IsResumed || Event.Id || !Event.HasFields);
   }
 };
 
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -1,6 +1,7 @@
 #include "Serving/OnlineService.h"
 
 #include "Core/IdSource.h"
+#include "Serving/CallRecord.h"
 #include "Serving/CrashGuard.h"
 #include "Serving/LeavingAnswer.h"
 #include "Serving/LoadTracker.h"
@@ -193,6 +194,10 @@
     this->retry(*Call, "the server failed the request");
     return;
   }
+  const bool IsEventStream =
+      Success && Head.header("Content-Type")
+                     .starts_with(this->Dependencies.Protocol.EventStreamType);
+  Call->AnswerHasLength = Head.hasLength();
   if (Call->HeadForwarded) {
     // The caller already has the head of the first server, so the head of the
     // resumed stream is not forwarded.
@@ -200,6 +205,10 @@
       this->fail(*Call, BadGateway, "the stream could not be resumed");
       return;
     }
+    if (!IsEventStream) {
+      this->rejectAnswer(*Call, "the answer does not resume the stream");
+      return;
+    }
     Call->Events.reset();
     Call->Stall.recordHead(this->Dependencies.Loop.clock().now(), true);
     this->armStallTimer(*Call);
@@ -207,9 +216,7 @@
   }
   Call->AnswerHead = Head;
   this->clearBody(*Call);
-  Call->IsEventStream =
-      Success && Head.header("Content-Type")
-                     .starts_with(this->Dependencies.Protocol.EventStreamType);
+  Call->IsEventStream = IsEventStream;
   if (Call->IsEventStream)
     this->forwardHead(*Call);
   Call->Stall.recordHead(this->Dependencies.Loop.clock().now(),
@@ -222,16 +229,19 @@
   Call.Body.clear();
 }
 
-void OnlineService::endOversizedAnswer(OnlineCall &Call,
-                                       std::string_view Reason) {
-  const std::string Server = Call.Server;
-  this->Dependencies.Stats.add("answers_oversized_total");
+void OnlineService::rejectAnswer(OnlineCall &Call, std::string_view Reason) {
   this->endSend(Call, true);
-  this->Dependencies.Servers.recordFailure(Server);
+  this->Dependencies.Servers.recordFailure(Call.Server);
   this->clearBody(Call);
   this->retry(Call, Reason);
 }
 
+void OnlineService::endOversizedAnswer(OnlineCall &Call,
+                                       std::string_view Reason) {
+  this->Dependencies.Stats.add("answers_oversized_total");
+  this->rejectAnswer(Call, Reason);
+}
+
 void OnlineService::forwardHead(OnlineCall &Call) {
   HttpHeaders Headers;
   for (const auto &[Name, Value] : Call.AnswerHead->Headers)
@@ -272,6 +282,12 @@
 void OnlineService::forwardEvents(OnlineCall &Call, std::string_view Bytes) {
   std::string Complete;
   for (StreamEvent &Event : Call.Events.feed(Bytes)) {
+    if (!Call.belongsToStream(Event)) {
+      // The events before it are counted as received, so the caller gets them.
+      this->sendEvents(Call, Complete);
+      this->rejectAnswer(Call, "the stream contains other text than events");
+      return;
+    }
     // The first event of a resumed stream must directly follow the last
     // forwarded one.
     if (Event.Id && Call.PossibleRuns > 1 && Call.LastEventId &&
@@ -284,21 +300,25 @@
     ++Call.EventsOfSend;
     Complete += Event.Bytes;
   }
-  if (!Complete.empty()) {
-    this->Dependencies.Callers.sendPiece(Call.Caller, Complete);
-    Call.Stall.recordEvent(this->Dependencies.Loop.clock().now());
-    this->Dependencies.Guard.eventsReceived(Call);
-    if (this->Dependencies.Callers.unsentBytes(Call.Caller) >
-        AnswerMemory::MaxUnsentBytes) {
-      Call.ReadingPaused = true;
-      this->Dependencies.Channels.setReading(Call.ActiveSend, false);
-    }
-    this->armStallTimer(Call);
-  }
+  this->sendEvents(Call, Complete);
   if (Call.Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes)
     this->endOversizedAnswer(Call, "an event of the stream is too large");
 }
 
+void OnlineService::sendEvents(OnlineCall &Call, std::string_view Events) {
+  if (Events.empty())
+    return;
+  this->Dependencies.Callers.sendPiece(Call.Caller, Events);
+  Call.Stall.recordEvent(this->Dependencies.Loop.clock().now());
+  this->Dependencies.Guard.eventsReceived(Call);
+  if (this->Dependencies.Callers.unsentBytes(Call.Caller) >
+      AnswerMemory::MaxUnsentBytes) {
+    Call.ReadingPaused = true;
+    this->Dependencies.Channels.setReading(Call.ActiveSend, false);
+  }
+  this->armStallTimer(Call);
+}
+
 void OnlineService::callerCaughtUp(CallerId Caller) {
   const auto Found = this->Calls.find(Caller);
   if (Found == this->Calls.end() || !Found->second->ReadingPaused)
@@ -465,27 +485,8 @@
   this->Dependencies.Loop.cancel(Call.DeadlineTimer);
   this->Dependencies.Loop.cancel(Call.StallTimer);
   this->Dependencies.Loop.cancel(Call.RetryTimer);
-  const Instant Now = this->Dependencies.Loop.clock().now();
-  const double FirstByteMs =
-      Call.FirstByteAt ? toMillis(*Call.FirstByteAt - Call.ArrivedAt) : -1.0;
-  this->Dependencies.Log.log(LogLevel::Info, "A request ended.",
-                             {{"request", Call.RequestId},
-                              {"route", Call.Route.Name},
-                              {"settings_version", Call.Route.SettingsVersion},
-                              {"service", Call.Service},
-                              {"server", Call.Server},
-                              {"possible_runs", Call.PossibleRuns},
-                              {"refusals", Call.Refusals},
-                              {"status", Status},
-                              {"outcome", Outcome},
-                              {"first_byte_ms", FirstByteMs},
-                              {"total_ms", toMillis(Now - Call.ArrivedAt)}});
-  const std::string Label = "{route=\"" + Call.Route.Name + "\",status=\"" +
-                            std::to_string(Status) + "\"}";
-  this->Dependencies.Stats.add("requests_total" + Label);
-  this->Dependencies.Stats.observe("request_seconds{route=\"" +
-                                       Call.Route.Name + "\"}",
-                                   toMillis(Now - Call.ArrivedAt) / 1000.0);
+  recordEndOfCall(Call, Status, Outcome, this->Dependencies.Loop.clock().now(),
+                  this->Dependencies.Log, this->Dependencies.Stats);
   this->Calls.erase(Call.Caller);
 }
 
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -76,8 +76,13 @@
   /// Waits on for a request that may not be sent again, or gives it up if its
   /// caller has left by all that is known.
   void waitOrAbandon(OnlineCall &Call);
+  /// Ends the answer of a server that cannot be given to the caller, and sends
+  /// the request to another server or fails it.
+  void rejectAnswer(OnlineCall &Call, std::string_view Reason);
   /// Ends an answer that exceeds a bound of AnswerMemory.
   void endOversizedAnswer(OnlineCall &Call, std::string_view Reason);
+  /// Passes whole events on to the caller.
+  void sendEvents(OnlineCall &Call, std::string_view Events);
   void clearBody(OnlineCall &Call);
   /// Answers that the request did not run and may be sent again after
   /// \p RetryAfter.
