BatchJobs: Take only event streams for the output of items

Change: an answer of another type than an event stream is no result, an answer without an event needs a length, and text that is no event ends the run. The item goes on after its last event, so its progress is kept.

--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -285,8 +285,16 @@
   }
   this->Dependencies.Servers.recordSuccess(Run->Server);
   Run->AnswerHasLength = Head.hasLength();
-  if (Head.Status < 200 || Head.Status >= 300)
+  const std::string_view Type = Head.header("Content-Type");
+  Run->AnswerIsStream =
+      Type.starts_with(this->Dependencies.Protocol.EventStreamType);
+  if (Head.Status < 200 || Head.Status >= 300) {
     this->handleFailure(Key, *Run, Head.Status);
+  } else if (!Type.empty() && !Run->AnswerIsStream) {
+    this->Dependencies.Servers.recordFailure(Run->Server);
+    this->postponeItem(Key, *Run, BrokenAnswerDelay,
+                       "the answer is no event stream");
+  }
 }
 
 void JobRunner::handleFailure(const ItemKey &Key, ItemRun &Run, int Status) {
@@ -318,7 +326,13 @@
     return;
   this->Dependencies.Servers.recordActivity(Run->Server);
   const Instant Now = this->Dependencies.Loop.clock().now();
-  for (const StreamEvent &Event : Run->Events.feed(Bytes))
+  for (const StreamEvent &Event : Run->Events.feed(Bytes)) {
+    if (!Event.IsWellFormed) {
+      this->Dependencies.Servers.recordFailure(Run->Server);
+      this->postponeItem(Key, *Run, BrokenAnswerDelay,
+                         "the stream contains other text than events");
+      return;
+    }
     if (!Run->appendEvent(Event, Now)) {
       // Joining the output of both sends would omit or repeat events.
       Run->discardOutput();
@@ -326,6 +340,7 @@
                          "the event ids are not consecutive");
       return;
     }
+  }
   if (Run->Output.size() > AnswerMemory::MaxOutputBytes ||
       Run->Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes) {
     // The output of a server that does not stop is of no use.
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -55,7 +55,8 @@
   Duration RunTime{0};
   /// The number of events received in response to the current send.
   int NewEvents = 0;
-  /// The answer to the current send says where it ends.
+  /// The answer to the current send is an event stream, and says where it ends.
+  bool AnswerIsStream = false;
   bool AnswerHasLength = false;
   /// How often the item moved because its server sent no event.
   int Stalls = 0;
@@ -65,10 +66,12 @@
   /// Appends an event that arrived at \p Now to the output. Returns false and
   /// does nothing if its id does not follow that of the last one.
   bool appendEvent(const StreamEvent &Event, Instant Now);
-  /// Returns whether an answer that has ended was broken off.
+  /// Returns whether an answer that has ended was broken off. Without an event,
+  /// only a stream with a length shows that nothing was missing.
   bool answerBrokeOff() const {
     return !this->Events.incompleteEvent().empty() ||
-           (!this->LastEventId && !this->AnswerHasLength);
+           (this->NewEvents == 0 &&
+            !(this->AnswerIsStream && this->AnswerHasLength));
   }
   /// Discards the output, so that the item starts from the beginning.
   void discardOutput();
