Tests: Show that an answer cut inside its head is no answer

Reported by another operator: a server stopped inside the head of its answer and closed, and callers got a 200 with an empty or short body. It does not happen on the users' platform here: ServerThatClosesInsideItsHeadGivesNoAnswer closes at each byte of a head, also after an interim or a late answer, and ServerThatClosesInsideItsChunksCutsTheAnswer at each byte of a chunked body. No product code changes.

--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -312,3 +312,43 @@
   cr_assert_eq(*B.Recorder.Failure, SendFailure::AnswerTruncated);
   cr_assert_leq(B.Recorder.Body.size(), 100'000);
 }
+
+// Guards against an answer that is given to the caller as whole and empty
+// although its server stopped inside its head and closed, or inside the head of
+// the answer after an interim or a late one. Plays each position.
+Test(BackendChannels, ServerThatClosesInsideItsHeadGivesNoAnswer) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nId: r2\r\n"
+                           "Content-Type: text/event-stream\r\n\r\n";
+  for (const std::string &Before :
+       {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+        std::string(
+            "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 3\r\n\r\nold")})
+    for (std::size_t Cut = 0; Cut < Head.size(); ++Cut) {
+      Bench B;
+      B.send("r2");
+      B.Server.write(Before + Head.substr(0, Cut));
+      B.Server.drop();
+      cr_assert(B.ended());
+      cr_assert(B.Recorder.Failure.has_value(), "cut at %zu", Cut);
+      cr_assert_neq(*B.Recorder.Failure, SendFailure::NotSent);
+      cr_assert_eq(B.Recorder.Heads, 0, "cut at %zu", Cut);
+      cr_assert(B.Recorder.Body.empty());
+    }
+}
+
+// Guards against a chunked answer that counts as whole although its server
+// closed inside a chunk, between two chunks, or inside the trailers.
+Test(BackendChannels, ServerThatClosesInsideItsChunksCutsTheAnswer) {
+  const std::string Body = "2\r\nok\r\n3\r\nyes\r\n0\r\nTrailer: x\r\n\r\n";
+  for (std::size_t Cut = 0; Cut < Body.size(); ++Cut) {
+    Bench B;
+    B.send("r2");
+    B.Server.write("HTTP/1.1 200 OK\r\nId: r2\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n" +
+                   Body.substr(0, Cut));
+    B.Server.drop();
+    cr_assert(B.ended());
+    cr_assert_not(B.Recorder.Done, "cut at %zu", Cut);
+    cr_assert_eq(*B.Recorder.Failure, SendFailure::AnswerTruncated);
+  }
+}
