Serving: Send items to servers that only other VMs avoid, if all are

Change: if all servers of a service are avoided, items go to those that only other VMs report. A server that failed this VM's own requests is still left out, and with a reliable server nothing changes.

--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -140,9 +140,12 @@
 PlacementPolicy::chooseBatchServer(std::string_view Service, int ReservedSlots,
                                    std::uint64_t Random) const {
   const KnownServer *Best = nullptr;
-  std::tuple<bool, int, std::uint64_t> BestRank;
+  std::tuple<bool, bool, int, std::uint64_t> BestRank;
+  bool HasReliableServer = false;
   const Instant Now = this->Time.now();
   for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    const bool IsAvoided = Server->AvoidedUntil > Now;
+    HasReliableServer = HasReliableServer || !IsAvoided;
     const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
     const int UsedSlots = Load.Online + Load.Batch;
     // The loads of VMs in other zones become known later than those of the own
@@ -153,18 +156,22 @@
     const int KeptFree = slotsKeptFree(Server->Entry.Slots,
                                        std::max(ReservedSlots, SlotsForOthers));
     if (UsedSlots + KeptFree >= Server->Entry.Slots ||
-        Server->AvoidedUntil > Now)
+        Server->AvoidedForOwnFailuresUntil > Now)
       continue;
-    const std::tuple Rank(
-        Server->Entry.Zone != this->Zone, this->LoadsDelayed ? 0 : UsedSlots,
-        this->LoadsDelayed ? hash64(Server->Entry.Id, Random)
-                           : hash64(Server->Entry.Id + this->Self));
+    const std::tuple Rank(IsAvoided, Server->Entry.Zone != this->Zone,
+                          this->LoadsDelayed ? 0 : UsedSlots,
+                          this->LoadsDelayed
+                              ? hash64(Server->Entry.Id, Random)
+                              : hash64(Server->Entry.Id + this->Self));
     if (!Best || Rank < BestRank) {
       Best = Server;
       BestRank = Rank;
     }
   }
-  return Best;
+  // The reports of other VMs alone must not keep all items waiting: the cause
+  // may be on their side, and then they repeat the reports without end.
+  const bool IsReportedByOthers = Best && Best->AvoidedUntil > Now;
+  return IsReportedByOthers && HasReliableServer ? nullptr : Best;
 }
 
 } // namespace turmericpass
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -52,7 +52,8 @@
 
   /// Returns a server of \p Service that has a free slot for a batch item and
   /// \p ReservedSlots more, or nullptr if there is none. A server with too few
-  /// slots for that is chosen if it runs no request.
+  /// slots for that is chosen if it runs no request. A server that only other
+  /// VMs avoid is chosen if they avoid all servers of the service.
   const KnownServer *chooseBatchServer(std::string_view Service,
                                        int ReservedSlots,
                                        std::uint64_t Random = 0) const;
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -224,6 +224,30 @@
         }
 }
 
+// Guards against items that are never sent to a sound and idle server, because
+// another VM that cannot reach it reports failures without end.
+Test(PlacementPolicy, ServerThatOnlyOtherVmsAvoidTakesItems) {
+  ManualClock Time;
+  ServerDirectory Servers(Time);
+  LoadTracker Loads("self");
+  FakeChannels Channels;
+  const PlacementPolicy Placement(Time, Servers, Loads, Channels, "a", "self");
+  Servers.update({"s1", "m", "1.1.1.1:1", "a", 1, false, 1});
+  Servers.update({"s2", "m", "1.1.1.1:2", "a", 1, false, 1});
+  Servers.applyPeerAvoidance(serverKey("s1"));
+  cr_assert_eq(Placement.chooseBatchServer("m", 0)->Entry.Id, "s2");
+  Loads.addBatchItem("s2");
+  cr_assert_null(Placement.chooseBatchServer("m", 0));
+  for (int Report = 0; Report < 100; ++Report) {
+    Servers.applyPeerAvoidance(serverKey("s1"));
+    Servers.applyPeerAvoidance(serverKey("s2"));
+    Time.advance(100ms);
+    cr_assert_not_null(Placement.chooseBatchServer("m", 0));
+  }
+  Servers.recordFailure("s1");
+  cr_assert_null(Placement.chooseBatchServer("m", 0));
+}
+
 // Replays a wave of callers over 60 VMs that all choose from the same counts,
 // before any of them sees what the others chose. Guards against sending all of
 // them to the one server with the least load.
