--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -31,10 +31,6 @@
 constexpr Duration BrokenAnswerDelay = std::chrono::milliseconds(150);
 constexpr Duration FailureDelay = std::chrono::milliseconds(250);
 
-/// The number of free slots that late items leave on each server while other
-/// VMs have waiting items that can meet their deadline.
-constexpr int SlotsReservedForUrgent = 2;
-
 /// How long one commit is retried before it counts as failed.
 constexpr Duration CommitTimeout = std::chrono::seconds(3);
 
@@ -50,7 +46,14 @@
 JobRunner::JobRunner(JobRunnerDependencies Dependencies)
     : Dependencies(std::move(Dependencies)),
       Loader(this->Dependencies.Loop, this->Dependencies.Store,
-             this->Dependencies.Log) {}
+             this->Dependencies.Log),
+      Starter(this->Dependencies.Loop.clock(), this->Dependencies.Placement,
+              this->Dependencies.Servers, this->Dependencies.Log,
+              {this->Dependencies.OtherVmsHaveUrgentItems,
+               this->Dependencies.OtherVmsWaitingItems,
+               [this](const ItemKey &Key, const KnownServer &Server) {
+                 this->startItem(Key, Server);
+               }}) {}
 
 const OwnedJob *JobRunner::find(const std::string &JobId) const {
   const auto Found = this->Jobs.find(JobId);
@@ -59,8 +62,11 @@
 
 const RouteSettings *JobRunner::routeOf(const OwnedJob &Job) const {
   const ServingSettings *Settings = this->Dependencies.Settings();
-  return Settings ? findRoute(*Settings, Job.Metadata.Host, Job.Metadata.Target)
-                  : nullptr;
+  const RouteSettings *Route =
+      Settings ? findRoute(*Settings, Job.Metadata.Host, Job.Metadata.Target)
+               : nullptr;
+  // Where the job's route was, callers' requests may now go to other services.
+  return Route && Route->Kind == RequestKind::Batch ? Route : nullptr;
 }
 
 void JobRunner::runJob(const std::string &JobId) {
@@ -140,8 +146,7 @@
 
 void JobRunner::schedule() {
   if (this->Jobs.empty() || this->Releasing) {
-    this->WaitingItemCount = 0;
-    this->HasUrgentItems = false;
+    this->Starter.startItems({});
     return;
   }
   this->preemptItems();
@@ -168,103 +173,76 @@
   }
 }
 
-void JobRunner::failExpiredItems() {
+void JobRunner::failItemsThatCannotRun() {
   const std::int64_t StoreNow = this->Dependencies.StoreMillis();
+  const bool SettingsAreCurrent = this->Dependencies.SettingsAreCurrent();
   for (auto &[JobId, Job] : this->Jobs) {
     const RouteSettings *Route = this->routeOf(Job);
-    if (!Route || StoreNow - Job.Metadata.AcceptedAtMillis <=
-                      Route->JobRetention.count() / 1000 + RetentionMarginMs)
-      continue;
-    for (std::size_t I = 0; I < Job.Items.size(); ++I)
-      if (Job.Items[I].State == ItemState::Pending)
-        this->finishItem({JobId, I}, Job.Items[I], false, "it has expired");
+    const bool WasMissing = Job.RouteMissingSince.has_value();
+    const bool IsRemoved =
+        Job.recordRoute(Route != nullptr, SettingsAreCurrent,
+                        this->Dependencies.Loop.clock().now());
+    if (Job.RouteMissingSince && !WasMissing)
+      this->Dependencies.Log.log(
+          LogLevel::Warning, "The settings have no route for a job any more.",
+          {{"job", JobId},
+           {"route", Job.Metadata.Route},
+           {"settings_version", this->Dependencies.Settings()->Version}});
+    if (IsRemoved)
+      this->failPendingItems(JobId, Job, "its route was removed");
+    else if (Route &&
+             StoreNow - Job.Metadata.AcceptedAtMillis >
+                 Route->JobRetention.count() / 1000 + RetentionMarginMs)
+      this->failPendingItems(JobId, Job, "it has expired");
   }
 }
 
-bool JobRunner::canBeOnTime(const OwnedJob &Job, const ItemRun &Run) const {
-  const RouteSettings *Route = this->routeOf(Job);
-  const Duration Age = std::chrono::milliseconds(
-      this->Dependencies.StoreMillis() - Job.Metadata.AcceptedAtMillis);
-  return Route && this->Policy.canBeOnTime(Route->JobTargetLatency - Age,
-                                           Run.LastEventId.value_or(0));
+void JobRunner::failPendingItems(const std::string &JobId, OwnedJob &Job,
+                                 std::string_view Reason) {
+  for (std::size_t I = 0; I < Job.Items.size(); ++I)
+    if (Job.Items[I].State == ItemState::Pending)
+      this->finishItem({JobId, I}, Job.Items[I], false, Reason);
 }
 
-void JobRunner::startItems() {
-  this->failExpiredItems();
-  std::vector<ItemKey> OnTime;
-  std::vector<ItemKey> Late;
+std::vector<ItemCandidate> JobRunner::itemCandidates() const {
+  const std::int64_t StoreNow = this->Dependencies.StoreMillis();
+  std::vector<ItemCandidate> Candidates;
   for (ItemKey &Key :
        waitingItems(this->Jobs, this->Dependencies.Loop.clock().now())) {
     const OwnedJob &Job = this->Jobs.at(Key.JobId);
-    const bool CanBeOnTime = this->canBeOnTime(Job, Job.Items[Key.Index]);
-    (CanBeOnTime ? OnTime : Late).push_back(std::move(Key));
-  }
-  this->WaitingItemCount = static_cast<int>(OnTime.size() + Late.size());
-  this->updateStartBudget();
-  if (this->Policy.isNextStartForLateItem() && !Late.empty() &&
-      this->startItem(Late.front(), 0)) {
-    this->Policy.recordStart(false);
-    Late.erase(Late.begin());
-  }
-  this->HasUrgentItems = false;
-  for (const ItemKey &Key : OnTime) {
-    this->HasUrgentItems = !this->startItem(Key, 0);
-    if (this->HasUrgentItems)
-      return;
-    this->Policy.recordStart(true);
-  }
-  // Urgent items may wait for other reasons than a lack of slots, so late items
-  // are held back only on servers with few free slots.
-  const int ReservedSlots =
-      this->Dependencies.OtherVmsHaveUrgentItems() ? SlotsReservedForUrgent : 0;
-  for (const ItemKey &Key : Late) {
-    if (!this->startItem(Key, ReservedSlots))
-      return;
-    this->Policy.recordStart(false);
+    const RouteSettings *Route = this->routeOf(Job);
+    if (!Route)
+      continue;
+    const ItemRun &Run = Job.Items[Key.Index];
+    const Duration Age =
+        std::chrono::milliseconds(StoreNow - Job.Metadata.AcceptedAtMillis);
+    Candidates.push_back(
+        {std::move(Key), Run.Item.Id, pickService(*Route, hash64(Run.Item.Id)),
+         Route->JobTargetLatency - Age, Run.LastEventId.value_or(0)});
   }
+  return Candidates;
 }
 
-void JobRunner::updateStartBudget() {
-  if (!this->Dependencies.Placement.areLoadsDelayed() ||
-      this->WaitingItemCount == 0)
-    return;
-  // Usually all items belong to one service.
-  const RouteSettings *Route = this->routeOf(this->Jobs.begin()->second);
-  if (!Route || Route->Services.empty())
-    return;
-  this->StartBudget.update(this->Dependencies.Loop.clock().now(),
-                           this->WaitingItemCount,
-                           this->Dependencies.OtherVmsWaitingItems(),
-                           this->Dependencies.Placement.freeBatchSlots(
-                               Route->Services.front().Service));
+void JobRunner::startItems() {
+  this->failItemsThatCannotRun();
+  this->Starter.startItems(this->itemCandidates());
 }
 
-bool JobRunner::startItem(const ItemKey &Key, int ReservedSlots) {
+void JobRunner::startItem(const ItemKey &Key, const KnownServer &Server) {
   const OwnedJob &Job = this->Jobs.at(Key.JobId);
   ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
-  const RouteSettings *Route = this->routeOf(Job);
-  if (!Route)
-    return true;
-  const Instant Now = this->Dependencies.Loop.clock().now();
-  const KnownServer *Server = this->Dependencies.Placement.chooseBatchServer(
-      pickService(*Route, hash64(Run.Item.Id)), ReservedSlots,
-      hash64(Run.Item.Id,
-             static_cast<std::uint64_t>(Now.time_since_epoch().count())));
-  if (!Server || (this->Dependencies.Placement.areLoadsDelayed() &&
-                  !this->StartBudget.take()))
-    return false;
-  BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server->Entry,
+  BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server.Entry,
                                          this->Dependencies.Protocol);
-  Run.Server = Server->Entry.Id;
+  Run.Server = Server.Entry.Id;
+  Run.Service = Server.Entry.Service;
   Run.State = ItemState::Running;
   Run.NewEvents = 0;
-  Run.StartedAt = Run.LastEventAt = Now;
+  Run.StartedAt = Run.LastEventAt = this->Dependencies.Loop.clock().now();
   if (!Run.FirstStartedAt)
     Run.FirstStartedAt = Run.StartedAt;
   Run.ActiveSend = this->Dependencies.Channels.send(std::move(Order), *this);
   this->ItemsBySend.emplace(Run.ActiveSend, Key);
   this->Dependencies.Loads.addBatchItem(Run.Server);
-  return true;
 }
 
 ItemRun *JobRunner::findItemOfSend(SendId Id, ItemKey &Key) {
@@ -307,8 +285,16 @@
   }
   this->Dependencies.Servers.recordSuccess(Run->Server);
   Run->AnswerHasLength = Head.hasLength();
-  if (Head.Status < 200 || Head.Status >= 300)
+  const std::string_view Type = Head.header("Content-Type");
+  Run->AnswerIsStream =
+      Type.starts_with(this->Dependencies.Protocol.EventStreamType);
+  if (Head.Status < 200 || Head.Status >= 300) {
     this->handleFailure(Key, *Run, Head.Status);
+  } else if (!Type.empty() && !Run->AnswerIsStream) {
+    this->Dependencies.Servers.recordFailure(Run->Server);
+    this->postponeItem(Key, *Run, BrokenAnswerDelay,
+                       "the answer is no event stream");
+  }
 }
 
 void JobRunner::handleFailure(const ItemKey &Key, ItemRun &Run, int Status) {
@@ -316,12 +302,12 @@
     ++Run.Failures;
   OwnedJob &Job = this->Jobs.at(Key.JobId);
   const RouteSettings *Route = this->routeOf(Job);
-  const int MaxAttempts = Route ? Route->MaxAttempts : 1;
   if (Status == UnprocessableStatus) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the server rejected the item as unprocessable");
-  } else if (Status == FailedAttemptStatus && Run.Failures >= MaxAttempts) {
+  } else if (Status == FailedAttemptStatus && Route &&
+             Run.Failures >= Route->MaxAttempts) {
     this->stopItem(Run, true);
     this->finishItem(Key, Run, false,
                      "the item reached the maximum number of attempts");
@@ -340,7 +326,13 @@
     return;
   this->Dependencies.Servers.recordActivity(Run->Server);
   const Instant Now = this->Dependencies.Loop.clock().now();
-  for (const StreamEvent &Event : Run->Events.feed(Bytes))
+  for (const StreamEvent &Event : Run->Events.feed(Bytes)) {
+    if (!Event.IsWellFormed) {
+      this->Dependencies.Servers.recordFailure(Run->Server);
+      this->postponeItem(Key, *Run, BrokenAnswerDelay,
+                         "the stream contains other text than events");
+      return;
+    }
     if (!Run->appendEvent(Event, Now)) {
       // Joining the output of both sends would omit or repeat events.
       Run->discardOutput();
@@ -348,6 +340,7 @@
                          "the event ids are not consecutive");
       return;
     }
+  }
   if (Run->Output.size() > AnswerMemory::MaxOutputBytes ||
       Run->Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes) {
     // The output of a server that does not stop is of no use.
@@ -373,10 +366,10 @@
       {0, sharedPromptParts(rawHeader(
               Run->Item.Headers, this->Dependencies.Protocol.PromptParts))});
   this->stopItem(*Run, false);
-  this->Policy.recordCompletion(Run->RunTime,
-                                this->Dependencies.Loop.clock().now() -
-                                    *Run->FirstStartedAt,
-                                Run->LastEventId.value_or(0));
+  this->Starter.recordCompletion(Run->Service, Run->RunTime,
+                                 this->Dependencies.Loop.clock().now() -
+                                     *Run->FirstStartedAt,
+                                 Run->LastEventId.value_or(0));
   this->finishItem(Key, *Run, true, "complete");
   this->schedule();
 }
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -32,7 +32,9 @@
   ItemState State = ItemState::Pending;
   /// The request that runs the item, or 0 if the item is not running.
   SendId ActiveSend = 0;
+  /// The server of the last request that ran the item, and its service.
   std::string Server;
+  std::string Service;
   Instant StartedAt;
   /// When the item was first sent to a server.
   std::optional<Instant> FirstStartedAt;
@@ -53,7 +55,8 @@
   Duration RunTime{0};
   /// The number of events received in response to the current send.
   int NewEvents = 0;
-  /// The answer to the current send says where it ends.
+  /// The answer to the current send is an event stream, and says where it ends.
+  bool AnswerIsStream = false;
   bool AnswerHasLength = false;
   /// How often the item moved because its server sent no event.
   int Stalls = 0;
@@ -63,10 +66,12 @@
   /// Appends an event that arrived at \p Now to the output. Returns false and
   /// does nothing if its id does not follow that of the last one.
   bool appendEvent(const StreamEvent &Event, Instant Now);
-  /// Returns whether an answer that has ended was broken off.
+  /// Returns whether an answer that has ended was broken off. Without an event,
+  /// only a stream with a length shows that nothing was missing.
   bool answerBrokeOff() const {
     return !this->Events.incompleteEvent().empty() ||
-           (!this->LastEventId && !this->AnswerHasLength);
+           (this->NewEvents == 0 &&
+            !(this->AnswerIsStream && this->AnswerHasLength));
   }
   /// Discards the output, so that the item starts from the beginning.
   void discardOutput();
@@ -88,6 +93,15 @@
   bool Committing = false;
   /// Whether the items are still being read from the store.
   bool Loading = true;
+  /// Since when the settings, which were current all the time, have had no
+  /// route for the job.
+  std::optional<Instant> RouteMissingSince;
+
+  /// Records whether the settings have a route for the job. Returns whether the
+  /// operator has removed it, so that pending items cannot run any more. That
+  /// is not concluded from settings that may be older than the job, or at once:
+  /// an operator who removes a route by mistake can bring it back.
+  bool recordRoute(bool RouteExists, bool SettingsAreCurrent, Instant Now);
 
   /// Adopts the metadata from the store. Only the owner commits results, in the
   /// order of UncommittedResults. If the store has more results than this VM
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -46,6 +46,11 @@
   /// Ends the call of \p Caller, whose connection was closed.
   void callerDisconnected(CallerId Caller);
 
+  /// Gives all open calls their final answer, because this VM exits. A call
+  /// that was sent to no server is refused, so that its caller may send it
+  /// again.
+  void endAllCalls();
+
   /// Resumes reading the answer for \p Caller, which has read what was sent.
   void callerCaughtUp(CallerId Caller);
 
@@ -76,9 +81,16 @@
   /// Waits on for a request that may not be sent again, or gives it up if its
   /// caller has left by all that is known.
   void waitOrAbandon(OnlineCall &Call);
+  /// Ends the answer of a server that cannot be given to the caller, and sends
+  /// the request to another server or fails it.
+  void rejectAnswer(OnlineCall &Call, std::string_view Reason);
   /// Ends an answer that exceeds a bound of AnswerMemory.
   void endOversizedAnswer(OnlineCall &Call, std::string_view Reason);
+  /// Passes whole events on to the caller.
+  void sendEvents(OnlineCall &Call, std::string_view Events);
   void clearBody(OnlineCall &Call);
+  /// Ends a call that gets no answer of a server in time.
+  void endCall(OnlineCall &Call, std::string_view Reason);
   /// Answers that the request did not run and may be sent again after
   /// \p RetryAfter.
   void refuse(OnlineCall &Call, std::string_view Reason, Duration RetryAfter);
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -5,6 +5,7 @@
 #include "Serving/LoadTracker.h"
 #include "Serving/ServerDirectory.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -108,11 +109,28 @@
   return Best;
 }
 
+BatchCapacity PlacementPolicy::batchCapacity(std::string_view Service) const {
+  BatchCapacity Capacity;
+  const Instant Now = this->Time.now();
+  for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    ++Capacity.Servers;
+    if (Server->AvoidedUntil > Now) {
+      ++Capacity.AvoidedServers;
+      continue;
+    }
+    const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
+    Capacity.FreeSlots +=
+        std::max(0, Server->Entry.Slots - Load.Online - Load.Batch);
+  }
+  return Capacity;
+}
+
 int PlacementPolicy::freeBatchSlots(std::string_view Service) const {
   int Free = 0;
   for (const KnownServer *Server : this->Servers.usableServers(Service)) {
     const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
-    Free += std::max(0, Server->Entry.Slots - SpareSlots - Load.Online -
+    const int Slots = Server->Entry.Slots;
+    Free += std::max(0, Slots - slotsKeptFree(Slots, SpareSlots) - Load.Online -
                             Load.Batch);
   }
   return Free;
@@ -122,30 +140,38 @@
 PlacementPolicy::chooseBatchServer(std::string_view Service, int ReservedSlots,
                                    std::uint64_t Random) const {
   const KnownServer *Best = nullptr;
-  std::tuple<bool, int, std::uint64_t> BestRank;
+  std::tuple<bool, bool, int, std::uint64_t> BestRank;
+  bool HasReliableServer = false;
   const Instant Now = this->Time.now();
   for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    const bool IsAvoided = Server->AvoidedUntil > Now;
+    HasReliableServer = HasReliableServer || !IsAvoided;
     const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
     const int UsedSlots = Load.Online + Load.Batch;
     // The loads of VMs in other zones become known later than those of the own
     // zone, so a slot is kept free at servers of other zones.
-    const int KeptFree = std::max(
-        ReservedSlots, Server->Entry.Zone == this->Zone && !this->LoadsDelayed
-                           ? 0
-                           : SpareSlots);
+    const int SlotsForOthers =
+        Server->Entry.Zone == this->Zone && !this->LoadsDelayed ? 0
+                                                                : SpareSlots;
+    const int KeptFree = slotsKeptFree(Server->Entry.Slots,
+                                       std::max(ReservedSlots, SlotsForOthers));
     if (UsedSlots + KeptFree >= Server->Entry.Slots ||
-        Server->AvoidedUntil > Now)
+        Server->AvoidedForOwnFailuresUntil > Now)
       continue;
-    const std::tuple Rank(
-        Server->Entry.Zone != this->Zone, this->LoadsDelayed ? 0 : UsedSlots,
-        this->LoadsDelayed ? hash64(Server->Entry.Id, Random)
-                           : hash64(Server->Entry.Id + this->Self));
+    const std::tuple Rank(IsAvoided, Server->Entry.Zone != this->Zone,
+                          this->LoadsDelayed ? 0 : UsedSlots,
+                          this->LoadsDelayed
+                              ? hash64(Server->Entry.Id, Random)
+                              : hash64(Server->Entry.Id + this->Self));
     if (!Best || Rank < BestRank) {
       Best = Server;
       BestRank = Rank;
     }
   }
-  return Best;
+  // The reports of other VMs alone must not keep all items waiting: the cause
+  // may be on their side, and then they repeat the reports without end.
+  const bool IsReportedByOthers = Best && Best->AvoidedUntil > Now;
+  return IsReportedByOthers && HasReliableServer ? nullptr : Best;
 }
 
 } // namespace turmericpass
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -24,6 +24,15 @@
   int WaitingRequests = 0;
 };
 
+/// What the servers of a service offer to batch items.
+struct BatchCapacity {
+  /// The number of usable servers, and how many of them are avoided.
+  int Servers = 0;
+  int AvoidedServers = 0;
+  /// The slots that no request uses at the servers that are not avoided.
+  int FreeSlots = 0;
+};
+
 /// Chooses the server for a request, based on the load that all VMs put on each
 /// server. This class performs no I/O.
 class PlacementPolicy {
@@ -42,11 +51,16 @@
                                std::uint64_t Random = 0) const;
 
   /// Returns a server of \p Service that has a free slot for a batch item and
-  /// \p ReservedSlots more, or nullptr if there is none.
+  /// \p ReservedSlots more, or nullptr if there is none. A server with too few
+  /// slots for that is chosen if it runs no request. A server that only other
+  /// VMs avoid is chosen if they avoid all servers of the service.
   const KnownServer *chooseBatchServer(std::string_view Service,
                                        int ReservedSlots,
                                        std::uint64_t Random = 0) const;
 
+  /// Returns what the servers of \p Service offer to items, for logs.
+  BatchCapacity batchCapacity(std::string_view Service) const;
+
   /// Returns the number of slots of \p Service that are free for items.
   int freeBatchSlots(std::string_view Service) const;
 
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -29,14 +29,23 @@
 
 /// Returns what the runner of another VM on the same store depends on.
 JobRunnerDependencies dependenciesOfOther(RunnerBench &Bench) {
-  return {Bench.Loop,       Bench.Channels,
-          Bench.Store,      Bench.Directory,
-          Bench.Servers,    Bench.Loads,
-          Bench.Placement,  Bench.Crashes,
-          Bench.Protocol,   Bench.Log,
-          Bench.Stats,      [&Bench] { return &Bench.Settings; },
-          [] { return 0; }, [] { return false; },
-          [] { return 0; }, "other"};
+  return {Bench.Loop,
+          Bench.Channels,
+          Bench.Store,
+          Bench.Directory,
+          Bench.Servers,
+          Bench.Loads,
+          Bench.Placement,
+          Bench.Crashes,
+          Bench.Protocol,
+          Bench.Log,
+          Bench.Stats,
+          [&Bench] { return &Bench.Settings; },
+          [] { return true; },
+          [] { return 0; },
+          [] { return false; },
+          [] { return 0; },
+          "other"};
 }
 
 /// Lets \p Other take job "j" over.
@@ -312,6 +321,25 @@
   cr_assert_eq(Started["/fresh"], 14);
 }
 
+// Guards against items that are never sent to idle servers, because items of a
+// service that has lost all servers wait in front of them.
+Test(JobRunner, ItemsOfAServiceWithoutServersHoldUpNoOthers) {
+  RunnerBench Bench;
+  RouteSettings Lost = Bench.Settings.Routes[0];
+  Lost.Name = "lost";
+  Lost.PathPrefix = "/lost/";
+  Lost.Services = {{"lost-model", 1}};
+  Bench.Settings.Routes.push_back(Lost);
+  Bench.JobTarget = "/lost/";
+  cr_assert(Bench.startJob("a", 2, 0));
+  Bench.JobTarget = "/";
+  cr_assert(Bench.startJob("b", 2));
+  Bench.complete(1);
+  Bench.complete(2);
+  cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("b"); }));
+  cr_assert(Bench.Runner.owns("a"));
+}
+
 // Guards against late items that take the slots that another VM needs for items
 // that can still meet their deadline.
 Test(JobRunner, LateItemsLeaveSlotsToUrgentItemsElsewhere) {
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -34,14 +34,18 @@
   JobDirectory Directory{Log};
   JobStore Store{Loop, Rows, Ids, Log};
   std::int64_t StoreNow = 0;
+  bool SettingsAreCurrent = true;
   bool OtherVmsHaveUrgentItems = false;
   int OtherVmsWaitingItems = 0;
+  /// The path under which startJob() submits.
+  std::string JobTarget = "/";
   JobRunner Runner;
 
   RunnerBench()
       : Runner({Loop, Channels, Store, Directory, Servers, Loads, Placement,
                 Crashes, Protocol, Log, Stats,
                 [this] { return &this->Settings; },
+                [this] { return this->SettingsAreCurrent; },
                 [this] { return this->StoreNow; },
                 [this] { return this->OtherVmsHaveUrgentItems; },
                 [this] { return this->OtherVmsWaitingItems; }, "self"}) {
@@ -80,6 +84,7 @@
   bool startJob(const std::string &JobId, std::size_t Count,
                 std::size_t Slots = 100) {
     JobMetadata Metadata = makeMetadata(Count);
+    Metadata.Target = JobTarget;
     std::vector<JobItem> Items;
     for (std::size_t I = 0; I < Count; ++I)
       Items.push_back({"item" + std::to_string(I), "/x", {}, "body", 10});
