--- a/Source/BatchJobs/JobApi.h
+++ b/Source/BatchJobs/JobApi.h
@@ -44,7 +44,8 @@
 /// job.
 class JobApi {
 public:
-  /// The longest time until a call on an existing job is answered.
+  /// How long the cancellation of a job is retried. Other calls on an existing
+  /// job are meant to end sooner.
   static constexpr Duration MaxCallTime = std::chrono::milliseconds(2500);
 
   explicit JobApi(JobApiDependencies Dependencies)
