--- a/Tests/BatchJobs/ItemAnswerTest.cpp
+++ b/Tests/BatchJobs/ItemAnswerTest.cpp
@@ -37,7 +37,7 @@
   Bench.Channels.done(Send);
   cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
   cr_assert(Bench.results("j").at(0).Succeeded);
-  cr_assert_str_eq(Bench.results("j").at(0).Output.c_str(), "a\nb");
+  cr_assert_eq(Bench.results("j").at(0).Output, "a\nb");
 }
 
 } // namespace
@@ -96,5 +96,5 @@
       {{"Content-Type", "text/event-stream"}, {"Content-Length", "0"}});
   Bench.Channels.done(Send);
   cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
-  cr_assert_str_eq(Bench.results("j").at(0).Output.c_str(), "a");
+  cr_assert_eq(Bench.results("j").at(0).Output, "a");
 }
--- a/Tests/Serving/ResumedStreamTest.cpp
+++ b/Tests/Serving/ResumedStreamTest.cpp
@@ -23,7 +23,7 @@
   cr_assert_eq(Bench.Channels.All.size(), 3);
   cr_assert_not(Bench.answer(1).Broken);
   cr_assert_not(Bench.answer(1).Complete);
-  cr_assert_str_eq(Bench.sentHeader(3, "After").c_str(), "0");
+  cr_assert_eq(Bench.sentHeader(3, "After"), "0");
   Bench.stream(3, "id: 1\ndata: b\n\n");
   Bench.Channels.done(3);
   cr_assert(Bench.answer(1).Complete);
@@ -99,7 +99,7 @@
     breakStream(Bench);
     Bench.stream(2, std::string("id: 1\ndata: b\n\n") + Text);
     cr_assert_eq(Bench.Channels.All.size(), 3);
-    cr_assert_str_eq(Bench.sentHeader(3, "After").c_str(), "1");
+    cr_assert_eq(Bench.sentHeader(3, "After"), "1");
     cr_assert_eq(Bench.answer(1).Body,
                  std::string(FirstEvent) + "id: 1\ndata: b\n\n");
   }
