Serving: Add settings of organisations and public routes

Cause: the operator's document may hold organisations with keys and limits, which the settings of the program cannot represent. Change: the types that key checks, limits and jobs share. Nothing reads or sets them yet. Result: not measured, no behaviour changes.

--- a/Source/Serving/BackendProtocol.h
+++ b/Source/Serving/BackendProtocol.h
@@ -33,6 +33,11 @@
   std::string PromptParts;
   /// The time in seconds that a caller should wait before its next attempt.
   std::string RetryAfter;
+  /// Carries the key of a caller, and the scheme in front of the key.
+  std::string Authorization;
+  std::string KeyScheme;
+  /// The name of the caller's organisation, which servers receive.
+  std::string Organisation;
   /// The content type of an event stream.
   std::string EventStreamType = "text/event-stream";
 
--- a/Source/Serving/ServingSettings.h
+++ b/Source/Serving/ServingSettings.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,8 @@
   Duration EventGapTarget{0};
   /// 0 is the highest priority.
   int Priority = 0;
+  /// Callers need no key for this route.
+  bool Public = false;
   /// The number of servers on which one request may run.
   int MaxAttempts = 1;
   std::vector<ServiceShare> Services;
@@ -85,11 +88,26 @@
   std::size_t MaxConnections = 0;
 };
 
+/// An organisation whose callers identify themselves with a key.
+struct OrganisationSettings {
+  std::string Name;
+  std::vector<std::string> Keys;
+  /// Takes precedence over the priority of the route. 0 is the highest.
+  std::optional<int> Priority;
+  /// The requests per second that all VMs together accept, or 0 for no limit.
+  double RatePerSecond = 0;
+  /// The number of requests that may exceed the rate after a quiet time.
+  double Burst = 0;
+};
+
 /// One version of the serving settings made by the operator.
 struct ServingSettings {
   std::uint64_t Version = 0;
   std::vector<RouteSettings> Routes;
   std::map<std::string, ServiceSettings> Services;
+  /// If there are organisations, requests need a key of one of them unless
+  /// their route is public.
+  std::vector<OrganisationSettings> Organisations;
   CallerLimits Limits;
 };
 
