Serving: Split the answers out of OnlineService.cpp

The functions that handle the answers of servers move unchanged to OnlineServiceAnswers.cpp, and the three status codes that both files use to GatewayStatus.h.

--- /dev/null
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -0,0 +1,214 @@
+#include "Serving/OnlineService.h"
+
+#include "Serving/CrashGuard.h"
+#include "Serving/GatewayStatus.h"
+#include "Serving/LeavingAnswer.h"
+#include "Serving/ServerDirectory.h"
+#include "Telemetry/Metrics.h"
+
+namespace turmericpass {
+
+void OnlineService::answerHead(SendId Id, const RawHead &Head) {
+  OnlineCall *Call = this->findCall(Id);
+  if (!Call)
+    return;
+  recordIfLeaving(Call->Server, Head, this->Dependencies.Protocol,
+                  this->Dependencies.Servers, this->Dependencies.Log);
+  if (this->Dependencies.Protocol.indicatesNotRun(Head)) {
+    --Call->PossibleRuns;
+    ++Call->Refusals;
+    const std::string Server = Call->Server;
+    this->endSend(*Call, true);
+    if (Head.Status == this->Dependencies.Protocol.WrongServerStatus)
+      this->Dependencies.Servers.recordFailure(Server);
+    this->retryAfterRefusal(*Call, "the server did not take the request");
+    return;
+  }
+  this->Dependencies.Servers.recordSuccess(Call->Server);
+  const bool Success = Head.Status >= 200 && Head.Status < 300;
+  if (!Success && Head.Status >= 500 && Call->Route.mayRepeat() &&
+      Call->PossibleRuns < Call->Route.MaxAttempts) {
+    this->endSend(*Call, true);
+    this->retry(*Call, "the server failed the request");
+    return;
+  }
+  const bool IsEventStream =
+      Success && Head.header("Content-Type")
+                     .starts_with(this->Dependencies.Protocol.EventStreamType);
+  Call->AnswerHasLength = Head.hasLength();
+  if (Call->HeadForwarded) {
+    // The caller already has the head of the first server.
+    if (!Success) {
+      this->fail(*Call, BadGateway, "the stream could not be resumed");
+      return;
+    }
+    if (!IsEventStream) {
+      this->rejectAnswer(*Call, "the answer does not resume the stream");
+      return;
+    }
+    Call->Events.reset();
+    Call->Stall.recordHead(this->Dependencies.Loop.clock().now(), true);
+    this->armStallTimer(*Call);
+    return;
+  }
+  Call->AnswerHead = Head;
+  this->clearBody(*Call);
+  Call->IsEventStream = IsEventStream;
+  if (Call->IsEventStream)
+    this->forwardHead(*Call);
+  Call->Stall.recordHead(this->Dependencies.Loop.clock().now(),
+                         Call->IsEventStream);
+  this->armStallTimer(*Call);
+}
+
+void OnlineService::clearBody(OnlineCall &Call) {
+  this->Memory.release(Call.Body.size());
+  Call.Body.clear();
+}
+
+void OnlineService::rejectAnswer(OnlineCall &Call, std::string_view Reason) {
+  this->endSend(Call, true);
+  this->Dependencies.Servers.recordFailure(Call.Server);
+  this->clearBody(Call);
+  this->retry(Call, Reason);
+}
+
+void OnlineService::endOversizedAnswer(OnlineCall &Call,
+                                       std::string_view Reason) {
+  this->Dependencies.Stats.add("answers_oversized_total");
+  this->rejectAnswer(Call, Reason);
+}
+
+void OnlineService::forwardHead(OnlineCall &Call) {
+  HttpHeaders Headers;
+  for (const auto &[Name, Value] : Call.AnswerHead->Headers)
+    if (!isHopByHop(Name) && !equalsIgnoringCase(Name, "Content-Length"))
+      Headers.emplace_back(Name, Value);
+  Call.HeadForwarded = true;
+  if (Call.IsEventStream)
+    // Another server may resume the stream with another length.
+    this->Dependencies.Callers.sendHead(Call.Caller, Call.AnswerHead->Status,
+                                        Headers, std::nullopt);
+  else
+    this->Dependencies.Callers.reply(Call.Caller, Call.AnswerHead->Status,
+                                     Headers, Call.Body);
+}
+
+void OnlineService::answerBody(SendId Id, std::string_view Bytes) {
+  OnlineCall *Call = this->findCall(Id);
+  if (!Call)
+    return;
+  this->Dependencies.Servers.recordActivity(Call->Server);
+  if (!Call->FirstByteAt)
+    Call->FirstByteAt = this->Dependencies.Loop.clock().now();
+  if (Call->IsEventStream) {
+    this->forwardEvents(*Call, Bytes);
+    return;
+  }
+  if (!this->Memory.reserve(Call->Body.size(), Bytes.size())) {
+    this->endOversizedAnswer(*Call, "the answer is too large");
+    return;
+  }
+  Call->Body.append(Bytes);
+  if (Call->Stall.recordBody(this->Dependencies.Loop.clock().now(),
+                             Bytes.size()))
+    this->armStallTimer(*Call);
+}
+
+void OnlineService::forwardEvents(OnlineCall &Call, std::string_view Bytes) {
+  std::string Complete;
+  for (StreamEvent &Event : Call.Events.feed(Bytes)) {
+    if (!Call.belongsToStream(Event)) {
+      // The events before it are counted as received, so the caller gets them.
+      this->sendEvents(Call, Complete);
+      this->rejectAnswer(Call, "the stream contains other text than events");
+      return;
+    }
+    // The first event of a resumed stream must directly follow the last
+    // forwarded one.
+    if (Event.Id && Call.PossibleRuns > 1 && Call.LastEventId &&
+        *Event.Id != *Call.LastEventId + 1) {
+      this->fail(Call, BadGateway, "the resumed stream left a gap");
+      return;
+    }
+    if (Event.Id)
+      Call.LastEventId = Event.Id;
+    ++Call.EventsOfSend;
+    Complete += Event.Bytes;
+  }
+  this->sendEvents(Call, Complete);
+  if (Call.Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes)
+    this->endOversizedAnswer(Call, "an event of the stream is too large");
+}
+
+void OnlineService::sendEvents(OnlineCall &Call, std::string_view Events) {
+  if (Events.empty())
+    return;
+  this->Dependencies.Callers.sendPiece(Call.Caller, Events);
+  Call.Stall.recordEvent(this->Dependencies.Loop.clock().now());
+  this->Dependencies.Guard.eventsReceived(Call);
+  if (this->Dependencies.Callers.unsentBytes(Call.Caller) >
+      AnswerMemory::MaxUnsentBytes) {
+    Call.ReadingPaused = true;
+    this->Dependencies.Channels.setReading(Call.ActiveSend, false);
+  }
+  this->armStallTimer(Call);
+}
+
+void OnlineService::callerCaughtUp(CallerId Caller) {
+  const auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end() || !Found->second->ReadingPaused)
+    return;
+  OnlineCall &Call = *Found->second;
+  Call.ReadingPaused = false;
+  this->Dependencies.Channels.setReading(Call.ActiveSend, true);
+  Call.Stall.recordHead(this->Dependencies.Loop.clock().now(), true);
+  this->armStallTimer(Call);
+}
+
+void OnlineService::answerDone(SendId Id) {
+  OnlineCall *Call = this->findCall(Id);
+  if (!Call)
+    return;
+  if (Call->IsEventStream && Call->streamBrokeOff()) {
+    this->handleBrokenAnswer(*Call, "the stream ended inside an event");
+    return;
+  }
+  this->Dependencies.Guard.answered(*Call);
+  this->Overload.recordServiceTime(
+      Call->Service, this->Dependencies.Loop.clock().now() - Call->SentAt);
+  this->endSend(*Call, false);
+  if (!Call->IsEventStream) {
+    this->forwardHead(*Call);
+    this->finishCall(*Call, Call->AnswerHead->Status, "answered");
+    return;
+  }
+  this->Dependencies.Callers.finish(Call->Caller);
+  this->finishCall(*Call, Call->AnswerHead->Status, "streamed");
+}
+
+void OnlineService::sendFailed(SendId Id, SendFailure Failure,
+                               std::string_view Detail) {
+  OnlineCall *Call = this->findCall(Id);
+  if (!Call)
+    return;
+  if (Failure != SendFailure::NotSent) {
+    this->handleBrokenAnswer(*Call, Detail);
+    return;
+  }
+  this->endSend(*Call, false);
+  this->Dependencies.Servers.recordFailure(Call->Server);
+  --Call->PossibleRuns;
+  ++Call->Refusals;
+  this->retryAfterRefusal(*Call, Detail);
+}
+
+void OnlineService::handleBrokenAnswer(OnlineCall &Call,
+                                       std::string_view Reason) {
+  this->endSend(Call, false);
+  this->Dependencies.Servers.recordFailure(Call.Server);
+  this->Dependencies.Guard.sendFailed(Call);
+  this->retry(Call, Reason);
+}
+
+} // namespace turmericpass
