RawHttp: Keep connections open while callers take their answers

Cause: a connection counted as idle while its answer waited in the output buffer, so a stop (after 2.6 s) and idle_timeout_ms cut answers that callers on slow links still read. The kernel's limit for unresponsive peers (2.5 s) also cut the answer of a caller that pauses, and the end of a caller's input dropped the unsent rest.

Change: OutputProgress decides from the unsent and unacknowledged bytes whether a caller takes its answer. Such a connection is in use. Streams that have begun go on until the exit of a stopping VM.

--- a/Source/Node/GracefulStop.cpp
+++ b/Source/Node/GracefulStop.cpp
@@ -26,7 +26,7 @@
   if (Policy.mayCloseListener())
     this->Front.closeListener();
   if (Policy.mustAnswerAll())
-    this->Online.endAllCalls();
+    this->Online.endCalls(Policy.mustExit(false));
   const bool IsIdle =
       this->Front.openRequests() == 0 && this->Front.openConnections() == 0;
   if (!Policy.mustExit(IsIdle))
--- a/Source/RawHttp/CallerConnection.cpp
+++ b/Source/RawHttp/CallerConnection.cpp
@@ -3,6 +3,9 @@
 #include "Loop/EventLoop.h"
 #include "RawHttp/SocketOptions.h"
 
+#include <algorithm>
+#include <array>
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -37,7 +40,7 @@
                                      BEV_OPT_CLOSE_ON_FREE |
                                          BEV_OPT_DEFER_CALLBACKS)),
       Reader(MessageReader::Kind::Requests, Server.Limits.HeaderBytes, *this),
-      LastProgress(Server.Loop.clock().now()) {
+      LastProgress(Server.Loop.clock().now()), Output(LastProgress) {
   setSocketOptions(Descriptor);
   bufferevent_setcb(
       this->Channel,
@@ -54,7 +57,7 @@
         auto &Connection = *static_cast<CallerConnection *>(Self);
         EventLoop &Loop = Connection.Server.Loop;
         if (Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-          Loop.runProtected([&] { Connection.handleDisconnect(); });
+          Loop.runProtected([&] { Connection.handleEnd(Events); });
       },
       this);
   bufferevent_setwatermark(this->Channel, EV_WRITE, OutputLowMark, 0);
@@ -63,10 +66,17 @@
 
 CallerConnection::~CallerConnection() { bufferevent_free(this->Channel); }
 
-bool CallerConnection::isIdle() const {
+bool CallerConnection::hasPartOfRequest() const {
   return this->CurrentPhase == Phase::Reading &&
-         !this->Reader.isInsideMessage() &&
-         evbuffer_get_length(bufferevent_get_input(this->Channel)) == 0;
+         (this->Reader.isInsideMessage() ||
+          evbuffer_get_length(bufferevent_get_input(this->Channel)) > 0);
+}
+
+bool CallerConnection::isIdle() {
+  if (this->CurrentPhase != Phase::Reading || this->hasPartOfRequest())
+    return false;
+  this->recordTaken(this->Server.Loop.clock().now());
+  return this->Output.isAllTaken();
 }
 
 void CallerConnection::handleInput() {
@@ -170,20 +180,28 @@
   if (!this->CallerKeepsAlive)
     appendHeader(Out, "Connection", "close");
   Out += "\r\n";
-  bufferevent_write(this->Channel, Out.data(), Out.size());
+  this->write(Out);
+}
+
+void CallerConnection::write(std::string_view Bytes) {
+  this->Output.recordWritten(Bytes.size(), this->Server.Loop.clock().now());
+  bufferevent_write(this->Channel, Bytes.data(), Bytes.size());
 }
 
 void CallerConnection::sendPiece(std::string_view Bytes) {
   if (Bytes.empty() || this->IsHeadMethod)
     return;
-  evbuffer *Output = bufferevent_get_output(this->Channel);
   if (!this->Chunked) {
-    evbuffer_add(Output, Bytes.data(), Bytes.size());
+    this->write(Bytes);
     return;
   }
-  evbuffer_add_printf(Output, "%zx\r\n", Bytes.size());
-  evbuffer_add(Output, Bytes.data(), Bytes.size());
-  evbuffer_add(Output, "\r\n", 2);
+  std::array<char, 2 * sizeof(std::size_t)> Size;
+  const char *End =
+      std::to_chars(Size.begin(), Size.end(), Bytes.size(), 16).ptr;
+  this->write(std::string_view(Size.data(), End));
+  this->write("\r\n");
+  this->write(Bytes);
+  this->write("\r\n");
 }
 
 std::size_t CallerConnection::unsentBytes() const {
@@ -192,7 +210,7 @@
 
 void CallerConnection::finish() {
   if (this->Chunked && !this->IsHeadMethod)
-    bufferevent_write(this->Channel, "0\r\n\r\n", 5);
+    this->write("0\r\n\r\n");
   this->Server.Requests.erase(this->CurrentRequest);
   this->CurrentRequest = 0;
   this->LastProgress = this->Server.Loop.clock().now();
@@ -229,21 +247,60 @@
   this->destroy();
 }
 
+PeerState CallerConnection::recordTaken(Instant Now) {
+  PeerState Peer;
+  if (this->Output.isAllTaken())
+    return Peer;
+  Peer = readPeerState(bufferevent_getfd(this->Channel));
+  this->Output.recordUntaken(this->unsentBytes() + Peer.Unacknowledged, Now);
+  return Peer;
+}
+
+bool CallerConnection::closeIfUnread(Instant Now) {
+  const PeerState Peer = this->recordTaken(Now);
+  const bool HasOutput = !this->Output.isAllTaken();
+  if (this->WaitsForReader != HasOutput) {
+    this->WaitsForReader = HasOutput;
+    setUnreadTime(bufferevent_getfd(this->Channel),
+                  HasOutput ? std::optional(OutputProgress::UnreadTime)
+                            : std::nullopt);
+  }
+  if (!this->Output.hasStopped(Now) && !Peer.isUnresponsive())
+    return false;
+  this->handleDisconnect();
+  return true;
+}
+
 void CallerConnection::applyTimeLimits(Instant Now) {
-  const Duration SinceProgress = Now - this->LastProgress;
+  if (this->closeIfUnread(Now) || !this->Output.isAllTaken())
+    return;
+  const Duration SinceProgress =
+      Now - std::max(this->LastProgress, this->Output.lastTakenAt());
   const CallerLimits &Limits = this->Server.Limits;
   if (this->CurrentPhase == Phase::Lingering) {
     if (SinceProgress >= LingerTime)
       this->destroy();
-  } else if (this->isIdle()) {
-    if (SinceProgress >= Limits.IdleTime)
-      this->closeGracefully();
+  } else if (this->hasPartOfRequest()) {
+    if (SinceProgress >= Limits.RequestTime)
+      this->rejectRequest(RequestTimeoutStatus);
   } else if (this->CurrentPhase == Phase::Reading &&
-             SinceProgress >= Limits.RequestTime) {
-    this->rejectRequest(RequestTimeoutStatus);
+             SinceProgress >= Limits.IdleTime) {
+    this->closeGracefully();
   }
 }
 
+void CallerConnection::handleEnd(short Events) {
+  // A caller may close its sending side and still read.
+  const bool MayStillRead = (Events & BEV_EVENT_EOF) &&
+                            this->unsentBytes() > 0 &&
+                            (this->CurrentPhase == Phase::Reading ||
+                             this->CurrentPhase == Phase::Closing);
+  if (MayStillRead)
+    this->CurrentPhase = Phase::Closing;
+  else
+    this->handleDisconnect();
+}
+
 void CallerConnection::handleDisconnect() {
   const CallerId Abandoned = std::exchange(this->CurrentRequest, 0);
   CallerServer &Owner = this->Server;
--- a/Source/RawHttp/CallerConnection.h
+++ b/Source/RawHttp/CallerConnection.h
@@ -3,6 +3,7 @@
 
 #include "RawHttp/CallerServer.h"
 #include "RawHttp/MessageReader.h"
+#include "RawHttp/OutputProgress.h"
 
 struct bufferevent;
 
@@ -24,11 +25,12 @@
   void abortAnswer();
 
   /// Returns whether the connection waits for a request of which no byte was
-  /// received.
-  bool isIdle() const;
+  /// received, and the caller has taken the answers before it.
+  bool isIdle();
 
   /// Applies the time limits: closes the connection, or rejects an incomplete
-  /// request, if there was no progress for too long before \p Now.
+  /// request, if there was no progress for too long before \p Now. A caller
+  /// that is still taking an answer makes progress.
   void applyTimeLimits(Instant Now);
 
   /// Shuts down the sending side and waits for the caller to close.
@@ -52,8 +54,17 @@
   /// Processes the input, and ends the connection if that fails unexpectedly.
   void handleInput();
   void processInput();
+  bool hasPartOfRequest() const;
   void rejectRequest(int Status);
+  void write(std::string_view Bytes);
+  /// Records which bytes the caller has taken until \p Now.
+  PeerState recordTaken(Instant Now);
+  /// Closes the connection if the caller has stopped taking bytes. Returns
+  /// whether it did.
+  bool closeIfUnread(Instant Now);
   void handleOutputWritten();
+  /// Handles the end of the input, or an error.
+  void handleEnd(short Events);
   void handleDisconnect();
   /// Removes this object from the server, after the current input is processed
   /// if necessary.
@@ -71,6 +82,10 @@
   bool Chunked = false;
   bool IsHeadMethod = false;
   Instant LastProgress;
+  OutputProgress Output;
+  /// The kernel waits for a caller that does not read for longer than for one
+  /// that does not respond.
+  bool WaitsForReader = false;
   /// The number of body bytes since LastProgress was updated.
   std::size_t BytesSinceProgress = 0;
   /// Input is being processed, so the object must not be destroyed.
--- a/Source/RawHttp/SocketOptions.cpp
+++ b/Source/RawHttp/SocketOptions.cpp
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <charconv>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace turmericpass {
@@ -53,4 +55,26 @@
   setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
 }
 
+PeerState readPeerState(int Descriptor) {
+  PeerState State;
+  int Unacknowledged = 0;
+  if (ioctl(Descriptor, SIOCOUTQ, &Unacknowledged) == 0)
+    State.Unacknowledged = static_cast<std::size_t>(Unacknowledged);
+  tcp_info Info{};
+  socklen_t Size = sizeof(Info);
+  if (getsockopt(Descriptor, IPPROTO_TCP, TCP_INFO, &Info, &Size) == 0) {
+    State.UnansweredPackets =
+        static_cast<unsigned>(Info.tcpi_retransmits) + Info.tcpi_probes;
+    State.SinceAcknowledgement =
+        std::chrono::milliseconds(Info.tcpi_last_ack_recv);
+  }
+  return State;
+}
+
+void setUnreadTime(int Descriptor, std::optional<Duration> UnreadTime) {
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            UnreadTime ? static_cast<unsigned>(toMillis(*UnreadTime))
+                       : UserTimeoutMs);
+}
+
 } // namespace turmericpass
--- a/Source/RawHttp/SocketOptions.h
+++ b/Source/RawHttp/SocketOptions.h
@@ -2,8 +2,10 @@
 #define TURMERICPASS_RAWHTTP_SOCKETOPTIONS_H
 
 #include "Core/Error.h"
+#include "RawHttp/OutputProgress.h"
 
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 
 namespace turmericpass {
@@ -16,6 +18,14 @@
 /// respond.
 void setSocketOptions(int Descriptor);
 
+/// Returns what the kernel knows about the peer of a connection.
+PeerState readPeerState(int Descriptor);
+
+/// Sets how long the kernel keeps the connection while the peer reads nothing.
+/// Without \p UnreadTime it is the time for a peer that does not respond: the
+/// kernel has one limit for both.
+void setUnreadTime(int Descriptor, std::optional<Duration> UnreadTime);
+
 } // namespace turmericpass
 
 #endif
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -406,9 +406,10 @@
   this->endCall(*Found->second, "the time is up");
 }
 
-void OnlineService::endAllCalls() {
-  while (!this->Calls.empty())
-    this->endCall(*this->Calls.begin()->second, "this VM stops");
+void OnlineService::endCalls(bool AlsoBegunStreams) {
+  for (auto Next = this->Calls.begin(); Next != this->Calls.end();)
+    if (auto &Call = *(Next++)->second; AlsoBegunStreams || !Call.HeadForwarded)
+      this->endCall(Call, "this VM stops");
 }
 
 void OnlineService::endCall(OnlineCall &Call, std::string_view Reason) {
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -46,10 +46,11 @@
   /// Ends the call of \p Caller, whose connection was closed.
   void callerDisconnected(CallerId Caller);
 
-  /// Gives all open calls their final answer, because this VM exits. A call
+  /// Gives the open calls their final answer, because this VM exits. A call
   /// that was sent to no server is refused, so that its caller may send it
-  /// again.
-  void endAllCalls();
+  /// again. A stream that has begun can only be broken off, so it goes on until
+  /// \p AlsoBegunStreams is set.
+  void endCalls(bool AlsoBegunStreams);
 
   /// Resumes reading the answer for \p Caller, which has read what was sent.
   void callerCaughtUp(CallerId Caller);
--- a/Tests/PlatformAdapter/NodeStopTest.cpp
+++ b/Tests/PlatformAdapter/NodeStopTest.cpp
@@ -5,6 +5,7 @@
 #include "Support/MemoryRowStore.h"
 #include "Support/RawPeer.h"
 #include "Support/RunUntil.h"
+#include "Support/SlowPeer.h"
 #include "Telemetry/Logger.h"
 #include "platform/PlatformAdapter.h"
 
@@ -18,6 +19,9 @@
 /// A node with one server, which the test plays, as are its callers. The node
 /// is killed 5 s after a stop begins.
 struct NodeBench {
+  /// The size of an answer that the kernel buffers only in part.
+  static constexpr std::size_t DrawingBytes = 4000000;
+
   BootClock Time;
   EventLoop Loop{Time};
   FakeChannels Channels;
@@ -157,6 +161,55 @@
             Caller.Received.c_str());
 }
 
+// Guards against answers that are cut in a stop although their callers take
+// them: one that a server completed before the stop and that is taken until
+// after idle connections are closed (2.6 s), and a stream that ends between the
+// time of the final answers (4.45 s) and the exit (4.7 s).
+Test(NodeStop, AnswersThatCallersTakeAreDelivered) {
+  NodeBench Bench;
+  const std::string Drawing =
+      std::string(NodeBench::DrawingBytes - 3, 'x') + "end";
+  SlowPeer Plain;
+  RawPeer Streaming;
+  Plain.connect(NodeBench::portOf(Bench.Config.FrontAddress));
+  Plain.write(requestHead("plain", "15000") + "body");
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.callerSends().size() == 1; }));
+  Bench.connect(Streaming);
+  Streaming.write(requestHead("stream", "15000") + "body");
+  cr_assert(
+      runUntil(Bench.Loop, [&] { return Bench.callerSends().size() == 2; }));
+  const SendId PlainSend = Bench.callerSends()[0];
+  const SendId Stream = Bench.callerSends()[1];
+  Bench.Channels.head(PlainSend, 200);
+  Bench.Channels.body(PlainSend, Drawing);
+  Bench.Channels.done(PlainSend);
+  Bench.Channels.head(Stream, 200, {{"Content-Type", "text/event-stream"}});
+  Bench.Channels.body(Stream, "data: a\n\n");
+  Bench.Node.stop();
+  const Instant StopBegan = Bench.Time.now();
+  bool Ended = false;
+  bool Closed = false;
+  Bench.Loop.every(10ms, [&] {
+    const Duration Since = Bench.Time.now() - StopBegan;
+    if (!Closed)
+      Closed = Plain.readSome(Since < 2800ms ? 5000 : 30000);
+    if (!Ended && Since < 4580ms)
+      Bench.Channels.body(Stream, "data: a\n\n");
+    else if (!std::exchange(Ended, true)) {
+      Bench.Channels.body(Stream, "data: b\n\n");
+      Bench.Channels.done(Stream);
+    }
+  });
+  Bench.Loop.run();
+  Streaming.read();
+  cr_assert(Streaming.Received.ends_with("data: b\n\n\r\n0\r\n\r\n"));
+  while (!Plain.readSome(65536) && Plain.Received.size() < Drawing.size())
+    ;
+  cr_assert(Plain.hasReceived("end"));
+  cr_assert_lt(Bench.Time.now() - StopBegan, Duration(5s));
+}
+
 // Checks at each moment of stops of different lengths that what may start is
 // over before the process exits, and that the stop goes through its steps.
 Test(StopPolicy, NothingStartsThatOutlastsTheProcess) {
