Platform: Read organisations and public routes

The operator's document may list organisations with their keys, priority and limits, and mark routes as public. Both were ignored.

PlatformConfig now decodes them. A document with a key of two organisations, an empty key, a limit below 0, a name that cannot be a header, or a value of another type is rejected as a whole, so that the version in force stays. Error messages contain no keys: the text of the JSON library's syntax errors quotes the document and is replaced by the position.

--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -88,6 +88,82 @@
     cr_assert_not(Adapter.readSettings(Invalid), "%s", Invalid);
 }
 
+// Guards against organisations whose keys, priority or limits are lost, and
+// against routes that become public by mistake.
+Test(PlatformConfig, OrganisationsReachTheirSettings) {
+  const Result<ServingSettings> Read = PlatformAdapter().readSettings(
+      R"({"version":1,"services":[],"routes":[
+        {"name":"r","host":"h","path_prefix":"/","kind":"batch","service":"s"},
+        {"name":"q","host":"h","path_prefix":"/q/","kind":"batch",
+         "service":"s","public":true}],
+       "tenants":[{"name":"a","api_keys":["k1","k2"],"priority":1,
+                   "rate_per_s":314.5,"burst":20},
+                  {"name":"b","api_keys":["k3"]}]})");
+  cr_assert(Read, "%s", Read ? "" : Read.error().Message.c_str());
+  cr_assert_not(Read->Routes[0].Public);
+  cr_assert(Read->Routes[1].Public);
+  cr_assert_eq(Read->Organisations.size(), 2);
+  const OrganisationSettings &First = Read->Organisations[0];
+  cr_assert_str_eq(First.Name.c_str(), "a");
+  const std::vector<std::string> Keys = {"k1", "k2"};
+  cr_assert(First.Keys == Keys);
+  cr_assert_eq(First.Priority, 1);
+  cr_assert_eq(First.RatePerSecond, 314.5);
+  cr_assert_eq(First.Burst, 20);
+  const OrganisationSettings &Second = Read->Organisations[1];
+  cr_assert_not(Second.Priority);
+  cr_assert_eq(Second.RatePerSecond, 0);
+  cr_assert_eq(Second.Burst, 0);
+  cr_assert(PlatformAdapter().readSettings(Config)->Organisations.empty());
+}
+
+// Guards against a document in which a key has two meanings or a limit none,
+// and against keys in the error message, which is logged.
+Test(PlatformConfig, InvalidOrganisationsAreMalformed) {
+  const auto Reason = [](const std::string &Organisations) -> std::string {
+    const Result<ServingSettings> Read = PlatformAdapter().readSettings(
+        R"({"version":1,"services":[],"routes":[],"tenants":)" + Organisations +
+        "}");
+    return Read ? "" : Read.error().Message;
+  };
+  cr_assert_str_eq(Reason("[]").c_str(), "");
+  cr_assert_str_eq(
+      Reason(R"([{"name":"a b","api_keys":["k","k"],"burst":0}])").c_str(), "");
+  for (const char *Invalid :
+       {R"([{"name":"a","api_keys":["secret"]},
+            {"name":"b","api_keys":["x","secret"]}])",
+        R"([{"name":"a","api_keys":["secret"]},{"name":"a","api_keys":[]}])",
+        R"([{"name":"a","api_keys":["secret",""]}])",
+        R"([{"name":"a","api_keys":["secret"],"rate_per_s":-1}])",
+        R"([{"name":"a","api_keys":["secret"],"burst":-0.5}])",
+        R"([{"name":"a","api_keys":["secret"],"burst":"5"}])",
+        R"([{"name":"a","api_keys":["secret"],"rate_per_s":null}])",
+        R"([{"name":"a","api_keys":["secret"],"priority":1.5}])",
+        R"([{"name":"a","api_keys":["secret"],"priority":"secret"}])",
+        R"([{"name":"a","api_keys":["secret",7]}])",
+        R"([{"name":"a","api_keys":"secret"}])",
+        R"([{"name":"a","api_keys":{"secret":"secret"}}])",
+        R"([{"name":"a"}])",
+        R"([{"name":"","api_keys":["secret"]}])",
+        R"([{"name":" a","api_keys":["secret"]}])",
+        R"([{"name":"a\r\nNot-Run: 1","api_keys":["secret"]}])",
+        R"([{"api_keys":["secret"]}])",
+        R"({"a":["secret"]})",
+        R"("secret")",
+        R"(["secret"])",
+        "null",
+        R"([{"name":"a","api_keys":["secret]}])",
+        R"([{"name":"a","api_keys":["secret" "secret"]}])"}) {
+    const std::string Message = Reason(Invalid);
+    cr_assert_neq(Message, "", "%s", Invalid);
+    cr_assert_eq(Message.find("secret"), std::string::npos, "%s",
+                 Message.c_str());
+  }
+  cr_assert_not(PlatformAdapter().readSettings(
+      R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",
+          "path_prefix":"/","kind":"batch","service":"s","public":"no"}]})"));
+}
+
 // Guards against the use of an invalid entry, such as one of another program.
 Test(PlatformConfig, OnlyWholeEntriesNameServers) {
   const PlatformAdapter Adapter;
