--- a/Tests/BatchJobs/CrashingItemTest.cpp
+++ b/Tests/BatchJobs/CrashingItemTest.cpp
@@ -18,6 +18,28 @@
 constexpr Duration EventInterval = 5ms;
 constexpr std::uint64_t EventsOfItem = 40;
 
+/// Returns what the runner of another VM on the same store depends on.
+JobRunnerDependencies dependenciesOfOther(RunnerBench &Bench) {
+  return {Bench.Loop,
+          Bench.Channels,
+          Bench.Store,
+          Bench.Directory,
+          Bench.Servers,
+          Bench.Loads,
+          Bench.Placement,
+          Bench.Crashes,
+          Bench.Detector,
+          Bench.Protocol,
+          Bench.Log,
+          Bench.Stats,
+          [&Bench] { return &Bench.Settings; },
+          [] { return true; },
+          [&Bench] { return Bench.StoreNow; },
+          [] { return false; },
+          [] { return 0; },
+          "other"};
+}
+
 /// Plays servers that crash when they run certain items.
 struct CrashingServers {
   RunnerBench Bench;
@@ -39,6 +61,7 @@
   std::size_t Played = 0;
   /// The number of crashes while each item was running.
   std::map<std::string, int> CrashesUnder;
+  std::vector<JobRunner *> Runners{&Bench.Runner};
 
   CrashingServers() {
     Bench.Servers.remove("s1");
@@ -114,14 +137,18 @@
     const Instant End = Bench.Time.now() + Limit;
     while (Holds() && Bench.Time.now() < End) {
       this->play();
-      Bench.Runner.schedule();
+      for (JobRunner *Runner : Runners)
+        Runner->schedule();
       Bench.Loop.runOnce(2ms);
     }
     return !Holds();
   }
 
   std::size_t unfinished(const std::string &JobId) {
-    const OwnedJob *Job = Bench.Runner.find(JobId);
+    const OwnedJob *Job = nullptr;
+    for (const JobRunner *Runner : Runners)
+      if (const OwnedJob *Owned = Runner->find(JobId))
+        Job = Owned;
     if (!Job)
       return 0;
     return static_cast<std::size_t>(std::count_if(
@@ -143,6 +170,30 @@
   cr_assert(Fleet.runWhile(5s, [&] { return Fleet.unfinished("j") > 0; }),
             "%zu items wait", Fleet.unfinished("j"));
   Fleet.runWhile(5s, [] { return true; });
+  const auto IsSettled = [&] {
+    const OwnedJob *Job = Fleet.Bench.Runner.find("j");
+    return std::none_of(
+        Job->Items.begin(), Job->Items.end(), [](const ItemRun &Run) {
+          return Run.ActiveSend != 0 || Run.Crashes.isCheckPending();
+        });
+  };
+  cr_assert(Fleet.runWhile(5s, [&] { return !IsSettled(); }));
+  // Another owner would go on with what the store has.
+  std::optional<std::vector<ItemProgress>> Rows;
+  Fleet.Bench.Store.readProgress(
+      "j",
+      [&](const Result<std::vector<ItemProgress>> &Found) { Rows = *Found; });
+  cr_assert(runUntil(Fleet.Bench.Loop, [&] { return Rows.has_value(); }));
+  for (std::size_t I = 0; I < Items; ++I)
+    if (Crashing.contains("item" + std::to_string(I))) {
+      const auto Row = std::find_if(
+          Rows->begin(), Rows->end(),
+          [&](const ItemProgress &Each) { return Each.Index == I; });
+      cr_assert(Row != Rows->end());
+      cr_assert_eq(Row->Crashes.Crashes,
+                   Fleet.Sends["item" + std::to_string(I)]);
+      cr_assert_geq(Row->Crashes.Trials, 1);
+    }
   for (const auto &[Item, Sends] : Fleet.Sends) {
     const bool IsCrashing = Crashing.contains(Item);
     cr_assert_leq(Sends,
@@ -168,6 +219,51 @@
   checkOthersFinish({{"item0", 0}, {"item5", 0}}, 10);
 }
 
+// Guards against the same if two VMs own a job with such an item each.
+Test(CrashingItem, CrashingItemsOfTwoOwnersAreLimited) {
+  CrashingServers Fleet;
+  RunnerBench &Bench = Fleet.Bench;
+  JobRunner Other(dependenciesOfOther(Bench));
+  Fleet.Runners.push_back(&Other);
+  Fleet.CrashingItems = {{"item0", 0}, {"k3", 0}};
+  JobMetadata Metadata = RunnerBench::makeMetadata(6);
+  Metadata.Owner = "other";
+  std::vector<JobItem> Items;
+  for (int I = 0; I < 6; ++I)
+    Items.push_back({"k" + std::to_string(I), "/x", {}, "body", 10});
+  bool Accepted = false;
+  Bench.Store.acceptJob("k", Metadata, Items, Bench.Time.now() + 5s,
+                        Bench.Directory, [&](JobStore::ChangeOutcome) {
+                          Accepted = true;
+                          Other.runJob("k");
+                        });
+  cr_assert(runUntil(Bench.Loop, [&] {
+    return Accepted && Other.find("k") && !Other.find("k")->Items.empty();
+  }));
+  cr_assert(Bench.startJob("j", 6));
+  cr_assert(Fleet.runWhile(
+      5s, [&] { return Fleet.unfinished("j") + Fleet.unfinished("k") > 0; }));
+  Fleet.runWhile(5s, [] { return true; });
+  for (const char *Item : {"item0", "k3"}) {
+    cr_assert_geq(Fleet.Sends[Item], 3);
+    cr_assert_leq(Fleet.Sends[Item], 6);
+  }
+}
+
+// Guards against an innocent item that waits until its job ends, because a
+// crashing request of callers ran beside each of its first sends.
+Test(CrashingItem, ItemBesideACrashingRequestFinishes) {
+  CrashingServers Fleet;
+  Fleet.CrashingItems = {{"item0", 0}};
+  cr_assert(Fleet.Bench.startJob("j", 1));
+  cr_assert(Fleet.runWhile(10s, [&] { return Fleet.Sends["item0"] < 5; }));
+  Fleet.CrashingItems.clear();
+  cr_assert(Fleet.runWhile(2s, [&] { return Fleet.unfinished("j") > 0; }));
+  cr_assert(runUntil(Fleet.Bench.Loop,
+                     [&] { return !Fleet.Bench.results("j").empty(); }));
+  cr_assert(Fleet.Bench.results("j").at(0).Succeeded);
+}
+
 // Guards against an item that is cleared by its progress although it crashes
 // each server after some events.
 Test(CrashingItem, ItemThatCrashesAfterTwentyEventsIsLimited) {
@@ -211,12 +307,7 @@
                                [&](bool IsSaved) { Saved = IsSaved; });
   cr_assert(runUntil(Bench.Loop, [&] { return Saved.has_value(); }));
   cr_assert(*Saved);
-  JobRunner Other({Bench.Loop, Bench.Channels, Bench.Store, Bench.Directory,
-                   Bench.Servers, Bench.Loads, Bench.Placement, Bench.Crashes,
-                   Bench.Detector, Bench.Protocol, Bench.Log, Bench.Stats,
-                   [&Bench] { return &Bench.Settings; }, [] { return true; },
-                   [&Bench] { return Bench.StoreNow; }, [] { return false; },
-                   [] { return 0; }, "other"});
+  JobRunner Other(dependenciesOfOther(Bench));
   const KnownJob Known = *Bench.Directory.find("j");
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
