BatchJobs: Assign jobs to organisations

Any caller could read and end any job, and max_count of a batch route was shared by all callers, so one of them could use it up.

The metadata row of a job has the organisation that submitted it. To another organisation the job does not exist: calls on it, and submissions under its id, get 404. Waiting tokens are counted for each organisation on a route, with an admission row of its own, so that the limit holds over all VMs. Servers get the organisation of an item; keys and names of organisations in the submission are left out. Rows without an organisation are written as before, so VMs of the earlier version can read them.

--- a/Source/BatchJobs/ItemRequest.cpp
+++ b/Source/BatchJobs/ItemRequest.cpp
@@ -14,7 +14,8 @@
 
 BackendRequest makeItemRequest(const JobMetadata &Metadata, const ItemRun &Run,
                                const ServerEntry &Server,
-                               const BackendProtocol &Protocol) {
+                               const BackendProtocol &Protocol,
+                               bool HasOrganisations) {
   BackendRequest Order;
   Order.Address = Server.Address;
   Order.ConnectTime = ItemConnectTimeout;
@@ -28,11 +29,16 @@
       {Protocol.RequestId, Run.Item.Id},
       {Protocol.ExpectedServer, Server.Id},
       {Protocol.RemainingMs, std::string(ItemRemainingMs)}};
+  const bool IsChecked = HasOrganisations || !Metadata.Organisation.empty();
   for (const auto &Header : Run.Item.Headers)
-    if (!isHopByHop(Header.first) &&
+    if (!(IsChecked && Protocol.identifiesCaller(Header.first)) &&
+        !isHopByHop(Header.first) &&
         !equalsIgnoringCase(Header.first, "Content-Length") &&
         !equalsIgnoringCase(Header.first, "Host"))
       Order.Request.Headers.push_back(Header);
+  if (!Metadata.Organisation.empty())
+    Order.Request.Headers.emplace_back(Protocol.Organisation,
+                                       Metadata.Organisation);
   if (Run.LastEventId)
     Order.Request.Headers.emplace_back(Protocol.LastEventId,
                                        std::to_string(*Run.LastEventId));
--- a/Source/BatchJobs/ItemRequest.h
+++ b/Source/BatchJobs/ItemRequest.h
@@ -8,10 +8,14 @@
 namespace turmericpass {
 
 /// Builds the request that runs an item on \p Server. If the item has events
-/// from an earlier request, the request resumes after the last of them.
+/// from an earlier request, the request resumes after the last of them. The
+/// server gets the name of the job's organisation. If there is one, or if
+/// \p HasOrganisations states that the settings have any, headers of the item
+/// that identify a caller are left out.
 BackendRequest makeItemRequest(const JobMetadata &Metadata, const ItemRun &Run,
                                const ServerEntry &Server,
-                               const BackendProtocol &Protocol);
+                               const BackendProtocol &Protocol,
+                               bool HasOrganisations);
 
 } // namespace turmericpass
 
--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -41,6 +41,13 @@
 
 constexpr std::string_view RetryAfterSeconds = "0.5";
 
+/// Returns whether \p From may use the job. Jobs without an organisation were
+/// accepted without a key, so every caller that this VM serves may use them.
+bool mayUse(const CallerIdentity &From, const JobMetadata &Metadata) {
+  return !From.IsChecked || Metadata.Organisation.empty() ||
+         Metadata.Organisation == From.Organisation;
+}
+
 } // namespace
 
 void JobApi::answer(CallerId Caller, int Status, const std::string &RequestId,
@@ -72,14 +79,19 @@
 }
 
 void JobApi::submit(CallerId Caller, const RawRequest &Request,
-                    const RouteSettings &Route) {
+                    const RouteSettings &Route, const CallerIdentity &From) {
   this->UnansweredCallers.insert(Caller);
   auto Job = std::make_shared<Submission>();
   Job->Caller = Caller;
   Job->JobId =
       rawHeader(Request.Headers, this->Dependencies.Protocol.RequestId);
-  if (this->Dependencies.Directory.find(Job->JobId)) {
-    this->answer(Caller, Accepted, Job->JobId, "accepted before");
+  Job->From = From;
+  if (const KnownJob *Known = this->Dependencies.Directory.find(Job->JobId)) {
+    if (mayUse(From, Known->Metadata))
+      this->answer(Caller, Accepted, Job->JobId, "accepted before");
+    else
+      this->answerFailure(Caller, Job->JobId,
+                          JobDirectory::noSuchJob(Job->JobId).value());
     return;
   }
   Result<std::vector<JobItem>> Items =
@@ -90,6 +102,11 @@
     return;
   }
   Job->Items = std::move(*Items);
+  if (From.IsChecked)
+    for (JobItem &Item : Job->Items)
+      std::erase_if(Item.Headers, [this](const auto &Header) {
+        return this->Dependencies.Protocol.identifiesCaller(Header.first);
+      });
   Job->MaxWaitingTokens = Route.MaxWaitingTokens;
   Job->SettingsVersion = Route.SettingsVersion;
   Job->ArrivedAt = this->Dependencies.Loop.clock().now();
@@ -106,6 +123,7 @@
   Metadata.Host = rawHeader(Request.Headers, "Host");
   Metadata.Target = Request.Target;
   Metadata.Route = Route.Name;
+  Metadata.Organisation = From.Organisation;
   // A VM that is stopping leaves the job without an owner, so that another VM
   // takes it over at once.
   Metadata.Owner =
@@ -118,19 +136,20 @@
 }
 
 void JobApi::tryAccept(const std::shared_ptr<Submission> &Job) {
-  const std::string &Route = Job->Metadata.Route;
   if (!this->Dependencies.IsDirectoryCurrent()) {
     this->answer(Job->Caller, Unavailable, Job->JobId,
                  "the store is out of reach");
     return;
   }
   const std::uint64_t WaitingTokens =
-      this->Dependencies.Directory.waitingTokens(Route);
+      this->Dependencies.Directory.waitingTokens(Job->Metadata.Route,
+                                                 Job->Metadata.Organisation);
   if (Job->MaxWaitingTokens != 0 &&
       WaitingTokens + Job->Metadata.TotalTokens > Job->MaxWaitingTokens) {
     this->Dependencies.Log.log(LogLevel::Info,
                                "Rejected a job because too many tokens wait.",
                                {{"job", Job->JobId},
+                                {"organisation", Job->Metadata.Organisation},
                                 {"waiting_tokens", WaitingTokens},
                                 {"tokens", Job->Metadata.TotalTokens},
                                 {"limit", Job->MaxWaitingTokens}});
@@ -153,12 +172,19 @@
 
 void JobApi::handleAcceptOutcome(const std::shared_ptr<Submission> &Job,
                                  JobStore::ChangeOutcome Outcome) {
-  const bool Exists = this->Dependencies.Directory.find(Job->JobId) != nullptr;
-  if (Outcome == JobStore::ChangeOutcome::Done || Exists) {
+  const KnownJob *Known = this->Dependencies.Directory.find(Job->JobId);
+  const bool IsDone = Outcome == JobStore::ChangeOutcome::Done;
+  if (!IsDone && Known && !mayUse(Job->From, Known->Metadata)) {
+    this->answerFailure(Job->Caller, Job->JobId,
+                        JobDirectory::noSuchJob(Job->JobId).value());
+    return;
+  }
+  if (IsDone || Known) {
     this->Dependencies.Log.log(
         LogLevel::Info, "Accepted a job.",
         {{"job", Job->JobId},
          {"route", Job->Metadata.Route},
+         {"organisation", Job->Metadata.Organisation},
          {"settings_version", Job->SettingsVersion},
          {"items", Job->Metadata.TotalItems},
          {"tokens", Job->Metadata.TotalTokens},
@@ -189,18 +215,30 @@
 }
 
 void JobApi::handleCall(CallerId Caller, const JobCall &Call,
-                        std::string RequestId) {
+                        const CallerIdentity &From, std::string RequestId) {
   this->UnansweredCallers.insert(Caller);
   const Instant Now = this->Dependencies.Loop.clock().now();
   switch (Call.Kind) {
   case JobCallKind::ReadResults:
-    this->readResults(Caller, {Call, std::move(RequestId), Now + Call.MaxWait});
+    this->readResults(Caller,
+                      {Call, std::move(RequestId), Now + Call.MaxWait, From});
     return;
   case JobCallKind::ReadItem:
-    this->readItem(Caller, Call, RequestId);
+    if (!From.IsChecked) {
+      this->readItem(Caller, Call, RequestId);
+      return;
+    }
+    this->withMetadata(
+        Call.JobId, From,
+        [this, Caller, Call, RequestId](Result<const KnownJob *> Known) {
+          if (Known)
+            this->readItem(Caller, Call, RequestId);
+          else
+            this->answerFailure(Caller, RequestId, Known.error());
+        });
     return;
   case JobCallKind::Cancel:
-    this->cancelJob(Caller, Call, RequestId, Now + CancelTimeout);
+    this->cancelJob(Caller, Call, From, RequestId, Now + CancelTimeout);
     return;
   case JobCallKind::Submit:
     break;
@@ -208,50 +246,64 @@
   this->answer(Caller, BadRequest, RequestId, "not a call on a job");
 }
 
-void JobApi::withMetadata(const std::string &JobId,
-                          std::function<void(Result<const KnownJob *>)> Done) {
+void JobApi::withMetadata(const std::string &JobId, const CallerIdentity &From,
+                          MetadataCallback Done) {
+  const auto Check = [JobId, From,
+                      Done = std::move(Done)](Result<const KnownJob *> Found) {
+    if (Found && !mayUse(From, (*Found)->Metadata))
+      Done(JobDirectory::noSuchJob(JobId));
+    else
+      Done(std::move(Found));
+  };
   const KnownJob *Known = this->Dependencies.Directory.find(JobId);
   if (Known && this->Dependencies.IsDirectoryCurrent())
-    Done(Known);
+    Check(Known);
   else
     this->Dependencies.Store.readMetadata(JobId, this->Dependencies.Directory,
-                                          std::move(Done));
+                                          Check);
+}
+
+void JobApi::answerFailure(CallerId Caller, const std::string &RequestId,
+                           const Error &Failure) {
+  const bool IsAbsent = Failure.Code == ErrorCode::NotFound;
+  this->answer(Caller, IsAbsent ? NotFound : Unavailable, RequestId,
+               Failure.Message);
 }
 
 void JobApi::readResults(CallerId Caller, const ResultsRequest &Request) {
-  this->withMetadata(Request.Call.JobId, [this, Caller, Request](
-                                             Result<const KnownJob *> Known) {
-    if (!this->UnansweredCallers.contains(Caller))
-      return;
-    if (!Known) {
-      const bool IsAbsent = Known.error().Code == ErrorCode::NotFound;
-      this->answer(Caller, IsAbsent ? NotFound : Unavailable, Request.RequestId,
-                   Known.error().Message);
-      return;
-    }
-    const JobMetadata &Metadata = (*Known)->Metadata;
-    if (Request.Call.FirstPosition < Metadata.CommittedItems) {
-      this->sendResults(Caller, Request, **Known);
-      return;
-    }
-    const Duration RemainingTime =
-        Request.Deadline - this->Dependencies.Loop.clock().now();
-    if (!Metadata.isOpen() || RemainingTime <= Duration(0)) {
-      this->answer(Caller, Ok, Request.RequestId, "",
-                   this->Dependencies.Codec.formatResults(
-                       Metadata.TotalItems, Request.Call.FirstPosition, {}));
-      return;
-    }
-    this->WaitingRequests[Caller] = Request;
-    this->Dependencies.Loop.after(RemainingTime, [this, Caller] {
-      const auto Found = this->WaitingRequests.find(Caller);
-      if (Found == this->WaitingRequests.end())
-        return;
-      const ResultsRequest Expired = Found->second;
-      this->WaitingRequests.erase(Found);
-      this->readResults(Caller, Expired);
-    });
-  });
+  this->withMetadata(
+      Request.Call.JobId, Request.From,
+      [this, Caller, Request](Result<const KnownJob *> Known) {
+        if (!this->UnansweredCallers.contains(Caller))
+          return;
+        if (!Known) {
+          this->answerFailure(Caller, Request.RequestId, Known.error());
+          return;
+        }
+        const JobMetadata &Metadata = (*Known)->Metadata;
+        if (Request.Call.FirstPosition < Metadata.CommittedItems) {
+          this->sendResults(Caller, Request, **Known);
+          return;
+        }
+        const Duration RemainingTime =
+            Request.Deadline - this->Dependencies.Loop.clock().now();
+        if (!Metadata.isOpen() || RemainingTime <= Duration(0)) {
+          this->answer(
+              Caller, Ok, Request.RequestId, "",
+              this->Dependencies.Codec.formatResults(
+                  Metadata.TotalItems, Request.Call.FirstPosition, {}));
+          return;
+        }
+        this->WaitingRequests[Caller] = Request;
+        this->Dependencies.Loop.after(RemainingTime, [this, Caller] {
+          const auto Found = this->WaitingRequests.find(Caller);
+          if (Found == this->WaitingRequests.end())
+            return;
+          const ResultsRequest Expired = Found->second;
+          this->WaitingRequests.erase(Found);
+          this->readResults(Caller, Expired);
+        });
+      });
 }
 
 void JobApi::sendResults(CallerId Caller, const ResultsRequest &Request,
@@ -335,9 +387,7 @@
       Call.JobId,
       [this, Caller, Call, RequestId](Result<std::vector<JobItem>> Items) {
         if (!Items) {
-          const bool IsAbsent = Items.error().Code == ErrorCode::NotFound;
-          this->answer(Caller, IsAbsent ? NotFound : Unavailable, RequestId,
-                       Items.error().Message);
+          this->answerFailure(Caller, RequestId, Items.error());
           return;
         }
         for (const JobItem &Item : *Items)
@@ -350,41 +400,42 @@
 }
 
 void JobApi::cancelJob(CallerId Caller, const JobCall &Call,
-                       const std::string &RequestId, Instant Deadline) {
-  this->withMetadata(Call.JobId, [this, Caller, Call, RequestId,
-                                  Deadline](Result<const KnownJob *> Known) {
-    if (!Known) {
-      const bool IsAbsent = Known.error().Code == ErrorCode::NotFound;
-      this->answer(Caller, IsAbsent ? NotFound : Unavailable, RequestId,
-                   Known.error().Message);
-      return;
-    }
-    JobMetadata Metadata = (*Known)->Metadata;
-    if (Metadata.Cancelled) {
-      this->answer(Caller, Ok, RequestId, "ended");
-      return;
-    }
-    Metadata.Cancelled = true;
-    this->Dependencies.Store.updateJob(
-        Call.JobId, Metadata, (*Known)->Version, {}, 0, Deadline,
-        this->Dependencies.Directory,
-        [this, Caller, Call, RequestId,
-         Deadline](JobStore::ChangeOutcome Outcome) {
-          if (Outcome == JobStore::ChangeOutcome::Done) {
-            this->Dependencies.Log.log(
-                LogLevel::Info, "A caller cancelled a job.",
-                {{"job", Call.JobId}, {"request", RequestId}});
-            this->Dependencies.Runner.handleJobChanges({Call.JobId});
-            this->answer(Caller, Ok, RequestId, "ended");
-          } else if (Outcome == JobStore::ChangeOutcome::Conflict &&
-                     this->Dependencies.Loop.clock().now() < Deadline) {
-            this->cancelJob(Caller, Call, RequestId, Deadline);
-          } else {
-            this->answer(Caller, OutcomeUnknown, RequestId,
-                         "the store did not confirm the end");
-          }
-        });
-  });
+                       const CallerIdentity &From, const std::string &RequestId,
+                       Instant Deadline) {
+  this->withMetadata(
+      Call.JobId, From,
+      [this, Caller, Call, From, RequestId,
+       Deadline](Result<const KnownJob *> Known) {
+        if (!Known) {
+          this->answerFailure(Caller, RequestId, Known.error());
+          return;
+        }
+        JobMetadata Metadata = (*Known)->Metadata;
+        if (Metadata.Cancelled) {
+          this->answer(Caller, Ok, RequestId, "ended");
+          return;
+        }
+        Metadata.Cancelled = true;
+        this->Dependencies.Store.updateJob(
+            Call.JobId, Metadata, (*Known)->Version, {}, 0, Deadline,
+            this->Dependencies.Directory,
+            [this, Caller, Call, From, RequestId,
+             Deadline](JobStore::ChangeOutcome Outcome) {
+              if (Outcome == JobStore::ChangeOutcome::Done) {
+                this->Dependencies.Log.log(
+                    LogLevel::Info, "A caller cancelled a job.",
+                    {{"job", Call.JobId}, {"request", RequestId}});
+                this->Dependencies.Runner.handleJobChanges({Call.JobId});
+                this->answer(Caller, Ok, RequestId, "ended");
+              } else if (Outcome == JobStore::ChangeOutcome::Conflict &&
+                         this->Dependencies.Loop.clock().now() < Deadline) {
+                this->cancelJob(Caller, Call, From, RequestId, Deadline);
+              } else {
+                this->answer(Caller, OutcomeUnknown, RequestId,
+                             "the store did not confirm the end");
+              }
+            });
+      });
 }
 
 } // namespace turmericpass
--- a/Source/BatchJobs/JobApi.h
+++ b/Source/BatchJobs/JobApi.h
@@ -6,6 +6,7 @@
 #include "Core/Clock.h"
 #include "RawHttp/CallerPort.h"
 #include "Serving/BackendProtocol.h"
+#include "Serving/CallerIdentity.h"
 #include "Serving/ServingSettings.h"
 
 #include <functional>
@@ -53,10 +54,14 @@
 
   /// Handles a submission. The caller is answered as soon as the store has
   /// accepted the job or a limit or failure prevents it.
+  /// The job belongs to the organisation of \p From.
   void submit(CallerId Caller, const RawRequest &Request,
-              const RouteSettings &Route);
-  /// Handles a request concerning an existing job.
-  void handleCall(CallerId Caller, const JobCall &Call, std::string RequestId);
+              const RouteSettings &Route, const CallerIdentity &From);
+  /// Handles a request concerning an existing job. For a job of another
+  /// organisation than that of \p From, the answer is the same as for a job
+  /// that does not exist.
+  void handleCall(CallerId Caller, const JobCall &Call,
+                  const CallerIdentity &From, std::string RequestId);
   /// Forgets a caller that closed its connection.
   void callerDisconnected(CallerId Caller);
 
@@ -75,28 +80,37 @@
     std::uint64_t SettingsVersion = 0;
     Instant Deadline;
     Instant ArrivedAt;
+    CallerIdentity From;
   };
   /// A request for results, which may wait until its deadline for the next one.
   struct ResultsRequest {
     JobCall Call;
     std::string RequestId;
     Instant Deadline;
+    CallerIdentity From;
   };
 
   void tryAccept(const std::shared_ptr<Submission> &Job);
   void handleAcceptOutcome(const std::shared_ptr<Submission> &Job,
                            JobStore::ChangeOutcome Outcome);
+  using MetadataCallback = std::function<void(Result<const KnownJob *>)>;
+
   /// Passes the job's metadata to \p Done, from memory if that is up to date
-  /// and otherwise from the store.
-  void withMetadata(const std::string &JobId,
-                    std::function<void(Result<const KnownJob *>)> Done);
+  /// and otherwise from the store. If \p From may not use the job, the error is
+  /// the one for a job that does not exist.
+  void withMetadata(const std::string &JobId, const CallerIdentity &From,
+                    MetadataCallback Done);
   void readResults(CallerId Caller, const ResultsRequest &Request);
   void sendResults(CallerId Caller, const ResultsRequest &Request,
                    const KnownJob &Known);
   void readItem(CallerId Caller, const JobCall &Call,
                 const std::string &RequestId);
   void cancelJob(CallerId Caller, const JobCall &Call,
-                 const std::string &RequestId, Instant Deadline);
+                 const CallerIdentity &From, const std::string &RequestId,
+                 Instant Deadline);
+  /// Answers with the status of a failure to read from the store.
+  void answerFailure(CallerId Caller, const std::string &RequestId,
+                     const Error &Failure);
   void answer(CallerId Caller, int Status, const std::string &RequestId,
               std::string_view Reason, std::string_view Body = {});
   void cacheResults(const std::string &JobId, std::uint64_t First,
--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -83,8 +83,12 @@
     this->JobsBeingRemoved.erase(JobId);
     return;
   }
-  const std::string Route = Known->Metadata.Route;
-  const JobDirectory::Admission Before = this->Directory.admission(Route);
+  const std::string &Route = Known->Metadata.Route;
+  const std::string &Organisation = Known->Metadata.Organisation;
+  const std::string AdmissionKey =
+      JobDirectory::admissionKey(Route, Organisation);
+  const JobDirectory::Admission Before =
+      this->Directory.admission(Route, Organisation);
   const std::uint64_t Tokens = Known->Metadata.TotalTokens;
   const std::string NewAdmissionValue = JobDirectory::admissionValue(
       Before.AcceptedTokens > Tokens ? Before.AcceptedTokens - Tokens : 0,
@@ -93,11 +97,10 @@
   Change.Part = JobStore::Part;
   Change.Conditions = {
       {JobStore::JobTable, JobDirectory::metadataKey(JobId), Known->Version},
-      {JobStore::JobTable, JobDirectory::admissionKey(Route), Before.Version}};
-  Change.Writes = {{JobStore::JobTable, JobDirectory::admissionKey(Route),
-                    NewAdmissionValue}};
+      {JobStore::JobTable, AdmissionKey, Before.Version}};
+  Change.Writes = {{JobStore::JobTable, AdmissionKey, NewAdmissionValue}};
   Change.Removals = {{JobStore::JobTable, JobDirectory::metadataKey(JobId)}};
-  this->Rows.transact(std::move(Change), [this, JobId, Route,
+  this->Rows.transact(std::move(Change), [this, JobId, AdmissionKey,
                                           NewAdmissionValue](
                                              const TransactionResult &Answer) {
     this->JobsBeingRemoved.erase(JobId);
@@ -109,7 +112,7 @@
     MetadataRow.Key = JobDirectory::metadataKey(JobId);
     MetadataRow.Removed = true;
     StoredRow AdmissionRow;
-    AdmissionRow.Key = JobDirectory::admissionKey(Route);
+    AdmissionRow.Key = AdmissionKey;
     AdmissionRow.Value = NewAdmissionValue;
     AdmissionRow.Version = Answer.Version;
     this->Directory.merge({MetadataRow, AdmissionRow});
--- a/Source/BatchJobs/JobDirectory.cpp
+++ b/Source/BatchJobs/JobDirectory.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::string_view MetadataPrefix = "job/";
 constexpr std::string_view AdmissionPrefix = "admission/";
+constexpr std::string_view OrganisationAdmissionPrefix = "admission-of/";
 
 } // namespace
 
@@ -19,8 +20,17 @@
   return std::string(MetadataPrefix) + JobId;
 }
 
-std::string JobDirectory::admissionKey(const std::string &Route) {
-  return std::string(AdmissionPrefix) + Route;
+std::string JobDirectory::admissionKey(const std::string &Route,
+                                       const std::string &Organisation) {
+  if (Organisation.empty())
+    return std::string(AdmissionPrefix) + Route;
+  // The length makes the key unique, because names may contain slashes.
+  return std::string(OrganisationAdmissionPrefix) +
+         std::to_string(Route.size()) + "/" + Route + "/" + Organisation;
+}
+
+tl::unexpected<Error> JobDirectory::noSuchJob(const std::string &JobId) {
+  return failure(ErrorCode::NotFound, "There is no job " + JobId + ".");
 }
 
 std::string JobDirectory::admissionValue(std::uint64_t AcceptedTokens,
@@ -69,8 +79,9 @@
 
 void JobDirectory::apply(const StoredRow &Row,
                          std::vector<std::string> &Changed) {
-  if (Row.Key.starts_with(AdmissionPrefix)) {
-    Admission &Known = this->Admissions[Row.Key.substr(AdmissionPrefix.size())];
+  if (Row.Key.starts_with(AdmissionPrefix) ||
+      Row.Key.starts_with(OrganisationAdmissionPrefix)) {
+    Admission &Known = this->Admissions[Row.Key];
     if (Row.Removed)
       Known = Admission();
     else if (Row.Version > Known.Version || Row.Value == Known.Value)
@@ -114,19 +125,24 @@
 }
 
 JobDirectory::Admission
-JobDirectory::admission(const std::string &Route) const {
-  const auto Found = this->Admissions.find(Route);
+JobDirectory::admission(const std::string &Route,
+                        const std::string &Organisation) const {
+  const auto Found = this->Admissions.find(admissionKey(Route, Organisation));
   return Found == this->Admissions.end() ? Admission() : Found->second;
 }
 
-std::uint64_t JobDirectory::waitingTokens(const std::string &Route) const {
+std::uint64_t
+JobDirectory::waitingTokens(const std::string &Route,
+                            const std::string &Organisation) const {
   std::uint64_t CompletedTokens = 0;
   for (const auto &[JobId, Known] : this->Jobs)
-    if (Known.Metadata.Route == Route)
+    if (Known.Metadata.Route == Route &&
+        Known.Metadata.Organisation == Organisation)
       CompletedTokens += Known.Metadata.isOpen()
                              ? Known.Metadata.CommittedTokens
                              : Known.Metadata.TotalTokens;
-  const std::uint64_t AcceptedTokens = this->admission(Route).AcceptedTokens;
+  const std::uint64_t AcceptedTokens =
+      this->admission(Route, Organisation).AcceptedTokens;
   return AcceptedTokens > CompletedTokens ? AcceptedTokens - CompletedTokens
                                           : 0;
 }
--- a/Source/BatchJobs/JobDirectory.h
+++ b/Source/BatchJobs/JobDirectory.h
@@ -40,12 +40,16 @@
   /// Returns nullptr if the job is unknown or its metadata could not be
   /// decoded.
   const KnownJob *find(const std::string &JobId) const;
+  /// Returns the error for a job that does not exist.
+  static tl::unexpected<Error> noSuchJob(const std::string &JobId);
   /// Returns all jobs by id. Those whose metadata could not be decoded have
   /// version 0.
   const std::map<std::string, KnownJob> &all() const { return this->Jobs; }
 
-  /// The admission row of a route. Every acceptance under the route rewrites
-  /// it, so that concurrent acceptances on different VMs conflict.
+  /// The admission row of an organisation on a route. Every acceptance of a job
+  /// of the organisation under the route rewrites it, so that concurrent
+  /// acceptances on different VMs conflict. Jobs without an organisation have a
+  /// row of their own.
   struct Admission {
     std::uint64_t Version = 0;
     /// The tokens of all accepted jobs that are still in the store, finished
@@ -54,17 +58,21 @@
     /// The value of the row: the tokens and the id of the transaction.
     std::string Value;
   };
-  Admission admission(const std::string &Route) const;
+  Admission admission(const std::string &Route,
+                      const std::string &Organisation) const;
 
-  /// Returns an upper bound of the tokens that wait under \p Route: the
+  /// Returns an upper bound of the tokens of \p Organisation that wait under
+  /// \p Route: the
   /// accepted tokens minus those of items that are known to have a result and
   /// of jobs that are known to be cancelled. Stale metadata can only make the
   /// result too high.
-  std::uint64_t waitingTokens(const std::string &Route) const;
+  std::uint64_t waitingTokens(const std::string &Route,
+                              const std::string &Organisation) const;
 
   /// Return the keys of the rows in JobStore::JobTable.
   static std::string metadataKey(const std::string &JobId);
-  static std::string admissionKey(const std::string &Route);
+  static std::string admissionKey(const std::string &Route,
+                                  const std::string &Organisation);
   /// Returns the value of an admission row. \p WriteId identifies the
   /// transaction that writes it.
   static std::string admissionValue(std::uint64_t AcceptedTokens,
@@ -82,6 +90,7 @@
   Logger &Log;
   std::set<std::string> MergedChanges;
   std::map<std::string, KnownJob> Jobs;
+  /// By key of the row.
   std::map<std::string, Admission> Admissions;
 };
 
--- a/Source/BatchJobs/JobRecords.cpp
+++ b/Source/BatchJobs/JobRecords.cpp
@@ -15,7 +15,7 @@
 template <typename F> void visitFields(JobMetadata &R, F Visit) {
   Visit(R.Host, R.Target, R.Route, R.Owner, R.Epoch, R.AcceptedAtMillis,
         R.TotalItems, R.TotalTokens, R.CommittedItems, R.CommittedTokens,
-        R.Cancelled, R.WriteId);
+        R.Cancelled, R.WriteId, R.Organisation);
 }
 template <typename F> void visitFields(JobItem &R, F Visit) {
   Visit(R.Id, R.Target, R.Headers, R.Body, R.Tokens);
@@ -31,14 +31,28 @@
 /// Later fields keep their default values if they are missing.
 template <typename R> constexpr std::size_t RequiredFields = SIZE_MAX;
 template <> constexpr std::size_t RequiredFields<ItemProgress> = 3;
+template <> constexpr std::size_t RequiredFields<JobMetadata> = 12;
+
+/// The number of last fields that are left out because they have their default
+/// values. Earlier versions can read such a record.
+template <typename R> std::size_t omittedFields(const R &) { return 0; }
+template <> std::size_t omittedFields(const JobMetadata &R) {
+  return R.Organisation.empty() ? 1 : 0;
+}
 
 template <typename R>
 void packRecord(msgpack::packer<msgpack::sbuffer> &Out, const R &Record) {
   R Copy = Record;
   visitFields(Copy, [&](auto &...Fields) {
-    Out.pack_array(1 + sizeof...(Fields));
+    const std::size_t Count = sizeof...(Fields) - omittedFields(Record);
+    Out.pack_array(static_cast<std::uint32_t>(1 + Count));
     Out.pack(RecordVersion);
-    (Out.pack(Fields), ...);
+    std::size_t Index = 0;
+    const auto PackNext = [&](const auto &Field) {
+      if (Index++ < Count)
+        Out.pack(Field);
+    };
+    (PackNext(Fields), ...);
   });
 }
 
--- a/Source/BatchJobs/JobRecords.h
+++ b/Source/BatchJobs/JobRecords.h
@@ -47,6 +47,9 @@
   /// Identifies the transaction that wrote this row. A writer that got no
   /// answer from the store uses it to recognise its own write.
   std::string WriteId;
+  /// The organisation that submitted the job. It is empty if the submission
+  /// needed no key and in records of earlier versions.
+  std::string Organisation;
 
   /// Returns whether the job is neither cancelled nor finished.
   bool isOpen() const {
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -231,8 +231,10 @@
 void JobRunner::startItem(const ItemKey &Key, const KnownServer &Server) {
   const OwnedJob &Job = this->Jobs.at(Key.JobId);
   ItemRun &Run = this->Jobs.at(Key.JobId).Items[Key.Index];
-  BackendRequest Order = makeItemRequest(Job.Metadata, Run, Server.Entry,
-                                         this->Dependencies.Protocol);
+  const ServingSettings *Settings = this->Dependencies.Settings();
+  BackendRequest Order = makeItemRequest(
+      Job.Metadata, Run, Server.Entry, this->Dependencies.Protocol,
+      Settings && !Settings->Organisations.empty());
   Run.Server = Server.Entry.Id;
   Run.Service = Server.Entry.Service;
   Run.State = ItemState::Running;
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -98,8 +98,10 @@
   std::shared_ptr<PendingTransaction> Pending = this->prepareTransaction(
       JobId, Metadata, 0, Deadline, Directory, std::move(Done));
   RowTransaction &Change = Pending->Change;
-  const std::string Key = JobDirectory::admissionKey(Metadata.Route);
-  const JobDirectory::Admission Before = Directory.admission(Metadata.Route);
+  const std::string Key =
+      JobDirectory::admissionKey(Metadata.Route, Metadata.Organisation);
+  const JobDirectory::Admission Before =
+      Directory.admission(Metadata.Route, Metadata.Organisation);
   Change.Conditions.push_back({JobTable, Key, Before.Version});
   Change.Writes.push_back(
       {JobTable, Key,
@@ -298,7 +300,7 @@
     }
     Directory.merge(Page->Rows);
     if (Page->Rows.empty())
-      Done(failure(ErrorCode::NotFound, "There is no job " + JobId + "."));
+      Done(JobDirectory::noSuchJob(JobId));
     else if (const KnownJob *Known = Directory.find(JobId))
       Done(Known);
     else
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -259,9 +259,9 @@
                                 {"reason", Refusal.Reason}});
     this->Front.reply(Id, Refusal.Status, Headers, Refusal.Reason);
   } else if (Decision->Call) {
-    this->Api.handleCall(Id, *Decision->Call, RequestId);
+    this->Api.handleCall(Id, *Decision->Call, Decision->Identity, RequestId);
   } else if (Decision->Route->Kind == RequestKind::Batch) {
-    this->Api.submit(Id, Request, *Decision->Route);
+    this->Api.submit(Id, Request, *Decision->Route, Decision->Identity);
   } else {
     this->Online.startCall(Id, std::move(Request), *Decision->Route,
                            std::move(Decision->Identity));
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -1,73 +1,11 @@
-#include "BatchJobs/JobApi.h"
 #include "BatchJobs/JobTakeover.h"
-#include "Support/FakeCallers.h"
-#include "Support/RunnerBench.h"
+#include "Support/ApiBench.h"
 
 #include <criterion/criterion.h>
 
 using namespace turmericpass;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// Parses every submission as one item whose token count is the request body.
-struct PlainCodec : public JobCallCodec {
-  /// The size of the item's body.
-  std::size_t BodyBytes = 1;
-
-  std::optional<JobCall> parseCall(const RawRequest &) const override {
-    return std::nullopt;
-  }
-  Result<std::vector<JobItem>>
-  parseSubmission(const RawRequest &Request) const override {
-    if (Request.Body.empty())
-      return failure(ErrorCode::InvalidArgument, "It has no items.");
-    return std::vector<JobItem>{{"item",
-                                 "/x",
-                                 {},
-                                 std::string(this->BodyBytes, 'b'),
-                                 std::stoull(Request.Body)}};
-  }
-  std::string
-  formatResults(std::uint64_t Total, std::uint64_t First,
-                const std::vector<ItemResult> &Results) const override {
-    return std::to_string(Total) + "," + std::to_string(First) + "," +
-           std::to_string(Results.size());
-  }
-  std::string contentType() const override { return "text/plain"; }
-};
-
-struct ApiBench : public RunnerBench {
-  FakeCallers Callers;
-  PlainCodec Codec;
-  bool IsDirectoryCurrent = true;
-  RouteSettings Route = Settings.Routes[0];
-  JobApi Api{{Loop, Callers, Store, Directory, Runner, Protocol, Codec, Log,
-              Stats, [this] { return this->StoreNow; },
-              [this] { return this->IsDirectoryCurrent; }, "self"}};
-
-  int submit(CallerId Caller, const std::string &JobId,
-             const std::string &Tokens, const std::string &Remaining = "4000") {
-    RawRequest Request;
-    Request.Method = "POST";
-    Request.Target = "/jobs";
-    Request.Headers = {{"Id", JobId}, {"Host", "h"}, {"Remaining", Remaining}};
-    Request.Body = Tokens;
-    Api.submit(Caller, Request, Route);
-    return answer(Caller);
-  }
-  int answer(CallerId Caller) {
-    runUntil(Loop, [&] { return Callers.Answers[Caller].Complete; });
-    return Callers.Answers[Caller].Status;
-  }
-  int call(CallerId Caller, const JobCall &Call) {
-    Api.handleCall(Caller, Call, "r");
-    return answer(Caller);
-  }
-};
-
-} // namespace
-
 // Guards against a job that is accepted twice because its caller repeats the
 // submission.
 Test(JobApi, RepeatedSubmissionIsAcceptedOnce) {
@@ -145,7 +83,7 @@
   RawRequest Request;
   Request.Headers = {{"Id", "m"}, {"Host", "h"}};
   Request.Body = "1";
-  OtherApi.submit(4, Request, Bench.Route);
+  OtherApi.submit(4, Request, Bench.Route, Bench.From);
   cr_assert_eq(Bench.answer(4), 429);
 }
 
@@ -174,7 +112,7 @@
   Call.Kind = JobCallKind::ReadResults;
   Call.JobId = "j";
   Call.MaxWait = 10s;
-  Bench.Api.handleCall(2, Call, "r");
+  Bench.Api.handleCall(2, Call, Bench.From, "r");
   Bench.complete(1);
   cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
   Bench.Api.handleJobChanges({"j"});
@@ -262,7 +200,7 @@
   Bench.Route.MaxWaitingTokens = 10;
   Bench.Rows.Faults = {RowFault::MadeLate};
   Bench.Rows.put(JobStore::JobTable, JobStore::Part,
-                 JobDirectory::admissionKey("jobs"),
+                 JobDirectory::admissionKey("jobs", ""),
                  JobDirectory::admissionValue(8, "other"));
   cr_assert_eq(Bench.submit(1, "j", "5"), 429);
   Bench.Rows.applyLate();
--- a/Tests/BatchJobs/JobCleanerTest.cpp
+++ b/Tests/BatchJobs/JobCleanerTest.cpp
@@ -31,6 +31,6 @@
   cr_assert_eq(Bench.Rows.count(JobStore::DataTable, "in/old/"), 0);
   cr_assert_eq(Bench.Rows.count(JobStore::DataTable, "out/old/"), 0);
   cr_assert_eq(Bench.Rows.count(JobStore::DataTable, "in/open/"), 1);
-  cr_assert_eq(Bench.Directory.waitingTokens("jobs"), 10,
+  cr_assert_eq(Bench.Directory.waitingTokens("jobs", ""), 10,
                "the waiting tokens are not those of the open job");
 }
