Node: Request newer settings and limit the use of old keys

A VM that the store rejects while others reach it kept its settings until its own feed counted as stale, 2.2 s after the last answer, and then took those of any VM. A removed key stayed valid for as long.

SettingsLag compares the versions in digests and zone summaries. Summaries state the newest version of the zone and flag the members that have it (version 66 of the message). Whole views are requested from the VMs with the newest settings only, so that a VM that starts again does not go back.

strict_revoke and revoke_ms say whether a VM without contact to the store or another VM goes on with its keys (KeyTrustPolicy). The template quotes them, because the platform may lack the values.

--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -2,6 +2,7 @@
 
 #include "RawHttp/SocketOptions.h"
 
+#include <charconv>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -60,6 +61,47 @@
                                        : Default;
   }
 
+  /// Reads a value that the template writes as a string, which is empty if the
+  /// platform does not have the value.
+  bool readOptionalFlag(const char *Key, bool Default) {
+    const toml::node *Found = this->findValue(Key, false);
+    if (!Found)
+      return Default;
+    if (const auto Value = Found->value_exact<bool>())
+      return *Value;
+    const auto Text = Found->value<std::string>();
+    if (Text && isMissing(*Text))
+      return Default;
+    if (Text && (*Text == "true" || *Text == "True"))
+      return true;
+    if (Text && (*Text == "false" || *Text == "False"))
+      return false;
+    this->addError(Key, Found, "must be true or false");
+    return Default;
+  }
+
+  /// Reads a number that may also be written as a string, like
+  /// readOptionalFlag().
+  double readOptionalNumberText(const char *Key, double Min, double Max,
+                                double Default) {
+    const toml::node *Found = this->findValue(Key, false);
+    const auto Text =
+        Found ? Found->value<std::string>() : std::optional<std::string>();
+    if (!Text)
+      return this->readOptionalNumber(Key, Min, Max, Default);
+    if (isMissing(*Text))
+      return Default;
+    double Value = 0;
+    const char *End = Text->data() + Text->size();
+    if (const auto [Rest, Status] = std::from_chars(Text->data(), End, Value);
+        Status == std::errc() && Rest == End && Value >= Min && Value <= Max)
+      return Value;
+    std::ostringstream Allowed;
+    Allowed << "must be a number from " << Min << " to " << Max;
+    this->addError(Key, Found, Allowed.str());
+    return Default;
+  }
+
   std::vector<std::string> readStrings(const char *Key) {
     std::vector<std::string> Values;
     const toml::node *Found = this->findValue(Key, true);
@@ -83,6 +125,12 @@
   const std::string &errors() const { return this->Errors; }
 
 private:
+  /// Returns whether the template had no value to fill in.
+  static bool isMissing(const std::string &Text) {
+    return Text.empty() || Text == "null" || Text == "None" ||
+           Text.starts_with("{{");
+  }
+
   const toml::node *findValue(const char *Key, bool Required) {
     this->KnownKeys.insert(Key);
     const toml::node *Found = this->Root.get(Key);
@@ -150,6 +198,11 @@
       Reader.readNumber("keep_jobs_s", 1, 31'536'000) * 1000));
   Config.StopTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(
       Reader.readNumber("stop_time_s", 1, 3600) * 1000));
+  Config.StrictRevoke =
+      Reader.readOptionalFlag("strict_revoke", Config.StrictRevoke);
+  Config.RevokeTime = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Reader.readOptionalNumberText(
+          "revoke_ms", 1, 86'400'000, toMillis(Config.RevokeTime))));
   Reader.rejectUnknownKeys();
   if (!Reader.errors().empty())
     return failure(ErrorCode::InvalidArgument, Reader.errors());
@@ -164,6 +217,9 @@
   };
   Add(Changed.InEffect, Before.Seeds != After.Seeds, "seeds");
   Add(Changed.InEffect, Before.StopTimeout != After.StopTimeout, "stop_time_s");
+  Add(Changed.InEffect, Before.StrictRevoke != After.StrictRevoke,
+      "strict_revoke");
+  Add(Changed.InEffect, Before.RevokeTime != After.RevokeTime, "revoke_ms");
   std::string &Later = Changed.AfterRestart;
   Add(Later, Before.Name != After.Name, "node");
   Add(Later, Before.Zone != After.Zone, "zone");
--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -41,6 +41,10 @@
   Duration JobRetention = std::chrono::minutes(10);
   /// The time between SIGTERM and SIGKILL.
   Duration StopTimeout = std::chrono::seconds(8);
+  /// Whether keys are refused RevokeTime after the last contact with the store
+  /// or another VM.
+  bool StrictRevoke = false;
+  Duration RevokeTime = std::chrono::seconds(5);
 };
 
 /// Reads the process settings from the TOML file \p Path. The error message
--- a/Source/Node/NodeTimes.h
+++ b/Source/Node/NodeTimes.h
@@ -101,6 +101,10 @@
 /// from another VM.
 inline constexpr Duration ViewRequestPeriod = std::chrono::milliseconds(500);
 
+/// The interval at which a VM compares its settings version with those of the
+/// other VMs.
+inline constexpr Duration SettingsLagPeriod = std::chrono::milliseconds(100);
+
 /// The interval between two scans for expired jobs, and the time for which jobs
 /// are kept beyond the configured retention, because the store's clock is known
 /// only approximately.
--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -55,7 +55,7 @@
     return;
   const bool IsNew = Known.Address != Address || Known.Silent;
   Known.Address = Address;
-  Known.LastHeard = this->Time.now();
+  this->LastHeard = Known.LastHeard = this->Time.now();
   Known.Silent = false;
   Known.Key = nodeKey(Digest.Incarnation);
   for (const CrashRecord &Crash : Digest.Crashes)
@@ -91,6 +91,7 @@
 bool PeerDirectory::handleSummary(ZoneSummary Summary) {
   if (Summary.Aggregator == this->OwnKey)
     return false;
+  this->LastHeard = this->Time.now();
   const bool IsOwnZone = Summary.Zone == this->Self.Zone;
   if (IsOwnZone)
     this->Election.recordOwnZoneSummary(Summary.Members.size());
@@ -241,6 +242,7 @@
   Summary.Zone = this->Self.Zone;
   Summary.Aggregator = this->OwnKey;
   std::set<ServerKey> Avoided;
+  std::vector<std::uint64_t> SettingsVersions;
   const auto Add = [&](const PeerDigest &Each, NodeKey Key,
                        const std::string &Address, int Weight) {
     for (const auto &[Server, Load] : Each.ServerLoads) {
@@ -250,6 +252,7 @@
     }
     Summary.Members.push_back({Key, Address, Each.Sequence, Weight,
                                Each.Stopping, Each.HasStoreView});
+    SettingsVersions.push_back(Each.SettingsVersion);
     Summary.HasUrgentItems = Summary.HasUrgentItems || Each.HasUrgentItems;
     Summary.WaitingItems += Each.WaitingItems;
     Avoided.insert(Each.AvoidedServers.begin(), Each.AvoidedServers.end());
@@ -264,6 +267,11 @@
     Add(Known.Digest, Known.Key, Known.Address,
         Node == this->Listed.end() ? 0 : Node->second.Weight);
   }
+  Summary.SettingsVersion =
+      *std::max_element(SettingsVersions.begin(), SettingsVersions.end());
+  for (std::size_t I = 0; I < SettingsVersions.size(); ++I)
+    Summary.Members[I].HasNewestSettings =
+        SettingsVersions[I] == Summary.SettingsVersion;
   Summary.AvoidedServers.assign(Avoided.begin(), Avoided.end());
   Summary.Crashes =
       this->Crashes.recordsToShare(CrashCounter::MaxSharedRecords);
@@ -367,16 +375,51 @@
   return Waiting;
 }
 
-std::vector<std::string> PeerDirectory::storeViewAddresses() const {
-  std::set<std::string> Found;
+void PeerDirectory::visitSettings(
+    const std::function<void(const std::string &, bool, std::uint64_t)> &Visit)
+    const {
   for (const auto &[Incarnation, Known] : this->Peers)
-    if (!Known.Silent && Known.Digest.HasStoreView)
-      Found.insert(Known.Address);
+    if (!Known.Silent)
+      Visit(Known.Address, Known.Digest.HasStoreView,
+            Known.Digest.SettingsVersion);
   for (const auto &[Zone, Known] : this->Zones)
     for (const ZoneMember &Member : Known.Summary.Members)
-      if (Member.HasStoreView)
-        Found.insert(Member.Address);
-  Found.erase(this->Self.Address);
+      if (Member.Key != this->OwnKey)
+        Visit(Member.Address, Member.HasStoreView,
+              Member.HasNewestSettings ? Known.Summary.SettingsVersion : 0);
+}
+
+std::vector<std::string> PeerDirectory::storeViewAddresses() const {
+  std::set<std::string> Found;
+  std::uint64_t Newest = 0;
+  this->visitSettings([&](const std::string &Address, bool HasStoreView,
+                          std::uint64_t Version) {
+    if (!HasStoreView || Version < Newest || Address == this->Self.Address)
+      return;
+    if (Version > Newest)
+      Found.clear();
+    Newest = Version;
+    Found.insert(Address);
+  });
+  return {Found.begin(), Found.end()};
+}
+
+std::uint64_t PeerDirectory::newestSettings() const {
+  std::uint64_t Newest = 0;
+  this->visitSettings([&](const std::string &, bool, std::uint64_t Version) {
+    Newest = std::max(Newest, Version);
+  });
+  return Newest;
+}
+
+std::vector<std::string>
+PeerDirectory::addressesWithSettingsAfter(std::uint64_t Version) const {
+  std::set<std::string> Found;
+  this->visitSettings(
+      [&](const std::string &Address, bool, std::uint64_t Each) {
+        if (Each > Version && Address != this->Self.Address)
+          Found.insert(Address);
+      });
   return {Found.begin(), Found.end()};
 }
 
--- a/Source/Node/PeerDirectory.h
+++ b/Source/Node/PeerDirectory.h
@@ -8,6 +8,7 @@
 #include "Serving/CrashCounter.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -103,9 +104,22 @@
   /// Returns whether \p Incarnation is this VM's own or is not silent.
   bool isAlive(const std::string &Incarnation) const;
 
-  /// Returns the addresses of the VMs that have a current view of the store.
+  /// Returns the addresses of those VMs with a current view of the store that
+  /// have the newest settings among them, so that a VM that starts again does
+  /// not go back to an earlier version.
   std::vector<std::string> storeViewAddresses() const;
 
+  /// Returns the newest settings version of the other VMs, or 0 if none is
+  /// known.
+  std::uint64_t newestSettings() const;
+  /// Returns the addresses of the VMs with settings after version \p Version.
+  std::vector<std::string>
+  addressesWithSettingsAfter(std::uint64_t Version) const;
+
+  /// Returns the time at which a message of another VM last arrived, or
+  /// Instant() if there was none.
+  Instant lastHeard() const { return this->LastHeard; }
+
 private:
   struct Peer {
     PeerDigest Digest;
@@ -121,6 +135,12 @@
     Instant HeardAt;
   };
 
+  /// Passes the address, whether it has a store view and the settings version
+  /// of each VM that is not silent to \p Visit. The version is 0 if a summary
+  /// states only that it is not the newest one.
+  void visitSettings(
+      const std::function<void(const std::string &Address, bool HasStoreView,
+                               std::uint64_t Version)> &Visit) const;
   const ZoneMember *findMember(NodeKey Key) const;
   /// Returns the loads of \p Summary without those of this VM.
   LoadsByServer loadsOfOthers(const ZoneSummary &Summary) const;
@@ -143,6 +163,7 @@
   std::map<std::string, SummarizedZone> Zones;
   std::map<std::string, ListedNode> Listed;
   std::size_t KnownNodes = 0;
+  Instant LastHeard;
   AggregatorElection Election;
   struct SentDigest {
     std::uint64_t Sequence = 0;
--- a/Source/Node/PeerView.cpp
+++ b/Source/Node/PeerView.cpp
@@ -75,8 +75,9 @@
 }
 
 StoreViewClient::StoreViewClient(EventLoop &Loop, BackendChannels &Channels,
-                                 ReceiveCallback Callback)
-    : Loop(Loop), Channels(Channels), Callback(std::move(Callback)) {}
+                                 std::string Path, ReceiveCallback Callback)
+    : Loop(Loop), Channels(Channels), Path(std::move(Path)),
+      Callback(std::move(Callback)) {}
 
 void StoreViewClient::requestFrom(const std::string &Address) {
   if (this->PendingRequest != 0)
@@ -86,7 +87,7 @@
   Order.ConnectTime = ViewConnectTimeout;
   Order.MaxBodyBytes = MaxViewBytes;
   Order.Request.Method = "GET";
-  Order.Request.Target = Path;
+  Order.Request.Target = this->Path;
   Order.Request.Headers = {{"Host", Address}};
   this->PeerAddress = Address;
   this->Body.clear();
--- a/Source/Node/PeerView.h
+++ b/Source/Node/PeerView.h
@@ -30,12 +30,16 @@
 /// Requests the store view from other VMs, one request at a time.
 class StoreViewClient : private SendHandler {
 public:
-  static constexpr const char *Path = "/view";
+  /// The targets of requests for a whole view, which only a VM with a current
+  /// one gives, and for a view with nothing but the settings in force.
+  static constexpr const char *ViewPath = "/view";
+  static constexpr const char *SettingsPath = "/settings";
 
   using ReceiveCallback = std::function<void(const std::string &PeerAddress,
                                              const StoreView &View)>;
 
-  StoreViewClient(EventLoop &Loop, BackendChannels &Channels,
+  /// \p Path is one of the targets above.
+  StoreViewClient(EventLoop &Loop, BackendChannels &Channels, std::string Path,
                   ReceiveCallback Callback);
 
   /// Sends a request to the VM at \p Address unless another one is pending.
@@ -50,6 +54,7 @@
 
   EventLoop &Loop;
   BackendChannels &Channels;
+  std::string Path;
   ReceiveCallback Callback;
   SendId PendingRequest = 0;
   std::string PeerAddress;
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -1,6 +1,7 @@
 #include "Node/ServingNode.h"
 
 #include "Core/Hash.h"
+#include "Node/KeyTrustPolicy.h"
 #include "Node/NodeTimes.h"
 #include "Telemetry/Logger.h"
 
@@ -56,10 +57,15 @@
         this->replyView(Id, Request);
       }),
       ViewServer(Dependencies.Loop, this->ViewHandler),
-      ViewClient(Dependencies.Loop, Dependencies.Channels,
-                 [this](const std::string &From, const StoreView &View) {
-                   this->handleStoreView(From, View);
-                 }),
+      Views({Dependencies.Loop, Dependencies.Channels, Dependencies.Ids,
+             this->Peers, this->Config,
+             [this](const std::string &From, const StoreView &View) {
+               this->handleStoreView(From, View);
+             },
+             [this](const std::string &From, const StoreView &View) {
+               this->Settings.adoptIfNewer(View.Settings, From);
+             }},
+            hash64(this->Self)),
       Online({Dependencies.Loop, this->Front, Dependencies.Channels,
               this->Servers, this->Loads, this->Placement, this->Guard,
               Dependencies.Ids, Dependencies.Adapter.backendProtocol(),
@@ -85,7 +91,7 @@
       Admission({Dependencies.Adapter.backendProtocol(),
                  Dependencies.Adapter.jobCallCodec(), this->Organisations,
                  [this] { return this->Settings.current(); },
-                 [] { return true; },
+                 [this] { return this->mayUseKeys(); },
                  [this](Duration Time) {
                    return this->Stopping.hasBegun() &&
                           this->Stopping.endsBefore(Time);
@@ -169,7 +175,13 @@
   Loop.every(TakeoverPeriod, [this] { this->takeOverJobs(); });
   Loop.every(ProgressSavePeriod, [this] { this->Runner.saveProgress(); });
   Loop.every(CleanupPeriod, [this] { this->deleteExpiredJobs(); });
-  Loop.every(ViewRequestPeriod, [this] { this->requestStoreView(); });
+  Loop.every(ViewRequestPeriod, [this] {
+    if (!this->hasStoreView())
+      this->Views.requestView();
+  });
+  Loop.every(SettingsLagPeriod, [this] {
+    this->Views.requestNewerSettings(this->Settings.version());
+  });
   this->Dependencies.Log.log(LogLevel::Info, "The node starts.",
                              {{"incarnation", this->Self},
                               {"zone", this->Config.Zone},
@@ -197,14 +209,20 @@
 }
 
 void ServingNode::replyView(CallerId Id, const RawRequest &Request) {
-  if (Request.Target != StoreViewClient::Path || !this->hasStoreView()) {
+  const bool SettingsOnly = Request.Target == StoreViewClient::SettingsPath;
+  const bool IsKnown =
+      SettingsOnly
+          ? this->Settings.current() != nullptr
+          : Request.Target == StoreViewClient::ViewPath && this->hasStoreView();
+  if (!IsKnown) {
     this->ViewServer.reply(Id, Unavailable, {}, "the store is not seen");
     return;
   }
   StoreView View;
   View.Settings = this->Settings.document();
-  for (const auto &[Server, Row] : this->ServerRows)
-    View.Servers.push_back(Row);
+  if (!SettingsOnly)
+    for (const auto &[Server, Row] : this->ServerRows)
+      View.Servers.push_back(Row);
   this->ViewServer.reply(Id, Ok, {}, encodeView(View));
 }
 
@@ -213,21 +231,11 @@
          this->ServerFeed.isCurrent();
 }
 
-void ServingNode::requestStoreView() {
-  if (this->hasStoreView())
-    return;
-  // The control port is the same on every VM.
-  const std::string Port = this->Config.ControlAddress.substr(
-      this->Config.ControlAddress.find(':') + 1);
-  std::vector<std::string> Candidates;
-  for (const std::string &Peer : this->Peers.storeViewAddresses())
-    Candidates.push_back(Peer.substr(0, Peer.find(':') + 1) + Port);
-  if (Candidates.empty())
-    Candidates = this->Config.Seeds;
-  std::erase(Candidates, this->Config.ControlAddress);
-  if (!Candidates.empty())
-    this->ViewClient.requestFrom(
-        Candidates[this->Dependencies.Ids.number() % Candidates.size()]);
+bool ServingNode::mayUseKeys() const {
+  return KeyTrustPolicy(this->Config.StrictRevoke, this->Config.RevokeTime)
+      .mayUseKeys(
+          std::max(this->SettingsFeed.lastAnswer(), this->Peers.lastHeard()),
+          this->Dependencies.Loop.clock().now());
 }
 
 void ServingNode::handleStoreView(const std::string &From,
@@ -452,6 +460,8 @@
   const ChangedKeys Changed = changedKeys(this->Config, NewConfig);
   this->Config.Seeds = NewConfig.Seeds;
   this->Config.StopTimeout = NewConfig.StopTimeout;
+  this->Config.StrictRevoke = NewConfig.StrictRevoke;
+  this->Config.RevokeTime = NewConfig.RevokeTime;
   this->Dependencies.Log.log(
       LogLevel::Info, "Reloaded the settings file.",
       {{"changed", Changed.InEffect},
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -14,9 +14,9 @@
 #include "Node/NodeRegistry.h"
 #include "Node/PeerDirectory.h"
 #include "Node/PeerExchange.h"
-#include "Node/PeerView.h"
 #include "Node/RequestAdmission.h"
 #include "Node/SynchronousHandler.h"
+#include "Node/ViewRequests.h"
 #include "RawHttp/CallerServer.h"
 #include "Rows/RowFeed.h"
 #include "Serving/CrashDetector.h"
@@ -66,7 +66,7 @@
   void replyView(CallerId Id, const RawRequest &Request);
   bool isReady() const;
   bool hasStoreView() const;
-  void requestStoreView();
+  bool mayUseKeys() const;
   void handleStoreView(const std::string &From, const StoreView &View);
   void applySettings(const ServingSettings &Settings);
   void updateConnectionLimits();
@@ -107,7 +107,7 @@
   CallerServer MetricsServer;
   SynchronousHandler ViewHandler;
   CallerServer ViewServer;
-  StoreViewClient ViewClient;
+  ViewRequests Views;
   OnlineService Online;
   GracefulStop Stopping;
   JobDirectory KnownJobs;
--- a/Source/Node/ZoneSummary.cpp
+++ b/Source/Node/ZoneSummary.cpp
@@ -15,8 +15,8 @@
 
 /// The first field of each summary. It differs from the versions of digests,
 /// and is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 65;
-constexpr std::uint32_t FieldCount = 10;
+constexpr unsigned ProtocolVersion = 66;
+constexpr std::uint32_t FieldCount = 11;
 constexpr std::uint32_t FieldsPerMember = 5;
 /// The first byte of a msgpack array with fewer than 16 elements is this value
 /// plus the number of elements.
@@ -24,6 +24,7 @@
 
 constexpr unsigned StoppingFlag = 1;
 constexpr unsigned StoreViewFlag = 2;
+constexpr unsigned NewestSettingsFlag = 4;
 
 /// The binary form of an address: four bytes for the IP and two for the port.
 constexpr std::size_t PackedAddressBytes = 6;
@@ -70,12 +71,14 @@
     const auto Flags = readField<unsigned>(Members, I + 4);
     Member.Stopping = (Flags & StoppingFlag) != 0;
     Member.HasStoreView = (Flags & StoreViewFlag) != 0;
+    Member.HasNewestSettings = (Flags & NewestSettingsFlag) != 0;
     Summary.Members.push_back(std::move(Member));
   }
   Summary.HasUrgentItems = readField<bool>(Object, 6);
   Summary.AvoidedServers = readField<std::vector<ServerKey>>(Object, 7);
   Summary.Crashes = readCrashes(Object.via.array.ptr[8]);
   Summary.WaitingItems = readField<int>(Object, 9);
+  Summary.SettingsVersion = readField<std::uint64_t>(Object, 10);
   return Summary;
 }
 
@@ -106,12 +109,14 @@
     Out.pack(Member.Sequence);
     Out.pack(Member.Weight);
     Out.pack((Member.Stopping ? StoppingFlag : 0) |
-             (Member.HasStoreView ? StoreViewFlag : 0));
+             (Member.HasStoreView ? StoreViewFlag : 0) |
+             (Member.HasNewestSettings ? NewestSettingsFlag : 0));
   }
   Out.pack(Summary.HasUrgentItems);
   Out.pack(Summary.AvoidedServers);
   packCrashes(Out, Summary.Crashes);
   Out.pack(Summary.WaitingItems);
+  Out.pack(Summary.SettingsVersion);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/ZoneSummary.h
+++ b/Source/Node/ZoneSummary.h
@@ -29,6 +29,8 @@
   int Weight = 0;
   bool Stopping = false;
   bool HasStoreView = false;
+  /// The VM has the settings version of the summary.
+  bool HasNewestSettings = false;
 };
 
 /// The sum of the digests of the VMs of one zone. An aggregator of the zone
@@ -43,6 +45,8 @@
   std::uint64_t Sequence = 0;
   LoadsByServer Loads;
   std::vector<ZoneMember> Members;
+  /// The newest settings version of the members.
+  std::uint64_t SettingsVersion = 0;
   /// A VM of the zone has waiting items that can still meet their deadline.
   bool HasUrgentItems = false;
   /// The number of items of the zone's VMs that wait for a slot.
--- a/Tests/Node/AggregationTest.cpp
+++ b/Tests/Node/AggregationTest.cpp
@@ -308,3 +308,35 @@
   cr_assert_not(Directory.isAlive("far"));
   cr_assert_eq(Bench.Loads.front()->totalLoad("s").Online, 0);
 }
+
+// Guards against a VM in a large fleet that does not learn which VMs have newer
+// settings, because it gets only summaries.
+Test(Aggregation, SummariesTellWhoHasTheNewestSettings) {
+  ZoneBench Bench(6);
+  Bench.exchangeFor(4s);
+  ManualClock Time;
+  LoadTracker Loads{"far"};
+  CrashCounter Crashes{Time};
+  PeerDirectory Far{Time, Loads, Crashes, "far", {"10.3.0.1:7660", "c", 12}};
+  const std::size_t From = Bench.acting().front();
+  PeerDigest Own = Bench.digestOf(From);
+  Own.SettingsVersion = 7;
+  for (std::size_t I = 0; I < 6; ++I) {
+    PeerDigest Digest = Bench.digestOf(I);
+    Digest.SettingsVersion = I == 4 || I == 5 ? 8 : 7;
+    Bench.Directories[From]->handleDigest(addressOf(static_cast<int>(I)),
+                                          Digest);
+  }
+  cr_assert_eq(Far.lastHeard(), Instant());
+  Time.advance(1s);
+  ZoneSummary Summary = Bench.Directories[From]->summarizeOwnZone(Own);
+  Summary.Sequence = 1;
+  const Result<ZoneSummary> Read = decodeSummary(encodeSummary(Summary));
+  cr_assert(Read);
+  Far.handleSummary(*Read);
+  cr_assert_eq(Far.lastHeard(), Time.now());
+  cr_assert_eq(Far.newestSettings(), 8);
+  const std::vector<std::string> Newer = {addressOf(4), addressOf(5)};
+  cr_assert(Far.addressesWithSettingsAfter(7) == Newer);
+  cr_assert(Far.addressesWithSettingsAfter(8).empty());
+}
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -182,3 +182,53 @@
   cr_assert(Read->Servers.at(0).Value == Row.Value);
   cr_assert_eq(Read->Servers.at(0).Version, 7);
 }
+
+// Guards against a VM that fails to start because the platform lacks a value,
+// and against a value that is ignored.
+Test(NodeConfig, RevocationMayBeLeftOut) {
+  const auto Read = [](const std::string &More) {
+    return readText(GoodConfig + More);
+  };
+  for (const char *Missing :
+       {"", "strict_revoke = \"\"\nrevoke_ms = \"\"\n",
+        "strict_revoke = \"{{bounds.strict_revoke}}\"\nrevoke_ms = "
+        "\"null\"\n"}) {
+    const Result<NodeConfig> Config = Read(Missing);
+    cr_assert(Config, "%s", Missing);
+    cr_assert_not(Config->StrictRevoke);
+    cr_assert_eq(Config->RevokeTime, Duration(5s));
+  }
+  for (const char *Given : {"strict_revoke = true\nrevoke_ms = 7000\n",
+                            "strict_revoke = \"true\"\nrevoke_ms = \"7000\"\n",
+                            "strict_revoke = \"True\"\nrevoke_ms = 7000.0\n"}) {
+    const Result<NodeConfig> Config = Read(Given);
+    cr_assert(Config, "%s", Given);
+    cr_assert(Config->StrictRevoke);
+    cr_assert_eq(Config->RevokeTime, Duration(7s));
+  }
+  cr_assert_not(Read("strict_revoke = \"false\"\n")->StrictRevoke);
+  for (const char *Invalid :
+       {"strict_revoke = 1", "strict_revoke = \"yes\"", "revoke_ms = 0",
+        "revoke_ms = -1", "revoke_ms = \"5s\"", "revoke_ms = true"})
+    cr_assert_not(Read(Invalid), "%s", Invalid);
+}
+
+// Guards against a VM that starts again and takes older settings from one VM
+// although another one has newer ones.
+Test(PeerDirectory, StoreViewsWithTheNewestSettingsArePreferred) {
+  PeerBench Bench;
+  for (const int Vm : {2, 3, 4, 5}) {
+    PeerDigest Digest = digestOf("n" + std::to_string(Vm), 1);
+    Digest.SettingsVersion = static_cast<std::uint64_t>(Vm);
+    Digest.HasStoreView = Vm < 5;
+    Bench.Peers.handleDigest("1.1.0." + std::to_string(Vm) + ":1", Digest);
+  }
+  const std::vector<std::string> View = {"1.1.0.4:1"};
+  cr_assert(Bench.Peers.storeViewAddresses() == View);
+  cr_assert_eq(Bench.Peers.newestSettings(), 5);
+  const std::vector<std::string> Newer = {"1.1.0.4:1", "1.1.0.5:1"};
+  cr_assert(Bench.Peers.addressesWithSettingsAfter(3) == Newer);
+  Bench.Time.advance(2s);
+  Bench.Peers.detectSilentPeers();
+  cr_assert_eq(Bench.Peers.newestSettings(), 0);
+}
