Node: Exchange and apply the limits of organisations

The VMs did not know of each other's admitted requests. Digests (version 6) and summaries (version 66) carry them, at most 64 organisations each; LimitExchange counts each request once, from summaries or digests. RequestAdmission asks the limit last, so that only requests that are served count.

--- a/Source/Node/PeerCodec.cpp
+++ b/Source/Node/PeerCodec.cpp
@@ -9,6 +9,7 @@
 /// for each server.
 constexpr std::uint32_t CrashHeadFields = 7;
 constexpr std::uint32_t FieldsPerCrash = 2;
+constexpr std::uint32_t FieldsPerUse = 5;
 
 } // namespace
 
@@ -54,6 +55,23 @@
   return Crashes;
 }
 
+std::vector<OrganisationUse> readUses(const msgpack::object &Object) {
+  const std::uint32_t Size = checkedArray(Object, FieldsPerUse).size;
+  if (Size > FieldsPerUse * RateLimits::MaxReportedUses)
+    throw msgpack::type_error();
+  std::vector<OrganisationUse> Uses;
+  Uses.reserve(Size / FieldsPerUse);
+  for (std::uint32_t I = 0; I < Size; I += FieldsPerUse) {
+    OrganisationUse &Use = Uses.emplace_back();
+    Use.Organisation = readField<OrganisationKey>(Object, I);
+    Use.Admitted = readField<std::uint64_t>(Object, I + 1);
+    Use.AdmittedRecently = readField<std::uint32_t>(Object, I + 2);
+    Use.Balance = readField<std::int32_t>(Object, I + 3);
+    Use.FleetRecently = readField<std::uint32_t>(Object, I + 4);
+  }
+  return Uses;
+}
+
 void packLoads(msgpack::packer<msgpack::sbuffer> &Out,
                const LoadsByServer &Loads) {
   Out.pack_array(static_cast<std::uint32_t>(FieldsPerLoad * Loads.size()));
@@ -84,4 +102,16 @@
   }
 }
 
+void packUses(msgpack::packer<msgpack::sbuffer> &Out,
+              const std::vector<OrganisationUse> &Uses) {
+  Out.pack_array(static_cast<std::uint32_t>(FieldsPerUse * Uses.size()));
+  for (const OrganisationUse &Use : Uses) {
+    Out.pack(Use.Organisation);
+    Out.pack(Use.Admitted);
+    Out.pack(Use.AdmittedRecently);
+    Out.pack(Use.Balance);
+    Out.pack(Use.FleetRecently);
+  }
+}
+
 } // namespace turmericpass
--- a/Source/Node/PeerCodec.h
+++ b/Source/Node/PeerCodec.h
@@ -3,6 +3,7 @@
 
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
+#include "Serving/RateLimits.h"
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -25,12 +26,16 @@
 
 LoadsByServer readLoads(const msgpack::object &Object);
 std::vector<CrashRecord> readCrashes(const msgpack::object &Object);
+std::vector<OrganisationUse> readUses(const msgpack::object &Object);
 
 void packLoads(msgpack::packer<msgpack::sbuffer> &Out,
                const LoadsByServer &Loads);
 void packCrashes(msgpack::packer<msgpack::sbuffer> &Out,
                  const std::vector<CrashRecord> &Crashes);
 
+void packUses(msgpack::packer<msgpack::sbuffer> &Out,
+              const std::vector<OrganisationUse> &Uses);
+
 } // namespace turmericpass
 
 #endif
--- a/Source/Node/PeerDigest.cpp
+++ b/Source/Node/PeerDigest.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// The first field of each digest. It is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 5;
-constexpr std::uint32_t FieldCount = 12;
+constexpr unsigned ProtocolVersion = 6;
+constexpr std::uint32_t FieldCount = 14;
 
 PeerDigest readDigest(const msgpack::object &Object) {
   if (checkedArray(Object, FieldCount).size != FieldCount ||
@@ -28,6 +28,8 @@
   Digest.AvoidedServers = readField<std::vector<ServerKey>>(Object, 9);
   Digest.HasUrgentItems = readField<bool>(Object, 10);
   Digest.WaitingItems = readField<int>(Object, 11);
+  Digest.Uses.Informed = readField<bool>(Object, 12);
+  Digest.Uses.Uses = readUses(Object.via.array.ptr[13]);
   return Digest;
 }
 
@@ -49,6 +51,8 @@
   Out.pack(Digest.AvoidedServers);
   Out.pack(Digest.HasUrgentItems);
   Out.pack(Digest.WaitingItems);
+  Out.pack(Digest.Uses.Informed);
+  packUses(Out, Digest.Uses.Uses);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/PeerDigest.h
+++ b/Source/Node/PeerDigest.h
@@ -4,6 +4,7 @@
 #include "Core/Error.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
+#include "Serving/RateLimits.h"
 
 #include <cstdint>
 #include <string>
@@ -32,6 +33,8 @@
   std::vector<ServerKey> AvoidedServers;
   /// The number of items of this VM that wait for a slot.
   int WaitingItems = 0;
+  /// The requests of organisations that this VM admitted.
+  UseReport Uses;
 };
 
 std::string encodeDigest(const PeerDigest &Digest);
--- a/Source/Node/PeerDirectory.h
+++ b/Source/Node/PeerDirectory.h
@@ -89,6 +89,7 @@
   /// are the same on every VM, and this VM's own one is ownName().
   std::vector<std::string> aliveNames() const;
   const std::string &ownName() const { return this->OwnName; }
+  NodeKey ownKey() const { return this->OwnKey; }
 
   /// Returns whether any VM that is not silent has urgent items.
   bool otherVmsHaveUrgentItems() const;
--- a/Source/Node/PeerExchange.cpp
+++ b/Source/Node/PeerExchange.cpp
@@ -16,6 +16,8 @@
 PeerExchange::PeerExchange(PeerExchangeDependencies Dependencies,
                            std::string Zone)
     : Dependencies(std::move(Dependencies)), Zone(std::move(Zone)),
+      UseReports(this->Dependencies.Limits, this->Dependencies.Peers,
+                 this->Zone),
       Port(this->Dependencies.Loop) {}
 
 Result<void> PeerExchange::open(const std::string &Address) {
@@ -39,6 +41,7 @@
   this->Dependencies.Stats.add("digests_received_total");
   for (ServerKey Key : Digest->AvoidedServers)
     this->Dependencies.Servers.applyPeerAvoidance(Key);
+  this->UseReports.handleDigest(From, *Digest);
   this->Dependencies.Peers.handleDigest(From, std::move(*Digest));
 }
 
@@ -50,10 +53,11 @@
   }
   this->Dependencies.Stats.add("summaries_received_total");
   const std::string From = Summary->Zone;
-  const std::vector<ServerKey> Avoided = Summary->AvoidedServers;
-  if (!this->Dependencies.Peers.handleSummary(std::move(*Summary)))
+  const bool IsAdopted = this->Dependencies.Peers.handleSummary(*Summary);
+  this->UseReports.handleSummary(*Summary, IsAdopted);
+  if (!IsAdopted)
     return;
-  for (ServerKey Key : Avoided)
+  for (ServerKey Key : Summary->AvoidedServers)
     this->Dependencies.Servers.applyPeerAvoidance(Key);
   // Only the first copy of each summary is the newest one, so two aggregators
   // of a zone that act at the same time do not pass it on to each other again.
@@ -76,6 +80,7 @@
   PeerDigest Digest = this->Dependencies.MakeDigest();
   Digest.Zone = this->Zone;
   Digest.Sequence = ++this->DigestSequence;
+  Digest.Uses = this->Dependencies.Limits.makeReport(Digest.Sequence);
   this->SentLoadRevision = this->Dependencies.Loads.revision();
   this->DigestSentAt = this->Dependencies.Loop.clock().now();
   return Digest;
@@ -110,6 +115,7 @@
   Digest.Sequence = this->DigestSequence;
   ZoneSummary Summary = Peers.summarizeOwnZone(Digest);
   Summary.Sequence = ++this->SummarySequence;
+  Summary.Uses = this->Dependencies.Limits.makeZoneReport();
   const std::string Bytes = encodeSummary(Summary);
   const Instant Now = this->Dependencies.Loop.clock().now();
   this->SummarySentAt = Now;
--- a/Source/Node/PeerExchange.h
+++ b/Source/Node/PeerExchange.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 #include "Node/DigestPort.h"
+#include "Node/LimitExchange.h"
 #include "Node/PeerDigest.h"
 
 #include <functional>
@@ -30,6 +31,7 @@
   const LoadTracker &Loads;
   PeerDirectory &Peers;
   ServerDirectory &Servers;
+  RateLimits &Limits;
   /// Returns the state of this VM for the others, without a sequence number.
   std::function<PeerDigest()> MakeDigest;
 };
@@ -64,6 +66,7 @@
 
   PeerExchangeDependencies Dependencies;
   std::string Zone;
+  LimitExchange UseReports;
   DigestPort Port;
   std::uint64_t DigestSequence = 0;
   std::uint64_t SummarySequence = 0;
--- a/Source/Node/RequestAdmission.cpp
+++ b/Source/Node/RequestAdmission.cpp
@@ -11,6 +11,7 @@
 
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
+constexpr int TooManyRequests = 429;
 constexpr int Unavailable = 503;
 
 } // namespace
@@ -18,8 +19,9 @@
 tl::expected<AdmittedRequest, RequestRefusal>
 RequestAdmission::decide(const RawRequest &Request) const {
   const auto Refuse = [](int Status, std::string_view Reason,
-                         std::string_view RetryAfter = {}) {
-    return tl::make_unexpected(RequestRefusal{Status, Reason, RetryAfter});
+                         std::string RetryAfter = {}) {
+    return tl::make_unexpected(
+        RequestRefusal{Status, Reason, std::move(RetryAfter)});
   };
   const ServingSettings *Settings = this->Dependencies.Settings();
   if (!Settings)
@@ -53,6 +55,14 @@
           this->timeLimitOf(Request, Admitted.Call ? JobApi::MaxCallTime
                                                    : Admitted.Route->Timeout)))
     return Refuse(Unavailable, "this VM stops", "0");
+  // The limit comes last, so that only requests that are served count.
+  const bool IsOnline =
+      Admitted.Route && Admitted.Route->Kind != RequestKind::Batch;
+  if (IsOnline && Admitted.Organisation)
+    if (const std::optional<Duration> Delay =
+            this->Dependencies.ApplyLimit(*Admitted.Organisation))
+      return Refuse(TooManyRequests, "the organisation is over its limit",
+                    formatSeconds(*Delay));
   return Admitted;
 }
 
--- a/Source/Node/RequestAdmission.h
+++ b/Source/Node/RequestAdmission.h
@@ -7,6 +7,8 @@
 #include "Serving/OrganisationDirectory.h"
 
 #include <functional>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace turmericpass {
@@ -23,6 +25,10 @@
   /// Returns whether this VM may end before a request that takes this long is
   /// over.
   std::function<bool(Duration)> MayEndWithin;
+  /// Counts a request of an organisation, or returns the delay after which the
+  /// caller may try again. See RateLimits.
+  std::function<std::optional<Duration>(const OrganisationSettings &)>
+      ApplyLimit = [](const OrganisationSettings &) { return std::nullopt; };
 };
 
 /// Why a request is not served. It has not run and never will.
@@ -30,7 +36,7 @@
   int Status = 0;
   std::string_view Reason;
   /// The time in seconds after which the caller may try again, or empty.
-  std::string_view RetryAfter;
+  std::string RetryAfter;
 };
 
 /// A request that is to be served. It has either a route or a call.
@@ -43,7 +49,8 @@
 };
 
 /// Decides whether a request of a caller is served: the settings must be known,
-/// the request must have a route or concern a job, and its key must be known.
+/// the request must have a route or concern a job, its key must be known, and
+/// its organisation must be within its limit.
 /// This class performs no I/O.
 class RequestAdmission {
 public:
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -38,6 +38,9 @@
             }),
       Placement(Dependencies.Loop.clock(), this->Servers, this->Loads,
                 Dependencies.Channels, this->Config.Zone, this->Self),
+      Limits(Dependencies.Loop.clock(), this->PeerAddress),
+      Limiter(Dependencies.Loop.clock(), this->Limits, Dependencies.Log,
+              this->Stats),
       Peers(Dependencies.Loop.clock(), this->Loads, this->Crashes, this->Self,
             this->registration()),
       Settings(Dependencies.Adapter, Dependencies.Log,
@@ -89,6 +92,10 @@
                  [this](Duration Time) {
                    return this->Stopping.hasBegun() &&
                           this->Stopping.endsBefore(Time);
+                 },
+                 [this](const OrganisationSettings &Organisation) {
+                   return this->Limiter.apply(Organisation,
+                                              this->Dependencies.Ids.number());
                  }}),
       Takeover(Dependencies.Loop.clock(), this->Peers.ownName()),
       Cleaner(Dependencies.Store, this->KnownJobs, Dependencies.Log,
@@ -122,13 +129,17 @@
       Registry(Dependencies.Loop, Dependencies.Store, Dependencies.Ids,
                Dependencies.Log, this->registration(),
                [this](std::vector<ListedNode> Nodes) {
+                 std::vector<std::string> Addresses;
+                 for (const ListedNode &Node : Nodes)
+                   Addresses.push_back(Node.Address);
+                 this->Limits.setListedVms(Addresses);
                  this->Peers.setListedNodes(std::move(Nodes));
                  this->updateFeedIntervals();
                  this->updateConnectionLimits();
                }),
       Exchange({Dependencies.Loop, Dependencies.Ids, Dependencies.Log,
                 this->Stats, this->Loads, this->Peers, this->Servers,
-                [this] { return this->makeDigest(); }},
+                this->Limits, [this] { return this->makeDigest(); }},
                this->Config.Zone),
       StartedAt(Dependencies.Loop.clock().now()) {}
 
@@ -280,6 +291,7 @@
 void ServingNode::applySettings(const ServingSettings &Adopted) {
   this->Front.setLimits(Adopted.Limits);
   this->Organisations.replace(Adopted.Organisations);
+  this->Limits.setOrganisations(Adopted.Organisations);
   this->updateConnectionLimits();
 }
 
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -12,6 +12,7 @@
 #include "Node/GracefulStop.h"
 #include "Node/NodeConfig.h"
 #include "Node/NodeRegistry.h"
+#include "Node/OrganisationLimiter.h"
 #include "Node/PeerDirectory.h"
 #include "Node/PeerExchange.h"
 #include "Node/PeerView.h"
@@ -97,6 +98,8 @@
   CrashArchive BlockedRequests;
   CrashGuard Guard;
   PlacementPolicy Placement;
+  RateLimits Limits;
+  OrganisationLimiter Limiter;
   PeerDirectory Peers;
   ActiveSettings Settings;
   OrganisationDirectory Organisations;
--- a/Source/Node/ZoneSummary.cpp
+++ b/Source/Node/ZoneSummary.cpp
@@ -15,8 +15,8 @@
 
 /// The first field of each summary. It differs from the versions of digests,
 /// and is incremented when the fields change.
-constexpr unsigned ProtocolVersion = 65;
-constexpr std::uint32_t FieldCount = 10;
+constexpr unsigned ProtocolVersion = 66;
+constexpr std::uint32_t FieldCount = 12;
 constexpr std::uint32_t FieldsPerMember = 5;
 /// The first byte of a msgpack array with fewer than 16 elements is this value
 /// plus the number of elements.
@@ -76,6 +76,8 @@
   Summary.AvoidedServers = readField<std::vector<ServerKey>>(Object, 7);
   Summary.Crashes = readCrashes(Object.via.array.ptr[8]);
   Summary.WaitingItems = readField<int>(Object, 9);
+  Summary.Uses.Informed = readField<bool>(Object, 10);
+  Summary.Uses.Uses = readUses(Object.via.array.ptr[11]);
   return Summary;
 }
 
@@ -112,6 +114,8 @@
   Out.pack(Summary.AvoidedServers);
   packCrashes(Out, Summary.Crashes);
   Out.pack(Summary.WaitingItems);
+  Out.pack(Summary.Uses.Informed);
+  packUses(Out, Summary.Uses.Uses);
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/Source/Node/ZoneSummary.h
+++ b/Source/Node/ZoneSummary.h
@@ -4,6 +4,7 @@
 #include "Core/Error.h"
 #include "Serving/CrashRecord.h"
 #include "Serving/LoadTracker.h"
+#include "Serving/RateLimits.h"
 
 #include <cstdint>
 #include <string>
@@ -49,6 +50,9 @@
   int WaitingItems = 0;
   std::vector<ServerKey> AvoidedServers;
   std::vector<CrashRecord> Crashes;
+  /// The requests of organisations that the zone's VMs admitted, counted since
+  /// the aggregator gets their digests.
+  UseReport Uses;
 };
 
 /// Returns whether \p Bytes start like a summary and not like a digest.
--- a/Source/Serving/RateLimits.cpp
+++ b/Source/Serving/RateLimits.cpp
@@ -238,6 +238,12 @@
                              std::uint64_t Incarnation, const UseReport &Report,
                              bool IsCounted, bool IsOwnZone) {
   this->update();
+  // What was refilled before is cut off at the capacity now, and the part of
+  // the sender only after its requests are subtracted: they used that part.
+  for (const OrganisationUse &Use : Report.Uses)
+    if (const auto Found = this->Buckets.find(Use.Organisation);
+        Found != this->Buckets.end())
+      this->refill(Found->second);
   this->recordHeard(Address, Incarnation);
   Source &Sender = this->Vms[Address];
   const bool IsFirst = Sender.Incarnation != Incarnation;
@@ -265,8 +271,6 @@
       State.FromInformed = Use;
     if (IsOwnZone)
       this->countForZone(Use.Organisation, State, Requests);
-    // The refill comes second, so that a part that was used and refilled since
-    // the last report is not cut off at the capacity.
     if (IsCounted)
       this->subtract(State, Requests);
     this->refill(State);
--- a/Source/Serving/RateLimits.h
+++ b/Source/Serving/RateLimits.h
@@ -88,7 +88,7 @@
   void addVmReport(const std::string &Address, std::uint64_t Incarnation,
                    const UseReport &Report, bool IsCounted, bool IsOwnZone);
 
-  /// Records that the VM at \p Address was alive at \p At.
+  /// Records that the VM at \p Address is alive.
   void recordHeard(const std::string &Address, std::uint64_t Incarnation);
 
   /// Processes the sum of a zone by \p Aggregator. \p OwnSequence is the
@@ -98,12 +98,17 @@
                      std::optional<std::uint64_t> OwnSequence,
                      const UseReport &Report, bool IsCounted);
 
+  /// Forgets the sums of \p Zone, because its VMs report to this one.
+  void forgetZone(const std::string &Zone) { this->Zones.erase(Zone); }
+
   /// Returns the report of this VM with the organisations that changed most.
   /// \p Sequence is recorded, so that this VM's part of a zone's sum is known.
   UseReport makeReport(std::uint64_t Sequence);
   /// Returns the report of this VM's zone as far as its VMs report to this one.
   UseReport makeZoneReport();
 
+  const FleetShares &shares() const { return this->Shares; }
+
   /// Returns the estimated balance, for tests and logs.
   double balance(std::string_view Organisation);
 
--- a/Tests/Node/RequestAdmissionTest.cpp
+++ b/Tests/Node/RequestAdmissionTest.cpp
@@ -36,7 +36,14 @@
       {this->Protocol, this->Codec, this->Organisations,
        [this] { return this->SettingsKnown ? &this->Settings : nullptr; },
        [this] { return this->MayUseKeys; },
-       [this](Duration Time) { return Time > this->TimeLeft; }}};
+       [this](Duration Time) { return Time > this->TimeLeft; },
+       [this](const OrganisationSettings &) {
+         ++this->CountedRequests;
+         return this->RetryDelay;
+       }}};
+  /// The answer of the limit.
+  std::optional<Duration> RetryDelay;
+  int CountedRequests = 0;
 
   explicit AdmissionBench(bool HasOrganisations = true) {
     this->Protocol.Authorization = "Authorization";
@@ -175,3 +182,30 @@
   Bench.TimeLeft = 2400ms;
   cr_assert_eq(Bench.status("/job", GoodKey), 503);
 }
+
+// Guards against requests over the limit that are served, and against a limit
+// that applies to job calls, to submissions, to callers without an organisation
+// or to requests that are refused for another reason.
+Test(RequestAdmission, LimitAppliesToServedRequestsOfOrganisations) {
+  AdmissionBench Bench;
+  RouteSettings Batch;
+  Batch.Host = "h";
+  Batch.PathPrefix = "/batch/";
+  Batch.Kind = RequestKind::Batch;
+  Bench.Settings.Routes.push_back(Batch);
+  Bench.RetryDelay = 1250ms;
+  const auto Decision = Bench.decide("/r/x", GoodKey);
+  cr_assert_not(Decision);
+  cr_assert_eq(Decision.error().Status, 429);
+  cr_assert_str_eq(Decision.error().RetryAfter.c_str(), "1.25");
+  cr_assert_eq(Bench.status("/public/x", GoodKey), 429);
+  cr_assert_eq(Bench.CountedRequests, 2);
+  cr_assert_eq(Bench.status("/r/x", BadKey), 401);
+  cr_assert_eq(Bench.status("/none/x", GoodKey), 404);
+  cr_assert_eq(Bench.status("/job", GoodKey), 0);
+  cr_assert_eq(Bench.status("/batch/x", GoodKey), 0);
+  cr_assert_eq(Bench.status("/public/x"), 0);
+  Bench.TimeLeft = Duration(0);
+  cr_assert_eq(Bench.status("/r/x", GoodKey), 503);
+  cr_assert_eq(Bench.CountedRequests, 2);
+}
