--- a/Source/Node/ZoneSummary.cpp
+++ b/Source/Node/ZoneSummary.cpp
@@ -16,7 +16,7 @@
 /// The first field of each summary. It differs from the versions of digests,
 /// and is incremented when the fields change.
 constexpr unsigned ProtocolVersion = 66;
-constexpr std::uint32_t FieldCount = 11;
+constexpr std::uint32_t FieldCount = 13;
 constexpr std::uint32_t FieldsPerMember = 5;
 /// The first byte of a msgpack array with fewer than 16 elements is this value
 /// plus the number of elements.
@@ -79,6 +79,8 @@
   Summary.Crashes = readCrashes(Object.via.array.ptr[8]);
   Summary.WaitingItems = readField<int>(Object, 9);
   Summary.SettingsVersion = readField<std::uint64_t>(Object, 10);
+  Summary.Uses.Informed = readField<bool>(Object, 11);
+  Summary.Uses.Uses = readUses(Object.via.array.ptr[12]);
   return Summary;
 }
 
@@ -117,6 +119,8 @@
   packCrashes(Out, Summary.Crashes);
   Out.pack(Summary.WaitingItems);
   Out.pack(Summary.SettingsVersion);
+  Out.pack(Summary.Uses.Informed);
+  packUses(Out, Summary.Uses.Uses);
   return {Buffer.data(), Buffer.size()};
 }
 
