Serving: Send a copy of a late request to another server

A few slow servers spoil the tail of the answers: a repeatable request waited for its first server until that stalled.

With the new setting hedge_share (0, off, by default), a request whose answer is later than the quantile 1 - share/2 of its service gets a copy on a server that does not have it and has a free slot. The first head of a whole successful answer, or the first event of a stream, wins, and the other send is cancelled. SampleWindow moves to Core. The beginning of a stream is held back until its first event, so that head and events come from one run.

--- a/Source/Scheduling/SampleWindow.cpp
+++ b/Source/Core/SampleWindow.cpp
@@ -1,4 +1,4 @@
-#include "Scheduling/SampleWindow.h"
+#include "Core/SampleWindow.h"
 
 #include <algorithm>
 
--- a/Source/Node/GracefulStop.cpp
+++ b/Source/Node/GracefulStop.cpp
@@ -12,6 +12,7 @@
 void GracefulStop::begin() {
   this->Since = this->Loop.clock().now();
   this->Front.startDraining();
+  this->Online.stopHedging();
   this->Loop.every(StopCheckPeriod, [this] { this->takeNextStep(); });
 }
 
--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -16,6 +16,9 @@
 /// The metadata of a job must fit into one row.
 constexpr double MinRowBytes = 4096;
 
+/// Copies for more requests than this could overload the servers.
+constexpr double MaxHedgeShare = 0.2;
+
 /// Reads values from a TOML table and collects an error message with the line
 /// number for each invalid key.
 class ConfigReader {
@@ -150,6 +153,14 @@
       Reader.readNumber("keep_jobs_s", 1, 31'536'000) * 1000));
   Config.StopTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(
       Reader.readNumber("stop_time_s", 1, 3600) * 1000));
+  const HedgeSettings Default;
+  Config.Hedging.Share =
+      Reader.readOptionalNumber("hedge_share", 0, MaxHedgeShare, Default.Share);
+  Config.Hedging.MinDelay = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Reader.readOptionalNumber(
+          "hedge_min_delay_ms", 1, 60'000, toMillis(Default.MinDelay))));
+  Config.Hedging.FreeSlots =
+      Reader.readOptionalNumber("hedge_free_slots", 0, 1, Default.FreeSlots);
   Reader.rejectUnknownKeys();
   if (!Reader.errors().empty())
     return failure(ErrorCode::InvalidArgument, Reader.errors());
@@ -164,6 +175,12 @@
   };
   Add(Changed.InEffect, Before.Seeds != After.Seeds, "seeds");
   Add(Changed.InEffect, Before.StopTimeout != After.StopTimeout, "stop_time_s");
+  Add(Changed.InEffect, Before.Hedging.Share != After.Hedging.Share,
+      "hedge_share");
+  Add(Changed.InEffect, Before.Hedging.MinDelay != After.Hedging.MinDelay,
+      "hedge_min_delay_ms");
+  Add(Changed.InEffect, Before.Hedging.FreeSlots != After.Hedging.FreeSlots,
+      "hedge_free_slots");
   std::string &Later = Changed.AfterRestart;
   Add(Later, Before.Name != After.Name, "node");
   Add(Later, Before.Zone != After.Zone, "zone");
--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Error.h"
+#include "Serving/HedgePlanner.h"
 
 #include <cstdint>
 #include <string>
@@ -41,6 +42,7 @@
   Duration JobRetention = std::chrono::minutes(10);
   /// The time between SIGTERM and SIGKILL.
   Duration StopTimeout = std::chrono::seconds(8);
+  HedgeSettings Hedging;
 };
 
 /// Reads the process settings from the TOML file \p Path. The error message
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -124,7 +124,9 @@
                 this->Stats, this->Loads, this->Peers, this->Servers,
                 [this] { return this->makeDigest(); }},
                this->Config.Zone),
-      StartedAt(Dependencies.Loop.clock().now()) {}
+      StartedAt(Dependencies.Loop.clock().now()) {
+  this->Online.setHedging(this->Config.Hedging);
+}
 
 ListedNode ServingNode::registration() const {
   constexpr double PercentPerCore = 100;
@@ -472,6 +474,8 @@
   const ChangedKeys Changed = changedKeys(this->Config, NewConfig);
   this->Config.Seeds = NewConfig.Seeds;
   this->Config.StopTimeout = NewConfig.StopTimeout;
+  this->Config.Hedging = NewConfig.Hedging;
+  this->Online.setHedging(this->Config.Hedging);
   this->Dependencies.Log.log(
       LogLevel::Info, "Reloaded the settings file.",
       {{"changed", Changed.InEffect},
--- a/Source/Scheduling/LatencyTracker.h
+++ b/Source/Scheduling/LatencyTracker.h
@@ -2,7 +2,7 @@
 #define TURMERICPASS_SCHEDULING_LATENCYTRACKER_H
 
 #include "Core/Clock.h"
-#include "Scheduling/SampleWindow.h"
+#include "Core/SampleWindow.h"
 
 #include <map>
 #include <optional>
--- a/Source/Serving/CrashGuard.cpp
+++ b/Source/Serving/CrashGuard.cpp
@@ -5,6 +5,7 @@
 #include "Serving/OnlineCall.h"
 #include "Telemetry/Logger.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace turmericpass {
@@ -38,9 +39,19 @@
          !this->Crashes.isBlocked(Call.Suspects);
 }
 
-void CrashGuard::sendFailed(const OnlineCall &Call) {
-  if (Call.EventsOfSend <= CrashDetector::MaxEventsOfSuspect)
-    this->Detector.checkForCrash(Call.Server, Call.Suspects);
+bool CrashGuard::isSuspect(const OnlineCall &Call) const {
+  const auto HasCrashes = [this](std::uint64_t Suspect) {
+    return this->Crashes.crashesOf(Suspect) > 0;
+  };
+  return Call.IsTrial || HasCrashes(Call.Suspects.Request) ||
+         std::any_of(Call.Suspects.Parts.begin(), Call.Suspects.Parts.end(),
+                     HasCrashes);
+}
+
+void CrashGuard::sendFailed(const OnlineCall &Call, const std::string &Server,
+                            int Events) {
+  if (Events <= CrashDetector::MaxEventsOfSuspect)
+    this->Detector.checkForCrash(Server, Call.Suspects);
 }
 
 void CrashGuard::eventsReceived(OnlineCall &Call) {
--- a/Source/Serving/CrashGuard.h
+++ b/Source/Serving/CrashGuard.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 namespace turmericpass {
 
@@ -25,9 +26,14 @@
   /// Returns whether a request may be sent again after a send that failed.
   bool mayRetry(const OnlineCall &Call) const;
 
-  /// Reports that a send did not complete after the server may have begun to
-  /// run the request.
-  void sendFailed(const OnlineCall &Call);
+  /// Returns whether the request or a part of its prompt ran on a server when
+  /// it crashed, and no run without a crash has reset that.
+  bool isSuspect(const OnlineCall &Call) const;
+
+  /// Reports that a send to \p Server did not complete after the server may
+  /// have begun to run the request. The send had received \p Events events.
+  void sendFailed(const OnlineCall &Call, const std::string &Server,
+                  int Events);
   /// Reports that the current send has received events of the answer.
   void eventsReceived(OnlineCall &Call);
   /// Reports that the current send received the whole answer.
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -6,6 +6,7 @@
 #include "RawHttp/CallerPort.h"
 #include "Serving/CrashSuspects.h"
 #include "Serving/EventSplitter.h"
+#include "Serving/HedgeState.h"
 #include "Serving/ServingSettings.h"
 #include "Serving/StallPolicy.h"
 
@@ -46,6 +47,8 @@
   Instant SentAt;
   /// The number of complete events that the latest send received.
   int EventsOfSend = 0;
+  /// Whether the time to the first answer to the latest send is recorded.
+  bool FirstAnswerRecorded = false;
   /// Whether the answer to the latest send says where it ends.
   bool AnswerHasLength = false;
   /// The servers to which the request was sent.
@@ -53,6 +56,7 @@
   WatchId RetryTimer = 0;
   /// The number of sends that may have run.
   int PossibleRuns = 0;
+  HedgeState Hedge;
   /// The number of sends that are known not to have run.
   int Refusals = 0;
   WatchId StallTimer = 0;
@@ -71,6 +75,12 @@
   std::string Body;
   std::optional<Instant> FirstByteAt;
 
+  /// Returns whether the caller may have an earlier part of the answer from
+  /// another run.
+  bool isRepeated() const {
+    return this->PossibleRuns - this->Hedge.UnusedRuns > 1;
+  }
+
   /// Returns whether an event stream that has ended was broken off. The end of
   /// a stream without a length looks the same if its server crashes.
   bool streamBrokeOff() const {
@@ -81,7 +91,7 @@
   /// Returns whether \p Event can be a part of the stream that the caller gets.
   /// The events of a resumed stream have ids, as those before them.
   bool belongsToStream(const StreamEvent &Event) const {
-    const bool IsResumed = this->PossibleRuns > 1 && this->LastEventId;
+    const bool IsResumed = this->isRepeated() && this->LastEventId;
     return Event.IsWellFormed && (!IsResumed || Event.Id || !Event.HasFields);
   }
 };
--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -36,7 +36,7 @@
 } // namespace
 
 OnlineService::OnlineService(OnlineServiceDependencies Dependencies)
-    : Dependencies(Dependencies) {}
+    : Dependencies(Dependencies), Hedges(Dependencies.Loop.clock()) {}
 
 void OnlineService::startCall(CallerId Caller, RawRequest Request,
                               const RouteSettings &Route) {
@@ -48,10 +48,13 @@
   Call.DeadlineTimer = this->Dependencies.Loop.after(
       Call.Deadline - Call.ArrivedAt,
       [this, Caller] { this->handleDeadline(Caller); });
-  if (this->Dependencies.Guard.admit(Call))
-    this->sendToServer(Call);
-  else
+  if (!this->Dependencies.Guard.admit(Call)) {
     this->refuse(Call, CrashingRequestReason, BlockedRetryAfter);
+    return;
+  }
+  if (Route.mayHedge())
+    this->Hedges.recordRequest();
+  this->sendToServer(Call);
 }
 
 OnlineCall *OnlineService::findCall(SendId Id) {
@@ -98,6 +101,7 @@
   Call.TriedServers.insert(Call.Server);
   Call.SentAt = Now;
   Call.EventsOfSend = 0;
+  Call.FirstAnswerRecorded = false;
   ++Call.PossibleRuns;
   Call.ActiveSend = this->Dependencies.Channels.send(
       makeOnlineRequest(Call, Call.Server, Server->Entry.Address,
@@ -107,6 +111,7 @@
   this->Dependencies.Loads.addOnlineRequest(Call.Server);
   Call.Stall.start(Now);
   this->armStallTimer(Call);
+  this->armHedgeTimer(Call);
 }
 
 void OnlineService::armStallTimer(OnlineCall &Call) {
@@ -133,6 +138,11 @@
   // which does not count as a failure.
   if (!Server || Server->LastActivityAt < Call.SentAt)
     this->Dependencies.Servers.recordFailure(Call.Server);
+  if (Call.Hedge.Copy) {
+    this->endOneSend(Call, Call.ActiveSend, SendEnd::Stalled,
+                     "the server sent nothing for too long");
+    return;
+  }
   if (!Call.Route.mayRepeat() || Call.PossibleRuns >= Call.Route.MaxAttempts) {
     this->waitOrAbandon(Call);
     return;
@@ -163,6 +173,8 @@
   this->Sends.erase(Call.ActiveSend);
   Call.ActiveSend = 0;
   Call.ReadingPaused = false;
+  this->cancelHedgeTimer(Call);
+  Call.Hedge.Held = HeldAnswer();
   this->Dependencies.Loads.removeOnlineRequest(Call.Server);
 }
 
@@ -280,6 +292,7 @@
 
 void OnlineService::finishCall(OnlineCall &Call, int Status,
                                std::string_view Outcome) {
+  this->endCopy(Call, "cancelled", true);
   this->clearBody(Call);
   this->Dependencies.Loop.cancel(Call.DeadlineTimer);
   this->Dependencies.Loop.cancel(Call.StallTimer);
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -3,6 +3,7 @@
 
 #include "Serving/AnswerMemory.h"
 #include "Serving/BackendProtocol.h"
+#include "Serving/HedgePlanner.h"
 #include "Serving/OnlineCall.h"
 #include "Serving/OverloadPolicy.h"
 
@@ -51,6 +52,13 @@
   /// again.
   void endAllCalls();
 
+  /// Applies the operator's settings for hedged requests.
+  void setHedging(HedgeSettings Settings) {
+    this->Hedges.setSettings(Settings);
+  }
+  /// Sends no more copies of requests, because this VM stops.
+  void stopHedging() { this->Hedges.stop(); }
+
   /// Resumes reading the answer for \p Caller, which has read what was sent.
   void callerCaughtUp(CallerId Caller);
 
@@ -64,6 +72,9 @@
   void sendFailed(SendId Id, SendFailure Failure,
                   std::string_view Detail) override;
 
+  /// How one of two sends of a request ended without an answer for the caller.
+  enum class SendEnd { Refused, NotReached, Failed, Broken, Rejected, Stalled };
+
   OnlineCall *findCall(SendId Id);
   void sendToServer(OnlineCall &Call);
   /// Ends the send in progress, if there is one, and removes it from the load.
@@ -102,8 +113,39 @@
   /// target latency has passed.
   void retryAfterRefusal(OnlineCall &Call, std::string_view Reason);
 
+  /// Waits until the answer to the send that has just started is late.
+  void armHedgeTimer(OnlineCall &Call);
+  void cancelHedgeTimer(OnlineCall &Call);
+  void handleLate(CallerId Caller);
+  /// Sends a copy of the request to another server. Returns whether that is
+  /// allowed.
+  bool sendCopy(OnlineCall &Call);
+  /// Ends the copy, if there is one, and counts it under \p Outcome.
+  void endCopy(OnlineCall &Call, std::string_view Outcome,
+               bool CloseConnection);
+  /// Ends the first send. The copy takes its place.
+  void replaceFirstSend(OnlineCall &Call, bool CloseConnection);
+  /// Cancels the other send, because \p Winner has the first answer.
+  void selectSend(OnlineCall &Call, SendId Winner);
+  /// Passes on what was held back of the answer to the only send. This may end
+  /// the call.
+  void releaseHeldAnswer(OnlineCall &Call);
+  /// Ends one of two sends. The other one goes on.
+  void endOneSend(OnlineCall &Call, SendId Id, SendEnd End,
+                  std::string_view Reason);
+  /// These handle what arrives while a copy may be sent or is in progress. They
+  /// return false if it is to be handled as for a request without a copy.
+  bool holdHead(OnlineCall &Call, SendId Id, const RawHead &Head);
+  bool holdBody(OnlineCall &Call, SendId Id, std::string_view Bytes);
+  bool holdEnd(OnlineCall &Call, SendId Id);
+  bool holdFailure(OnlineCall &Call, SendId Id, SendFailure Failure,
+                   std::string_view Detail);
+  /// Records the time to the first event or answer of the current send.
+  void recordFirstAnswer(OnlineCall &Call);
+
   OnlineServiceDependencies Dependencies;
   OverloadPolicy Overload;
+  HedgePlanner Hedges;
   AnswerMemory Memory;
   std::unordered_map<CallerId, std::unique_ptr<OnlineCall>> Calls;
   std::unordered_map<SendId, CallerId> Sends;
--- a/Source/Serving/OnlineServiceAnswers.cpp
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -10,7 +10,7 @@
 
 void OnlineService::answerHead(SendId Id, const RawHead &Head) {
   OnlineCall *Call = this->findCall(Id);
-  if (!Call)
+  if (!Call || this->holdHead(*Call, Id, Head))
     return;
   recordIfLeaving(Call->Server, Head, this->Dependencies.Protocol,
                   this->Dependencies.Servers, this->Dependencies.Log);
@@ -51,6 +51,8 @@
     this->armStallTimer(*Call);
     return;
   }
+  if (Success && !IsEventStream)
+    this->recordFirstAnswer(*Call);
   Call->AnswerHead = Head;
   this->clearBody(*Call);
   Call->IsEventStream = IsEventStream;
@@ -96,7 +98,7 @@
 
 void OnlineService::answerBody(SendId Id, std::string_view Bytes) {
   OnlineCall *Call = this->findCall(Id);
-  if (!Call)
+  if (!Call || this->holdBody(*Call, Id, Bytes))
     return;
   this->Dependencies.Servers.recordActivity(Call->Server);
   if (!Call->FirstByteAt)
@@ -126,13 +128,15 @@
     }
     // The first event of a resumed stream must directly follow the last
     // forwarded one.
-    if (Event.Id && Call.PossibleRuns > 1 && Call.LastEventId &&
+    if (Event.Id && Call.isRepeated() && Call.LastEventId &&
         *Event.Id != *Call.LastEventId + 1) {
       this->fail(Call, BadGateway, "the resumed stream left a gap");
       return;
     }
     if (Event.Id)
       Call.LastEventId = Event.Id;
+    if (Event.HasFields)
+      this->recordFirstAnswer(Call);
     ++Call.EventsOfSend;
     Complete += Event.Bytes;
   }
@@ -167,6 +171,8 @@
 }
 
 void OnlineService::answerDone(SendId Id) {
+  if (OnlineCall *Held = this->findCall(Id); Held && this->holdEnd(*Held, Id))
+    return;
   OnlineCall *Call = this->findCall(Id);
   if (!Call)
     return;
@@ -190,7 +196,7 @@
 void OnlineService::sendFailed(SendId Id, SendFailure Failure,
                                std::string_view Detail) {
   OnlineCall *Call = this->findCall(Id);
-  if (!Call)
+  if (!Call || this->holdFailure(*Call, Id, Failure, Detail))
     return;
   if (Failure != SendFailure::NotSent) {
     this->handleBrokenAnswer(*Call, Detail);
@@ -207,7 +213,7 @@
                                        std::string_view Reason) {
   this->endSend(Call, false);
   this->Dependencies.Servers.recordFailure(Call.Server);
-  this->Dependencies.Guard.sendFailed(Call);
+  this->Dependencies.Guard.sendFailed(Call, Call.Server, Call.EventsOfSend);
   this->retry(Call, Reason);
 }
 
--- a/Source/Serving/PlacementPolicy.cpp
+++ b/Source/Serving/PlacementPolicy.cpp
@@ -109,6 +109,44 @@
   return Best;
 }
 
+CopyPlacement
+PlacementPolicy::placeCopy(std::string_view Service,
+                           const std::set<std::string> &TriedServers,
+                           std::uint64_t Random) const {
+  CopyPlacement Best;
+  std::tuple<bool, int, std::uint64_t> BestRank;
+  int AllSlots = 0;
+  int AllFree = 0;
+  const Instant Now = this->Time.now();
+  for (const KnownServer *Server : this->Servers.usableServers(Service)) {
+    const ServerLoad Load = this->Loads.totalLoad(Server->Entry.Id);
+    const int UsedSlots = Load.Online + Load.Batch;
+    const int Free = std::max(0, Server->Entry.Slots - UsedSlots);
+    AllSlots += Server->Entry.Slots;
+    if (Server->AvoidedUntil > Now)
+      continue;
+    AllFree += Free;
+    // The loads of VMs in other zones become known later than those of the own
+    // zone, so the last slots are left to them.
+    const bool IsOtherZone = Server->Entry.Zone != this->Zone;
+    const int KeptFree = IsOtherZone || this->LoadsDelayed
+                             ? slotsKeptFree(Server->Entry.Slots, SpareSlots)
+                             : 0;
+    if (TriedServers.contains(Server->Entry.Id) || Free <= KeptFree)
+      continue;
+    // Random choices keep VMs from sending their copies to the same server.
+    const std::tuple Rank(IsOtherZone, this->LoadsDelayed ? 0 : UsedSlots,
+                          hash64(Server->Entry.Id, Random));
+    if (!Best.Server || Rank < BestRank) {
+      Best.Server = Server;
+      BestRank = Rank;
+    }
+  }
+  if (AllSlots > 0)
+    Best.FreeSlots = static_cast<double>(AllFree) / AllSlots;
+  return Best;
+}
+
 BatchCapacity PlacementPolicy::batchCapacity(std::string_view Service) const {
   BatchCapacity Capacity;
   const Instant Now = this->Time.now();
--- a/Source/Serving/PlacementPolicy.h
+++ b/Source/Serving/PlacementPolicy.h
@@ -24,6 +24,15 @@
   int WaitingRequests = 0;
 };
 
+/// The server to which a copy of a late request may be sent.
+struct CopyPlacement {
+  /// nullptr if no server has a free slot.
+  const KnownServer *Server = nullptr;
+  /// The fraction of the slots of the service that no request uses. The slots
+  /// of servers that are avoided count as used.
+  double FreeSlots = 0;
+};
+
 /// What the servers of a service offer to batch items.
 struct BatchCapacity {
   /// The number of usable servers, and how many of them are avoided.
@@ -50,6 +59,13 @@
                                const std::set<std::string> &TriedServers,
                                std::uint64_t Random = 0) const;
 
+  /// Chooses a server of \p Service for a copy of a late request. It is not in
+  /// \p TriedServers, is not avoided, and has a slot that neither a request nor
+  /// a batch item uses.
+  CopyPlacement placeCopy(std::string_view Service,
+                          const std::set<std::string> &TriedServers,
+                          std::uint64_t Random = 0) const;
+
   /// Returns a server of \p Service that has a free slot for a batch item and
   /// \p ReservedSlots more, or nullptr if there is none. A server with too few
   /// slots for that is chosen if it runs no request. A server that only other
--- a/Source/Serving/ServingSettings.h
+++ b/Source/Serving/ServingSettings.h
@@ -77,6 +77,13 @@
            this->Kind == RequestKind::Batch ||
            (this->Kind == RequestKind::Stream && this->Resumable);
   }
+
+  /// Returns whether two copies of a request of this route may run at the same
+  /// time.
+  bool mayHedge() const {
+    return this->Kind != RequestKind::Batch && this->mayRepeat() &&
+           this->MaxAttempts > 1;
+  }
 };
 
 struct ServiceSettings {
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -85,6 +85,28 @@
   cr_assert_not(readText(""));
 }
 
+// Guards against copies of requests without the operator's consent, and against
+// a share that could overload the servers.
+Test(NodeConfig, HedgingIsOffByDefaultAndBounded) {
+  cr_assert_eq(readText(GoodConfig)->Hedging.Share, 0);
+  cr_assert_eq(readText(GoodConfig)->Hedging.MinDelay, Duration(20ms));
+  cr_assert_eq(readText(GoodConfig)->Hedging.FreeSlots, 0.2);
+  const std::string Text = GoodConfig + "hedge_share = 0.02\n"
+                                        "hedge_min_delay_ms = 35\n"
+                                        "hedge_free_slots = 0.5\n";
+  const Result<NodeConfig> Read = readText(Text);
+  cr_assert(Read);
+  cr_assert_eq(Read->Hedging.Share, 0.02);
+  cr_assert_eq(Read->Hedging.MinDelay, Duration(35ms));
+  cr_assert_eq(Read->Hedging.FreeSlots, 0.5);
+  cr_assert_eq(changedKeys(*readText(GoodConfig), *Read).InEffect,
+               "hedge_share hedge_min_delay_ms hedge_free_slots");
+  for (const char *Wrong : {"hedge_share = 0.21", "hedge_share = -0.01",
+                            "hedge_share = \"1\"", "hedge_min_delay_ms = 0",
+                            "hedge_free_slots = 1.1", "hedge_free_slots = nan"})
+    cr_assert_not(readText(GoodConfig + Wrong + "\n"), "%s", Wrong);
+}
+
 // Guards against a reload that does not tell which changes are in effect.
 Test(NodeConfig, ChangedKeysAreNamed) {
   const Result<NodeConfig> Before = readText(GoodConfig);
--- a/Utilities/Experiment/ExperimentMain.cpp
+++ b/Utilities/Experiment/ExperimentMain.cpp
@@ -21,9 +21,10 @@
       << std::right << std::setw(5) << "seed" << std::setw(9) << "callers"
       << std::setw(9) << "on time" << std::setw(10) << "returned"
       << std::setw(7) << "late" << std::setw(10) << "unserved" << std::setw(9)
-      << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(8) << "items"
-      << std::setw(9) << "on time" << std::setw(7) << "late" << std::setw(8)
-      << "yields" << '\n';
+      << "p50 ms" << std::setw(9) << "p99 ms" << std::setw(10) << "p99.9 ms"
+      << std::setw(8) << "items" << std::setw(9) << "on time" << std::setw(7)
+      << "late" << std::setw(8) << "yields" << std::setw(8) << "copies"
+      << std::setw(6) << "won" << '\n';
 }
 
 void printRow(std::ostream &Out, std::string_view Load, std::string_view Policy,
@@ -41,11 +42,11 @@
       << '%' << std::setw(6) << Share(Got.Late, Got.Callers) << '%'
       << std::setw(9) << Share(Got.Unserved, Got.Callers) << '%' << std::setw(9)
       << Got.quantile(0.5) << std::setw(9) << Got.quantile(0.99)
-      << std::setprecision(3) << std::setw(8) << Got.itemWorth()
-      << std::setprecision(1) << std::setw(8)
+      << std::setw(10) << Got.quantile(0.999) << std::setprecision(3)
+      << std::setw(8) << Got.itemWorth() << std::setprecision(1) << std::setw(8)
       << Share(Got.ItemsOnTime, Got.Items) << '%' << std::setw(6)
       << Share(Got.ItemsLate, Got.Items) << '%' << std::setw(8) << Got.Yields
-      << '\n';
+      << std::setw(8) << Got.Copies << std::setw(6) << Got.CopiesWon << '\n';
 }
 
 /// Writes what callers earned of what was owed, a line for each second.
--- a/Utilities/Experiment/Replay.cpp
+++ b/Utilities/Experiment/Replay.cpp
@@ -128,6 +128,9 @@
   case EventKind::CallerGivesUp:
     this->callerGivesUp(Next.Index);
     return;
+  case EventKind::AnswerIsLate:
+    this->answerIsLate(Next.Index);
+    return;
   case EventKind::JobArrives:
     this->jobArrives(Next.Index);
     return;
@@ -185,17 +188,72 @@
       return;
     }
   }
-  const CallerArrival &Asked = this->Load.Callers[Index];
   Arrived.Server = this->serverIndex(Choice.Server->Entry.Id);
   Arrived.Run = ++this->LastRun;
   Arrived.SentAt = Now;
   this->Owners[Arrived.Run] = {false, Index, {}};
   Node.Loads.addOnlineRequest(Choice.Server->Entry.Id);
-  this->submit(Arrived.Server,
-               {Arrived.Run,
-                {{Asked.SharedPart + 1, 200}, {~Index, Asked.PromptTokens}},
-                0,
-                Asked.OutputTokens});
+  this->submit(Arrived.Server, this->requestOf(Index, Arrived.Run));
+  Node.Hedges.recordRequest();
+  if (const std::optional<Duration> Delay = Node.Hedges.delay("model"))
+    this->at(Now + *Delay, EventKind::AnswerIsLate, Index);
+}
+
+EngineRequest Replay::requestOf(std::size_t Index, RunId Run) const {
+  const CallerArrival &Asked = this->Load.Callers[Index];
+  return {Run,
+          {{Asked.SharedPart + 1, 200}, {~Index, Asked.PromptTokens}},
+          0,
+          Asked.OutputTokens};
+}
+
+void Replay::answerIsLate(std::size_t Index) {
+  Call &Late = this->Calls[Index];
+  if (Late.Ended || Late.FirstEvent)
+    return;
+  ReplayNode &Node = *this->Nodes[Late.Node];
+  const Instant Now = this->Time.now();
+  const CopyPlacement Choice =
+      Node.Policy.placeCopy("model", {serverId(Late.Server)}, this->Random());
+  HedgeCandidate Candidate;
+  Candidate.Service = "model";
+  Candidate.MayRepeat = true;
+  Candidate.PossibleRuns = 1;
+  Candidate.MaxAttempts = 2;
+  Candidate.Remaining = Late.FirstAt + CallerTime - Now;
+  Candidate.FreeSlots = Choice.FreeSlots;
+  Candidate.HasServer = Choice.Server != nullptr;
+  if (Node.Hedges.decide(Candidate) != HedgeDecision::Send)
+    return;
+  ++this->Result.Copies;
+  Late.CopyServer = this->serverIndex(Choice.Server->Entry.Id);
+  Late.CopyRun = ++this->LastRun;
+  Late.CopySentAt = Now;
+  this->Owners[Late.CopyRun] = {false, Index, {}};
+  Node.Loads.addOnlineRequest(Choice.Server->Entry.Id);
+  this->submit(Late.CopyServer, this->requestOf(Index, Late.CopyRun));
+}
+
+void Replay::endRun(const Call &Of, RunId Run, std::size_t Server) {
+  this->Engines[Server].cancel(Run);
+  this->Owners.erase(Run);
+  this->Nodes[Of.Node]->Loads.removeOnlineRequest(serverId(Server));
+}
+
+void Replay::selectRun(Call &Of, RunId Winner) {
+  HedgePlanner &Hedges = this->Nodes[Of.Node]->Hedges;
+  const Instant Now = this->Time.now();
+  if (Of.CopyRun == Winner) {
+    ++this->Result.CopiesWon;
+    std::swap(Of.Run, Of.CopyRun);
+    std::swap(Of.Server, Of.CopyServer);
+    std::swap(Of.SentAt, Of.CopySentAt);
+  }
+  Hedges.recordAnswer("model", Now - Of.SentAt);
+  if (Of.CopyRun == 0)
+    return;
+  Hedges.recordLowerBound("model", Now - Of.CopySentAt);
+  this->endRun(Of, std::exchange(Of.CopyRun, 0), Of.CopyServer);
 }
 
 void Replay::callerGivesUp(std::size_t Index) {
@@ -205,9 +263,9 @@
   Left.Ended = true;
   if (Left.Run == 0)
     return;
-  this->Engines[Left.Server].cancel(Left.Run);
-  this->Owners.erase(Left.Run);
-  this->Nodes[Left.Node]->Loads.removeOnlineRequest(serverId(Left.Server));
+  this->endRun(Left, Left.Run, Left.Server);
+  if (Left.CopyRun != 0)
+    this->endRun(Left, Left.CopyRun, Left.CopyServer);
 }
 
 void Replay::callerServed(Call &Served) {
@@ -231,8 +289,10 @@
   Call &Of = this->Calls[Index];
   const std::uint64_t First =
       std::min(EventTokens, this->Load.Callers[Index].OutputTokens);
-  if (!Of.FirstEvent && Step.MadeTokens >= First)
+  if (!Of.FirstEvent && Step.MadeTokens >= First) {
     Of.FirstEvent = this->Time.now() - Of.AttemptAt + WayTime;
+    this->selectRun(Of, Step.Id);
+  }
   if (!Step.Finished)
     return;
   ReplayNode &Node = *this->Nodes[Of.Node];
--- a/Utilities/Experiment/Replay.h
+++ b/Utilities/Experiment/Replay.h
@@ -25,6 +25,9 @@
   std::size_t ItemsLate = 0;
   /// Times that an item gave way.
   std::size_t Yields = 0;
+  /// The copies of late requests, and those that were first.
+  std::size_t Copies = 0;
+  std::size_t CopiesWon = 0;
   std::uint64_t ReadTokens = 0;
   /// Callers that came in each second, and what they earned.
   std::vector<double> Asked;
@@ -52,6 +55,7 @@
   enum class EventKind {
     CallerArrives,
     CallerGivesUp,
+    AnswerIsLate,
     JobArrives,
     StepEnds,
     NodeTicks,
@@ -78,6 +82,10 @@
     std::size_t Server = 0;
     RunId Run = 0;
     Instant SentAt;
+    /// The second run of a late request, or 0.
+    RunId CopyRun = 0;
+    std::size_t CopyServer = 0;
+    Instant CopySentAt;
     std::optional<Duration> FirstEvent;
   };
   /// Whose run it is: a caller's, or an item's.
@@ -91,6 +99,11 @@
   void handle(const Event &Next);
   void callerArrives(std::size_t Index);
   void callerGivesUp(std::size_t Index);
+  void answerIsLate(std::size_t Index);
+  /// Ends the run that did not make the first event.
+  void selectRun(Call &Of, RunId Winner);
+  void endRun(const Call &Of, RunId Run, std::size_t Server);
+  EngineRequest requestOf(std::size_t Index, RunId Run) const;
   void callerServed(Call &Served);
   void jobArrives(std::size_t Index);
   void stepEnds(std::size_t Server, Instant When);
--- a/Utilities/Experiment/ReplayNode.cpp
+++ b/Utilities/Experiment/ReplayNode.cpp
@@ -14,6 +14,8 @@
 const std::vector<PolicyFlags> &allPolicies() {
   static const std::vector<PolicyFlags> All = {
       {"turmericpass", true, true, true, true, true},
+      {"hedged-2%", true, true, true, true, true, 0.02},
+      {"hedged-5%", true, true, true, true, true, 0.05},
       {"no-refusals", false, true, true, true, true},
       {"items-by-age", true, true, true, false, true},
       {"items-keep-slots", true, false, true, true, true},
@@ -29,7 +31,10 @@
     : Name(std::move(Name)), Zone(std::move(Zone)), Servers(Time),
       Loads(this->Name), Policy(Time, this->Servers, this->Loads,
                                 this->Channels, this->Zone, this->Name),
-      Time(Time), Flags(Flags) {
+      Hedges(Time), Time(Time), Flags(Flags) {
+  HedgeSettings Hedging;
+  Hedging.Share = Flags.HedgeShare;
+  this->Hedges.setSettings(Hedging);
   for (const ServerEntry &Entry : Listed)
     this->Servers.update(Entry);
 }
--- a/Utilities/Experiment/ReplayNode.h
+++ b/Utilities/Experiment/ReplayNode.h
@@ -3,6 +3,7 @@
 
 #include "BatchJobs/ItemSchedulingPolicy.h"
 #include "BatchJobs/WaitingItems.h"
+#include "Serving/HedgePlanner.h"
 #include "Serving/LoadTracker.h"
 #include "Serving/OverloadPolicy.h"
 #include "Serving/PlacementPolicy.h"
@@ -30,6 +31,8 @@
   bool OrdersItems = true;
   /// Servers are chosen by their load; otherwise in turn.
   bool ChoosesByLoad = true;
+  /// The share of requests that may get a copy when they are late.
+  double HedgeShare = 0;
 };
 
 /// All of the product's decisions, and baselines without some of them.
@@ -66,6 +69,7 @@
   LoadTracker Loads;
   PlacementPolicy Policy;
   OverloadPolicy Overload;
+  HedgePlanner Hedges;
   ItemSchedulingPolicy Order;
   std::map<std::string, OwnedJob> Jobs;
   std::uint64_t SentRevision = 0;
--- a/Utilities/Experiment/Workload.cpp
+++ b/Utilities/Experiment/Workload.cpp
@@ -18,6 +18,7 @@
     {LoadPattern::Bursts, "bursts"},
     {LoadPattern::SlowServers, "slow-servers"},
     {LoadPattern::Backlog, "backlog"},
+    {LoadPattern::NoisyNeighbours, "noisy"},
 });
 
 /// Requests as the users' sheets describe them.
@@ -36,6 +37,12 @@
 constexpr double LowLoad = 0.35;
 constexpr double HighLoad = 1.15;
 
+/// The noisy neighbours of the users' servers.
+constexpr std::size_t NoisyPercent = 15;
+constexpr double NoiseFactor = 2.5;
+constexpr Duration NoiseLength = 600ms;
+constexpr Duration NoisePeriod = 3s;
+
 constexpr Duration RunLength = 40s;
 /// Arrivals end so long before the run, so that the last ones can end.
 constexpr Duration TailLength = 6s;
@@ -45,6 +52,7 @@
   const bool High = At % WavePeriod >= LowPart;
   switch (Pattern) {
   case LoadPattern::Steady:
+  case LoadPattern::NoisyNeighbours:
     return 0.4;
   case LoadPattern::Bursts:
     if ((At >= 5s && At < 8s) || (At >= 20s && At < 23s))
@@ -60,6 +68,9 @@
 
 /// The load of jobs, as a share of what all slots serve.
 double jobLoad(LoadPattern Pattern) {
+  // Items would use the free slots that copies need.
+  if (Pattern == LoadPattern::NoisyNeighbours)
+    return 0.02;
   return Pattern == LoadPattern::Backlog ? 0.6 : 0.3;
 }
 
@@ -114,6 +125,12 @@
       Job.OutputTokens.push_back(Draw(OutputTokensOfItem, 0.4));
     Made.Jobs.push_back(std::move(Job));
   }
+  if (Pattern == LoadPattern::NoisyNeighbours)
+    for (Duration At = 10s; At < End; At += NoisePeriod)
+      for (std::size_t I = 0;
+           I < std::max<std::size_t>(1, Size.Servers * NoisyPercent / 100); ++I)
+        Made.Spells.push_back(
+            {Random() % Size.Servers, At, At + NoiseLength, NoiseFactor});
   if (Pattern == LoadPattern::SlowServers)
     for (Duration At = 2s; At < End; At += 3s)
       for (std::size_t I = 0; I < std::max<std::size_t>(1, Size.Servers / 3);
--- a/Utilities/Experiment/Workload.h
+++ b/Utilities/Experiment/Workload.h
@@ -22,6 +22,9 @@
   SlowServers,
   /// Waves, and more items than the free slots can run before they are due.
   Backlog,
+  /// Callers at a steady rate, while neighbours slow a few servers down briefly
+  /// by turns.
+  NoisyNeighbours,
 };
 
 std::string_view toName(LoadPattern Pattern);
