--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -3,6 +3,7 @@
 
 #include "Core/Clock.h"
 #include "Core/Error.h"
+#include "Serving/HedgePlanner.h"
 
 #include <cstdint>
 #include <string>
@@ -45,6 +46,7 @@
   /// or another VM.
   bool StrictRevoke = false;
   Duration RevokeTime = std::chrono::seconds(5);
+  HedgeSettings Hedging;
 };
 
 /// Reads the process settings from the TOML file \p Path. The error message
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -147,7 +147,9 @@
                 this->Stats, this->Loads, this->Peers, this->Servers,
                 this->Limits, [this] { return this->makeDigest(); }},
                this->Config.Zone),
-      StartedAt(Dependencies.Loop.clock().now()) {}
+      StartedAt(Dependencies.Loop.clock().now()) {
+  this->Online.setHedging(this->Config.Hedging);
+}
 
 ListedNode ServingNode::registration() const {
   constexpr double PercentPerCore = 100;
@@ -474,6 +476,8 @@
   this->Config.StopTimeout = NewConfig.StopTimeout;
   this->Config.StrictRevoke = NewConfig.StrictRevoke;
   this->Config.RevokeTime = NewConfig.RevokeTime;
+  this->Config.Hedging = NewConfig.Hedging;
+  this->Online.setHedging(this->Config.Hedging);
   this->Dependencies.Log.log(
       LogLevel::Info, "Reloaded the settings file.",
       {{"changed", Changed.InEffect},
