BatchJobs: Test the counts of crashing items at a take-over

A new owner must not run items whose counts it could not read, and callers must not displace a trial before it shows anything; both had no test. The test of an exhausted item waits long enough for a first trial: with 1 s it passed also when the trials in the row were ignored.

--- a/Tests/BatchJobs/CrashingItemTest.cpp
+++ b/Tests/BatchJobs/CrashingItemTest.cpp
@@ -293,21 +293,22 @@
   cr_assert_not(Fleet.Bench.Runner.find("j")->Items[0].Crashes.isSuspect());
 }
 
-// Guards against an item that a new owner sends again although it had its last
-// trial, and against one that is then not given up when its retention ends.
-Test(CrashingItem, ExhaustedItemWaitsUntilItsRetentionEnds) {
-  RunnerBench Bench;
+namespace {
+
+/// Starts a job of one item, and lets \p Other take it over with \p Counts in
+/// the progress of the item.
+void takeOverWith(RunnerBench &Bench, JobRunner &Other,
+                  const ItemCrashCounts &Counts) {
   cr_assert(Bench.startJob("j", 1));
   Bench.Runner.releaseJobs();
   cr_assert(runUntil(Bench.Loop, [&] {
     return Bench.Directory.find("j")->Metadata.Owner.empty();
   }));
   std::optional<bool> Saved;
-  Bench.Store.saveItemProgress("j", {0, 0, "", 0, false, {6, 3, 0}},
+  Bench.Store.saveItemProgress("j", {0, 0, "", 0, false, Counts},
                                [&](bool IsSaved) { Saved = IsSaved; });
   cr_assert(runUntil(Bench.Loop, [&] { return Saved.has_value(); }));
   cr_assert(*Saved);
-  JobRunner Other(dependenciesOfOther(Bench));
   const KnownJob Known = *Bench.Directory.find("j");
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
@@ -315,14 +316,27 @@
   Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
                         Bench.Time.now() + 5s, Bench.Directory,
                         [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
-  cr_assert(runUntil(Bench.Loop, [&] {
-    return Other.find("j") && !Other.find("j")->Items.empty();
-  }));
-  const Instant End = Bench.Time.now() + 1s;
+}
+
+/// Runs \p Other for \p Span.
+void runOther(RunnerBench &Bench, JobRunner &Other, Duration Span) {
+  const Instant End = Bench.Time.now() + Span;
   while (Bench.Time.now() < End) {
     Other.schedule();
     Bench.Loop.runOnce(5ms);
   }
+}
+
+} // namespace
+
+// Guards against an item that a new owner sends again although it had its last
+// trial, and against one that is then not given up when its retention ends.
+Test(CrashingItem, ExhaustedItemWaitsUntilItsRetentionEnds) {
+  RunnerBench Bench;
+  JobRunner Other(dependenciesOfOther(Bench));
+  takeOverWith(Bench, Other, {6, 3, 0});
+  // The first trial of an item with three crashes starts after 1.5 s.
+  runOther(Bench, Other, 2s);
   cr_assert_eq(Bench.Channels.All.size(), 1, "the item was sent again");
   cr_assert(Other.owns("j"), "the item was given up");
   Bench.StoreNow = Bench.Settings.Routes[0].JobRetention.count() / 1000 + 2000;
@@ -330,3 +344,37 @@
   cr_assert(runUntil(Bench.Loop, [&] { return !Other.owns("j"); }));
   cr_assert_not(Bench.results("j").at(0).Succeeded);
 }
+
+// Guards against an item that is sent again after its last trial, because the
+// new owner could not read its progress at first.
+Test(CrashingItem, NewOwnerDoesNotRunItemsWithUnreadCounts) {
+  RunnerBench Bench;
+  Bench.Rows.AwayParts = "progress-";
+  JobRunner Other(dependenciesOfOther(Bench));
+  takeOverWith(Bench, Other, {6, 3, 0});
+  runOther(Bench, Other, 500ms);
+  cr_assert_eq(Bench.Channels.All.size(), 1, "the item ran without its counts");
+  Bench.Rows.AwayParts.clear();
+  runOther(Bench, Other, 500ms);
+  cr_assert_eq(Other.find("j")->Items.at(0).Crashes.counts().Trials, 3);
+  cr_assert_eq(Bench.Channels.All.size(), 1);
+}
+
+// Guards against trials that callers displace before they show anything, and
+// against slots that a cleared item keeps from callers.
+Test(CrashingItem, TrialKeepsItsSlotUntilTheItemIsCleared) {
+  RunnerBench Bench;
+  JobRunner Other(dependenciesOfOther(Bench));
+  takeOverWith(Bench, Other, {3, 0, 0});
+  runOther(Bench, Other, 2s);
+  cr_assert_eq(Bench.Channels.All.size(), 2, "the trial did not start");
+  for (int I = 0; I < 8; ++I)
+    Bench.Loads.addOnlineRequest("s1");
+  Bench.Channels.head(2, 200, {{"Content-Type", "text/event-stream"}});
+  Other.schedule();
+  cr_assert_not(Bench.Channels.Cancelled.contains(2));
+  for (int Event = 0; Event < ItemCrashPolicy::ClearingEvents; ++Event)
+    Bench.Channels.body(2, "id: " + std::to_string(Event) + "\ndata: x\n\n");
+  Other.schedule();
+  cr_assert(Bench.Channels.Cancelled.contains(2));
+}
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -38,6 +38,8 @@
   int Oversized = 0;
   /// Reads fail while it is set.
   bool Away = false;
+  /// Reads of parts whose names begin with it fail, unless it is empty.
+  std::string AwayParts;
   int Transactions = 0;
   /// The store's clock.
   std::int64_t StoreMillis = 0;
@@ -78,7 +80,8 @@
 
   void read(RowRange Range, PageCallback Done) override {
     Result<RowPage> Page = RowPage();
-    if (this->Away)
+    if (this->Away ||
+        (!this->AwayParts.empty() && Range.Part.starts_with(this->AwayParts)))
       Page = failure(ErrorCode::Unavailable, "The store is away.");
     for (const auto &[Name, Row] : this->Rows) {
       const auto &[Table, Part, Key] = Name;
