Serving: Test refused copies, full servers and trials of hedged requests

Mutations of the hedging showed that no test failed when a refused copy used up an attempt, when a copy went to a server without a free slot, or when loads of other zones were taken as current. Four tests or parts of tests guard against these.

--- a/Tests/Serving/HedgedRequestTest.cpp
+++ b/Tests/Serving/HedgedRequestTest.cpp
@@ -241,6 +241,17 @@
   Bench.Crashes.addCrash({makeCrashSuspects("/x", "", "bad:1,o:3")}, 1);
   Bench.checkNoCopy(RequestKind::Idempotent, true, "bad:1,own:3");
   cr_assert_eq(Bench.refused("suspect"), 1);
+  HedgeBench Trial;
+  Trial.IsChosenForTrials = true;
+  CrashRecord Blocked;
+  Blocked.Suspect = sharedPromptParts("bad:2,o:3").front();
+  Blocked.IsPart = true;
+  Blocked.AgeSeconds = 60;
+  Blocked.Servers = {{1, 1}, {2, 1}, {3, 1}};
+  Blocked.Requests = {1, 2, 3};
+  Trial.Crashes.mergeRecord(Blocked);
+  Trial.checkNoCopy(RequestKind::Idempotent, true, "bad:2,own:3");
+  cr_assert_eq(Trial.refused("suspect"), 1);
 }
 
 // Guards against copies that displace other requests: a copy needs a free slot
@@ -259,6 +270,48 @@
   cr_assert_eq(Reserved.refused("capacity"), 1);
 }
 
+// Guards against copies that wait for a slot at a full server, although the
+// service as a whole has free slots.
+Test(HedgedRequest, CopyNeverWaitsForASlot) {
+  HedgeBench Bench;
+  Bench.Online.setHedging({0.2, 20ms, 0});
+  Bench.start(1, RequestKind::Idempotent);
+  const char *Other =
+      Bench.sentHeader(HedgeBench::First, "Server") == "s1" ? "s2" : "s1";
+  Bench.Loads.addOnlineRequest(Other);
+  Bench.Loads.addOnlineRequest(Other);
+  runFor(Bench.Loop, 60ms);
+  cr_assert_eq(Bench.Channels.All.size(), HedgeBench::First);
+  cr_assert_eq(Bench.refused("capacity"), 1);
+}
+
+// Guards against copies on servers that fail, that have the request, or whose
+// last slot a VM of their own zone may just have taken.
+Test(CopyPlacement, OnlyReliableServersWithAFreeSlotAreChosen) {
+  OnlineBench Bench;
+  Bench.Servers.update({"s3", "model", "127.0.0.1:3", "b", 2, false, 1});
+  const std::set<std::string> Tried = {"s1"};
+  cr_assert_eq(Bench.Placement.placeCopy("model", Tried).Server->Entry.Id,
+               "s2");
+  cr_assert_eq(Bench.Placement.placeCopy("model", Tried).FreeSlots, 1);
+  Bench.Servers.recordFailure("s2");
+  const CopyPlacement Far = Bench.Placement.placeCopy("model", Tried);
+  cr_assert_eq(Far.Server->Entry.Id, "s3");
+  cr_assert_eq(Far.FreeSlots, 4.0 / 6);
+  Bench.Loads.addBatchItem("s3");
+  cr_assert_eq(Bench.Placement.placeCopy("model", Tried).Server, nullptr);
+}
+
+// Guards against a refused copy that uses up an attempt of the route.
+Test(HedgedRequest, RefusedCopyIsNoAttempt) {
+  HedgeBench Bench;
+  Bench.startLate(RequestKind::Idempotent);
+  Bench.Channels.head(HedgeBench::Copy, 503, {{"Not-Run", "1"}});
+  Bench.Channels.fail(HedgeBench::First, SendFailure::Unanswered);
+  cr_assert_eq(Bench.Channels.All.size(), HedgeBench::Copy + 1);
+  cr_assert_not(Bench.answer(1).Complete);
+}
+
 // Guards against copies that a stopping VM starts, although it may not be there
 // for the answer.
 Test(HedgedRequest, StoppingVmSendsNoCopy) {
