--- a/Tests/PlatformAdapter/NodeStopTest.cpp
+++ b/Tests/PlatformAdapter/NodeStopTest.cpp
@@ -74,8 +74,7 @@
 // time of the final answers (4.45 s) and the exit (4.7 s).
 Test(NodeStop, AnswersThatCallersTakeAreDelivered) {
   NodeBench Bench;
-  const std::string Drawing =
-      std::string(DrawingBytes - 3, 'x') + "end";
+  const std::string Drawing = std::string(DrawingBytes - 3, 'x') + "end";
   SlowPeer Plain;
   RawPeer Streaming;
   Plain.connect(NodeBench::portOf(Bench.Config.FrontAddress));
