--- a/Source/Serving/OnlineService.cpp
+++ b/Source/Serving/OnlineService.cpp
@@ -118,8 +118,10 @@
   this->Dependencies.Loop.cancel(Call.StallTimer);
   Call.StallTimer = 0;
   // While the caller has to catch up, the server is not waited for.
-  if (Call.ReadingPaused)
+  if (Call.ReadingPaused) {
+    this->armPausedRead(Call);
     return;
+  }
   Call.StallTimer = this->Dependencies.Loop.after(
       Call.Stall.retryLimit(Call.Route),
       [this, Caller = Call.Caller] { this->handleStall(Caller); });
@@ -170,6 +172,9 @@
     return;
   if (CloseConnection)
     this->Dependencies.Channels.cancel(Call.ActiveSend);
+  else if (Call.ReadingPaused)
+    // The rest is skipped, so that the server can end the request.
+    this->Dependencies.Channels.setReading(Call.ActiveSend, true);
   this->Sends.erase(Call.ActiveSend);
   Call.ActiveSend = 0;
   Call.ReadingPaused = false;
@@ -193,8 +198,9 @@
        {"waited_ms",
         toMillis(this->Dependencies.Loop.clock().now() - Call.ArrivedAt)}});
   const bool MayRetry =
-      Call.PossibleRuns == 0 ||
-      (Call.Route.mayRepeat() && Call.PossibleRuns < Call.Route.MaxAttempts);
+      !Call.isPassedOnInPieces() &&
+      (Call.PossibleRuns == 0 ||
+       (Call.Route.mayRepeat() && Call.PossibleRuns < Call.Route.MaxAttempts));
   if (!MayRetry)
     this->fail(Call, BadGateway, Reason);
   else if (!this->Dependencies.Guard.mayRetry(Call))
