Tests: Pass the crash detector to the second job runner

Cause: two parts that were built side by side changed the dependencies of JobRunner and added a test that makes one. Change: the test passes the detector. Result: the test builds.

--- a/Tests/BatchJobs/JobOrganisationTest.cpp
+++ b/Tests/BatchJobs/JobOrganisationTest.cpp
@@ -102,9 +102,10 @@
   JobDirectory OtherDirectory(Bench.Log);
   JobRunner OtherRunner(
       {Bench.Loop, Bench.Channels, Bench.Store, OtherDirectory, Bench.Servers,
-       Bench.Loads, Bench.Placement, Bench.Crashes, Bench.Protocol, Bench.Log,
-       Bench.Stats, [&] { return &Bench.Settings; }, [] { return true; },
-       [] { return 0; }, [] { return false; }, [] { return 0; }, "other"});
+       Bench.Loads, Bench.Placement, Bench.Crashes, Bench.Detector,
+       Bench.Protocol, Bench.Log, Bench.Stats, [&] { return &Bench.Settings; },
+       [] { return true; }, [] { return 0; }, [] { return false; },
+       [] { return 0; }, "other"});
   JobApi OtherApi({Bench.Loop, Bench.Callers, Bench.Store, OtherDirectory,
                    OtherRunner, Bench.Protocol, Bench.Codec, Bench.Log,
                    Bench.Stats, [] { return 0; }, [] { return true; },
