Tests: End all calls of a stopping VM by the new name

Cause: endAllCalls() became endCalls(AlsoBegunStreams) in another part. Change: the test of hedged requests calls it. Result: the test builds.

--- a/Tests/Serving/HedgedRequestTest.cpp
+++ b/Tests/Serving/HedgedRequestTest.cpp
@@ -212,7 +212,7 @@
     HedgeBench Bench;
     Bench.startLate(RequestKind::Idempotent);
     if (Stops) {
-      Bench.Online.endAllCalls();
+      Bench.Online.endCalls(true);
       cr_assert_eq(Bench.answer(1).Status, 504);
     } else {
       Bench.Online.callerDisconnected(1);
