--- a/Source/Node/NodeConfig.cpp
+++ b/Source/Node/NodeConfig.cpp
@@ -201,11 +201,11 @@
       Reader.readNumber("keep_jobs_s", 1, 31'536'000) * 1000));
   Config.StopTimeout = std::chrono::milliseconds(static_cast<std::int64_t>(
       Reader.readNumber("stop_time_s", 1, 3600) * 1000));
-  Config.StrictRevoke =
-      Reader.readOptionalFlag("strict_revoke", Config.StrictRevoke);
-  Config.RevokeTime = std::chrono::milliseconds(
+  Config.RefuseStaleKeys =
+      Reader.readOptionalFlag("refuse_stale_keys", Config.RefuseStaleKeys);
+  Config.StaleKeysTime = std::chrono::milliseconds(
       static_cast<std::int64_t>(Reader.readOptionalNumberText(
-          "revoke_ms", 1, 86'400'000, toMillis(Config.RevokeTime))));
+          "stale_keys_ms", 1, 86'400'000, toMillis(Config.StaleKeysTime))));
   const HedgeSettings Default;
   Config.Hedging.Share =
       Reader.readOptionalNumber("hedge_share", 0, MaxHedgeShare, Default.Share);
@@ -228,9 +228,10 @@
   };
   Add(Changed.InEffect, Before.Seeds != After.Seeds, "seeds");
   Add(Changed.InEffect, Before.StopTimeout != After.StopTimeout, "stop_time_s");
-  Add(Changed.InEffect, Before.StrictRevoke != After.StrictRevoke,
-      "strict_revoke");
-  Add(Changed.InEffect, Before.RevokeTime != After.RevokeTime, "revoke_ms");
+  Add(Changed.InEffect, Before.RefuseStaleKeys != After.RefuseStaleKeys,
+      "refuse_stale_keys");
+  Add(Changed.InEffect, Before.StaleKeysTime != After.StaleKeysTime,
+      "stale_keys_ms");
   Add(Changed.InEffect, Before.Hedging.Share != After.Hedging.Share,
       "hedge_share");
   Add(Changed.InEffect, Before.Hedging.MinDelay != After.Hedging.MinDelay,
--- a/Source/Node/NodeConfig.h
+++ b/Source/Node/NodeConfig.h
@@ -42,10 +42,10 @@
   Duration JobRetention = std::chrono::minutes(10);
   /// The time between SIGTERM and SIGKILL.
   Duration StopTimeout = std::chrono::seconds(8);
-  /// Whether keys are refused RevokeTime after the last contact with the store
-  /// or another VM.
-  bool StrictRevoke = false;
-  Duration RevokeTime = std::chrono::seconds(5);
+  /// Whether keys are refused StaleKeysTime after the last contact with the
+  /// store or another VM.
+  bool RefuseStaleKeys = false;
+  Duration StaleKeysTime = std::chrono::seconds(5);
   HedgeSettings Hedging;
 };
 
--- a/Source/Node/OrganisationLimiter.cpp
+++ b/Source/Node/OrganisationLimiter.cpp
@@ -71,7 +71,7 @@
   this->Log.log(LogLevel::Info, "An organisation is over its limit.",
                 {{"organisation", Organisation.Name},
                  {"refused", std::exchange(Refused.RefusedSinceLog, 0)},
-                 {"rate_per_s", Organisation.RatePerSecond},
+                 {"rate", Organisation.RatePerSecond},
                  {"balance", this->Limits.balance(Organisation.Name)},
                  {"nodes_heard", Shares.heard()},
                  {"nodes", Shares.count()}});
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -245,7 +245,8 @@
 }
 
 bool ServingNode::mayUseKeys() const {
-  return KeyTrustPolicy(this->Config.StrictRevoke, this->Config.RevokeTime)
+  return KeyTrustPolicy(this->Config.RefuseStaleKeys,
+                        this->Config.StaleKeysTime)
       .mayUseKeys(
           std::max(this->SettingsFeed.lastAnswer(), this->Peers.lastHeard()),
           this->Dependencies.Loop.clock().now());
@@ -474,8 +475,8 @@
   const ChangedKeys Changed = changedKeys(this->Config, NewConfig);
   this->Config.Seeds = NewConfig.Seeds;
   this->Config.StopTimeout = NewConfig.StopTimeout;
-  this->Config.StrictRevoke = NewConfig.StrictRevoke;
-  this->Config.RevokeTime = NewConfig.RevokeTime;
+  this->Config.RefuseStaleKeys = NewConfig.RefuseStaleKeys;
+  this->Config.StaleKeysTime = NewConfig.StaleKeysTime;
   this->Config.Hedging = NewConfig.Hedging;
   this->Online.setHedging(this->Config.Hedging);
   this->Dependencies.Log.log(
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -212,26 +212,28 @@
     return readText(GoodConfig + More);
   };
   for (const char *Missing :
-       {"", "strict_revoke = \"\"\nrevoke_ms = \"\"\n",
-        "strict_revoke = \"{{bounds.strict_revoke}}\"\nrevoke_ms = "
+       {"", "refuse_stale_keys = \"\"\nstale_keys_ms = \"\"\n",
+        "refuse_stale_keys = \"{{bounds.strict_revoke}}\"\nstale_keys_ms = "
         "\"null\"\n"}) {
     const Result<NodeConfig> Config = Read(Missing);
     cr_assert(Config, "%s", Missing);
-    cr_assert_not(Config->StrictRevoke);
-    cr_assert_eq(Config->RevokeTime, Duration(5s));
+    cr_assert_not(Config->RefuseStaleKeys);
+    cr_assert_eq(Config->StaleKeysTime, Duration(5s));
   }
-  for (const char *Given : {"strict_revoke = true\nrevoke_ms = 7000\n",
-                            "strict_revoke = \"true\"\nrevoke_ms = \"7000\"\n",
-                            "strict_revoke = \"True\"\nrevoke_ms = 7000.0\n"}) {
+  for (const char *Given :
+       {"refuse_stale_keys = true\nstale_keys_ms = 7000\n",
+        "refuse_stale_keys = \"true\"\nstale_keys_ms = \"7000\"\n",
+        "refuse_stale_keys = \"True\"\nstale_keys_ms = 7000.0\n"}) {
     const Result<NodeConfig> Config = Read(Given);
     cr_assert(Config, "%s", Given);
-    cr_assert(Config->StrictRevoke);
-    cr_assert_eq(Config->RevokeTime, Duration(7s));
+    cr_assert(Config->RefuseStaleKeys);
+    cr_assert_eq(Config->StaleKeysTime, Duration(7s));
   }
-  cr_assert_not(Read("strict_revoke = \"false\"\n")->StrictRevoke);
+  cr_assert_not(Read("refuse_stale_keys = \"false\"\n")->RefuseStaleKeys);
   for (const char *Invalid :
-       {"strict_revoke = 1", "strict_revoke = \"yes\"", "revoke_ms = 0",
-        "revoke_ms = -1", "revoke_ms = \"5s\"", "revoke_ms = true"})
+       {"refuse_stale_keys = 1", "refuse_stale_keys = \"yes\"",
+        "stale_keys_ms = 0", "stale_keys_ms = -1", "stale_keys_ms = \"5s\"",
+        "stale_keys_ms = true"})
     cr_assert_not(Read(Invalid), "%s", Invalid);
 }
 
