--- a/Source/Core/Hash.cpp
+++ b/Source/Core/Hash.cpp
@@ -27,7 +27,7 @@
 std::string sha256Hex(std::string_view Data) {
   constexpr char Digits[] = "0123456789abcdef";
   std::string Text;
-  Text.reserve(2 * SHA256_DIGEST_LENGTH);
+  Text.reserve(2 * sizeof(Sha256Digest));
   for (unsigned char Byte : sha256(Data)) {
     Text += Digits[Byte >> 4U];
     Text += Digits[Byte & 0xFU];
--- a/Source/Node/PeerDirectory.cpp
+++ b/Source/Node/PeerDirectory.cpp
@@ -30,6 +30,14 @@
 
 } // namespace
 
+std::vector<std::string> addressesOf(const std::vector<ListedNode> &Nodes) {
+  std::vector<std::string> Addresses;
+  Addresses.reserve(Nodes.size());
+  for (const ListedNode &Node : Nodes)
+    Addresses.push_back(Node.Address);
+  return Addresses;
+}
+
 PeerDirectory::PeerDirectory(const Clock &Time, LoadTracker &Loads,
                              CrashCounter &Crashes,
                              const std::string &Incarnation, ListedNode Self)
--- a/Source/Node/PeerDirectory.h
+++ b/Source/Node/PeerDirectory.h
@@ -26,6 +26,9 @@
   int Weight = 0;
 };
 
+/// Returns the addresses of \p Nodes for digests.
+std::vector<std::string> addressesOf(const std::vector<ListedNode> &Nodes);
+
 /// The other VMs as known from their digests, from summaries of zones and from
 /// the store. While there are few VMs, each sends its digest to all others.
 /// Above MaxMeshNodes, the loads of a zone are taken from its summary. The
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -135,10 +135,7 @@
       Registry(Dependencies.Loop, Dependencies.Store, Dependencies.Ids,
                Dependencies.Log, this->registration(),
                [this](std::vector<ListedNode> Nodes) {
-                 std::vector<std::string> Addresses;
-                 for (const ListedNode &Node : Nodes)
-                   Addresses.push_back(Node.Address);
-                 this->Limits.setListedVms(Addresses);
+                 this->Limits.setListedVms(addressesOf(Nodes));
                  this->Peers.setListedNodes(std::move(Nodes));
                  this->updateFeedIntervals();
                  this->updateConnectionLimits();
--- a/Source/Serving/RateLimits.cpp
+++ b/Source/Serving/RateLimits.cpp
@@ -127,7 +127,7 @@
     Bucket &State = Kept[Key];
     if (!IsNew) {
       this->refill(Known->second);
-      State = std::move(Known->second);
+      State = Known->second;
     }
     State.Rate = Each.RatePerSecond;
     State.Burst = Each.Burst;
--- a/Tests/BatchJobs/CrashingItemTest.cpp
+++ b/Tests/BatchJobs/CrashingItemTest.cpp
@@ -229,6 +229,7 @@
   JobMetadata Metadata = RunnerBench::makeMetadata(6);
   Metadata.Owner = "other";
   std::vector<JobItem> Items;
+  Items.reserve(6);
   for (int I = 0; I < 6; ++I)
     Items.push_back({"k" + std::to_string(I), "/x", {}, "body", 10});
   bool Accepted = false;
--- a/Tests/Node/LimitExchangeTest.cpp
+++ b/Tests/Node/LimitExchangeTest.cpp
@@ -165,6 +165,7 @@
   ManualClock Time;
   RateLimits Limits(Time, "self");
   std::vector<OrganisationSettings> All;
+  All.reserve(10'000);
   for (int I = 0; I < 10'000; ++I)
     All.push_back({"organisation " + std::to_string(I), {}, {}, 100, 100});
   Limits.setListedVms({"self"});
@@ -240,6 +241,7 @@
   Metrics Stats;
   OrganisationLimiter Limiter(Time, Limits, Log, Stats);
   std::vector<OrganisationSettings> All;
+  All.reserve(300);
   for (int I = 0; I < 300; ++I)
     All.push_back({"o\"" + std::to_string(I), {}, {}, 1, 1});
   Limits.setListedVms({"self"});
--- a/Tests/Serving/FleetSharesTest.cpp
+++ b/Tests/Serving/FleetSharesTest.cpp
@@ -205,6 +205,7 @@
   ManualClock Time;
   RateLimits Limits(Time, "self");
   std::vector<OrganisationSettings> All;
+  All.reserve(300);
   for (int I = 0; I < 300; ++I)
     All.push_back({"o" + std::to_string(I), {}, {}, 100, 100});
   Limits.setListedVms({"self"});
--- a/Utilities/Capacity/OrganisationProbe.cpp
+++ b/Utilities/Capacity/OrganisationProbe.cpp
@@ -58,6 +58,7 @@
                       const std::vector<std::string> &Keys,
                       int ExpectedStatus) {
   std::vector<RawRequest> Requests;
+  Requests.reserve(Keys.size());
   for (const std::string &Key : Keys)
     Requests.push_back({"POST",
                         "/r/x",
