BatchJobs: Keep results of dropped jobs apart from those of later ones

Cause: a listing of several pages lacks jobs that are accepted while it is read, and JobDirectory::replace() took them for removed ones. The runner dropped such a job while its first commit was in flight, learned of it again with the metadata from before the commit, and applied the answer to the commit of the first OwnedJob to the second one: results of other items were removed as committed, and committed items were run and committed again.

Change: a listing says up to which version it is complete, and jobs known from later writes are kept. An OwnedJob has a generation, and answers to calls of another one change nothing in it. It knows the commits that it has started; if the store has other results, the job is loaded from the store again, whatever the reason for which it was dropped and however late a commit is applied.

--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -111,6 +111,7 @@
     StoredRow MetadataRow;
     MetadataRow.Key = JobDirectory::metadataKey(JobId);
     MetadataRow.Removed = true;
+    MetadataRow.Version = Answer.Version;
     StoredRow AdmissionRow;
     AdmissionRow.Key = AdmissionKey;
     AdmissionRow.Value = NewAdmissionValue;
--- a/Source/BatchJobs/JobDirectory.cpp
+++ b/Source/BatchJobs/JobDirectory.cpp
@@ -39,13 +39,15 @@
 }
 
 std::vector<std::string>
-JobDirectory::replace(const std::vector<StoredRow> &Rows) {
+JobDirectory::replace(const std::vector<StoredRow> &Rows,
+                      std::uint64_t Version) {
   std::set<std::string> PresentKeys;
   for (const StoredRow &Row : Rows)
     PresentKeys.insert(Row.Key);
   std::vector<std::string> Changed;
   std::erase_if(this->Jobs, [&](const auto &Job) {
-    if (PresentKeys.contains(metadataKey(Job.first)))
+    if (PresentKeys.contains(metadataKey(Job.first)) ||
+        Job.second.Version > Version)
       return false;
     Changed.push_back(Job.first);
     return true;
@@ -93,8 +95,13 @@
     return;
   const std::string JobId = Row.Key.substr(MetadataPrefix.size());
   if (Row.Removed) {
-    if (this->Jobs.erase(JobId) > 0)
-      Changed.push_back(JobId);
+    // The job may have been accepted again since. Version 0 is unknown.
+    const auto Found = this->Jobs.find(JobId);
+    if (Found == this->Jobs.end() ||
+        (Row.Version != 0 && Row.Version < Found->second.Version))
+      return;
+    this->Jobs.erase(Found);
+    Changed.push_back(JobId);
     return;
   }
   KnownJob &Known = this->Jobs[JobId];
--- a/Source/BatchJobs/JobDirectory.h
+++ b/Source/BatchJobs/JobDirectory.h
@@ -28,8 +28,10 @@
 
   /// Apply the complete set of rows, or only the rows that changed, as the feed
   /// reports them. Return the ids of the jobs that changed since the last call,
-  /// including changes by merge().
-  std::vector<std::string> replace(const std::vector<StoredRow> &Rows);
+  /// including changes by merge(). \p Rows of replace() need not include writes
+  /// after \p Version, so a job that is known from a later write is kept.
+  std::vector<std::string> replace(const std::vector<StoredRow> &Rows,
+                                   std::uint64_t Version);
   std::vector<std::string> update(const std::vector<StoredRow> &Rows);
 
   /// Applies rows that were learned apart from the feed, from an answer to a
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -70,22 +70,32 @@
       this->Jobs.contains(JobId))
     return;
   OwnedJob &Job = this->Jobs[JobId];
+  Job.Generation = ++this->LastGeneration;
   Job.Metadata = Known->Metadata;
   Job.Version = Known->Version;
   const bool IsNew =
       Job.Metadata.CommittedItems == 0 && Job.Metadata.Epoch == 1;
   this->Loader.load(
-      JobId, IsNew, [this, JobId] { return this->Jobs.contains(JobId); },
-      [this, JobId](std::vector<ItemRun> Items) {
-        this->setItems(JobId, std::move(Items));
+      JobId, IsNew,
+      [this, JobId, Generation = Job.Generation] {
+        return this->findGeneration(JobId, Generation) != nullptr;
+      },
+      [this, JobId, Generation = Job.Generation](std::vector<ItemRun> Items) {
+        if (OwnedJob *Current = this->findGeneration(JobId, Generation))
+          this->setItems(*Current, JobId, std::move(Items));
       });
 }
 
-void JobRunner::setItems(const std::string &JobId, std::vector<ItemRun> Items) {
+OwnedJob *JobRunner::findGeneration(const std::string &JobId,
+                                    std::uint64_t Generation) {
   const auto Found = this->Jobs.find(JobId);
-  if (Found == this->Jobs.end() || !Found->second.Loading)
-    return;
-  OwnedJob &Job = Found->second;
+  return Found == this->Jobs.end() || Found->second.Generation != Generation
+             ? nullptr
+             : &Found->second;
+}
+
+void JobRunner::setItems(OwnedJob &Job, const std::string &JobId,
+                         std::vector<ItemRun> Items) {
   Job.Loading = false;
   Job.Items = std::move(Items);
   this->CrashMonitor.restore(JobId, Job);
@@ -113,10 +123,20 @@
     else if (Known->Metadata.Cancelled)
       this->dropJob(JobId, "its caller cancelled the job");
     else if (!Found->second.Committing)
-      Found->second.adoptMetadata(*Known);
+      this->refreshMetadata(JobId, Found->second);
   }
 }
 
+bool JobRunner::refreshMetadata(const std::string &JobId, OwnedJob &Job) {
+  const KnownJob *Known = this->Dependencies.Directory.find(JobId);
+  if (!Known || Known->Metadata.Owner != this->Dependencies.Self ||
+      Job.adoptMetadata(*Known))
+    return true;
+  this->dropJob(JobId, "the store has results that were not loaded");
+  this->runJob(JobId);
+  return false;
+}
+
 void JobRunner::dropJob(const std::string &JobId, std::string_view Reason) {
   const auto Found = this->Jobs.find(JobId);
   if (Found == this->Jobs.end())
@@ -310,25 +330,31 @@
   if (Job.Committing || Job.UncommittedResults.empty())
     return;
   Job.Committing = true;
-  this->Dependencies.Store.commitResults(
+  JobStore::StartedCommit Commit = this->Dependencies.Store.commitResults(
       JobId, Job, Job.Metadata.Owner,
       this->Dependencies.Loop.clock().now() + CommitTimeout,
       this->Dependencies.Directory,
-      [this, JobId](JobStore::ChangeOutcome Outcome) {
-        this->handleCommitOutcome(JobId, Outcome);
+      [this, JobId,
+       Generation = Job.Generation](JobStore::ChangeOutcome Outcome) {
+        this->handleCommitOutcome(JobId, Generation, Outcome);
       });
+  Job.StartedCommits.insert(std::move(Commit.WriteId));
 }
 
 void JobRunner::handleCommitOutcome(const std::string &JobId,
+                                    std::uint64_t Generation,
                                     JobStore::ChangeOutcome Outcome) {
-  const auto Found = this->Jobs.find(JobId);
-  if (Found == this->Jobs.end())
+  OwnedJob *Current = this->findGeneration(JobId, Generation);
+  if (!Current) {
+    // The job was dropped in the meantime. If this VM owns it again, it must
+    // learn of the results in the store.
+    this->handleJobChanges({JobId});
     return;
-  OwnedJob &Job = Found->second;
+  }
+  OwnedJob &Job = *Current;
   Job.Committing = false;
-  if (const KnownJob *Known = this->Dependencies.Directory.find(JobId);
-      Known && Known->Metadata.Owner == this->Dependencies.Self)
-    Job.adoptMetadata(*Known);
+  if (!this->refreshMetadata(JobId, Job))
+    return;
   if (Job.Metadata.CommittedItems >= Job.Metadata.TotalItems) {
     this->dropJob(JobId, "all its results are in the store");
     return;
@@ -366,14 +392,16 @@
       Run.Crashes.prepareHandOver();
     }
     const std::size_t Begun = this->saveProgressOf(JobId, Job);
-    const std::size_t Committed = this->Dependencies.Store.commitResults(
-        JobId, Job, "", this->Dependencies.Loop.clock().now() + CommitTimeout,
-        this->Dependencies.Directory, [](JobStore::ChangeOutcome) {});
+    const JobStore::StartedCommit Commit =
+        this->Dependencies.Store.commitResults(
+            JobId, Job, "",
+            this->Dependencies.Loop.clock().now() + CommitTimeout,
+            this->Dependencies.Directory, [](JobStore::ChangeOutcome) {});
     this->Dependencies.Log.log(LogLevel::Info, "Released a job to other VMs.",
                                {{"job", JobId},
                                 {"begun", Begun},
                                 {"finished", Job.UncommittedResults.size()},
-                                {"committed", Committed}});
+                                {"committed", Commit.Count}});
   }
   this->Jobs.clear();
 }
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -96,7 +96,15 @@
 
   /// Returns the item \p Key, or nullptr if this VM does not run its job.
   ItemRun *findItem(const ItemKey &Key);
-  void setItems(const std::string &JobId, std::vector<ItemRun> Items);
+  /// Returns the job if \p Generation of it is still the current one, or else
+  /// nullptr.
+  OwnedJob *findGeneration(const std::string &JobId, std::uint64_t Generation);
+  void setItems(OwnedJob &Job, const std::string &JobId,
+                std::vector<ItemRun> Items);
+  /// Updates the job with the metadata in the directory, if this VM owns it
+  /// there. Returns false if the job has to be loaded from the store again,
+  /// which was started.
+  bool refreshMetadata(const std::string &JobId, OwnedJob &Job);
   void dropJob(const std::string &JobId, std::string_view Reason);
   /// Returns the item that request \p Id runs and sets \p Key, or returns
   /// nullptr if the request does not run an item any more.
@@ -124,7 +132,7 @@
                   std::string_view Reason);
   /// Starts to commit results of the job unless a commit is in flight already.
   void startCommit(const std::string &JobId);
-  void handleCommitOutcome(const std::string &JobId,
+  void handleCommitOutcome(const std::string &JobId, std::uint64_t Generation,
                            JobStore::ChangeOutcome Outcome);
   /// Saves the progress of the job's unfinished items. Returns how many
   /// changed.
@@ -136,6 +144,7 @@
   JobLoader Loader;
   ItemCrashMonitor CrashMonitor;
   std::map<std::string, OwnedJob> Jobs;
+  std::uint64_t LastGeneration = 0;
   std::unordered_map<SendId, ItemKey> ItemsBySend;
   ItemStarter Starter;
   bool Releasing = false;
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -173,11 +173,10 @@
   return Fitting;
 }
 
-std::size_t JobStore::commitResults(const std::string &JobId,
-                                    const OwnedJob &Job,
-                                    const std::string &Owner, Instant Deadline,
-                                    JobDirectory &Directory,
-                                    ChangeCallback Done) {
+JobStore::StartedCommit
+JobStore::commitResults(const std::string &JobId, const OwnedJob &Job,
+                        const std::string &Owner, Instant Deadline,
+                        JobDirectory &Directory, ChangeCallback Done) {
   // After an outage, more results may wait than fit into one transaction.
   const std::size_t Count = this->countFittingResults(Job.UncommittedResults);
   const std::vector<ItemResult> Results(Job.UncommittedResults.begin(),
@@ -185,17 +184,17 @@
                                             static_cast<std::ptrdiff_t>(Count));
   JobMetadata Metadata = Job.metadataAfterCommit(Count);
   Metadata.Owner = Owner;
-  this->updateJob(JobId, Metadata, Job.Version, Results,
-                  Job.Metadata.CommittedItems, Deadline, Directory,
-                  std::move(Done));
-  return Count;
+  return {Count, this->updateJob(JobId, Metadata, Job.Version, Results,
+                                 Job.Metadata.CommittedItems, Deadline,
+                                 Directory, std::move(Done))};
 }
 
-void JobStore::updateJob(const std::string &JobId, const JobMetadata &Metadata,
-                         std::uint64_t Version,
-                         const std::vector<ItemResult> &Results,
-                         std::uint64_t First, Instant Deadline,
-                         JobDirectory &Directory, ChangeCallback Done) {
+std::string JobStore::updateJob(const std::string &JobId,
+                                const JobMetadata &Metadata,
+                                std::uint64_t Version,
+                                const std::vector<ItemResult> &Results,
+                                std::uint64_t First, Instant Deadline,
+                                JobDirectory &Directory, ChangeCallback Done) {
   std::shared_ptr<PendingTransaction> Pending = this->prepareTransaction(
       JobId, Metadata, Version, Deadline, Directory, std::move(Done));
   RowTransaction &Change = Pending->Change;
@@ -204,7 +203,9 @@
          splitValue(DataTable, resultsPrefix(JobId) + positionKey(First++),
                     encodeResult(Item), this->Rows.limits()))
       Change.Writes.push_back(std::move(Row));
+  std::string WriteId = Pending->WriteId;
   this->sendTransaction(std::move(Pending));
+  return WriteId;
 }
 
 std::vector<RowWrite>
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -70,19 +70,28 @@
   /// transaction. The number is at least 1 unless \p Results is empty.
   std::size_t countFittingResults(const std::vector<ItemResult> &Results) const;
 
+  /// A commit whose outcome is not known yet.
+  struct StartedCommit {
+    /// The number of results.
+    std::size_t Count = 0;
+    /// JobMetadata::WriteId of the metadata that the commit writes.
+    std::string WriteId;
+  };
+
   /// Commits as many uncommitted results of \p Job as fit into one transaction
-  /// and sets the owner of the job to \p Owner. Returns the number of results.
-  std::size_t commitResults(const std::string &JobId, const OwnedJob &Job,
-                            const std::string &Owner, Instant Deadline,
-                            JobDirectory &Directory, ChangeCallback Done);
+  /// and sets the owner of the job to \p Owner.
+  StartedCommit commitResults(const std::string &JobId, const OwnedJob &Job,
+                              const std::string &Owner, Instant Deadline,
+                              JobDirectory &Directory, ChangeCallback Done);
 
   /// Replaces the job's metadata if it still has \p Version. The same
   /// transaction writes \p Results to the positions from \p First on. Retries
-  /// until \p Deadline.
-  void updateJob(const std::string &JobId, const JobMetadata &Metadata,
-                 std::uint64_t Version, const std::vector<ItemResult> &Results,
-                 std::uint64_t First, Instant Deadline, JobDirectory &Directory,
-                 ChangeCallback Done);
+  /// until \p Deadline. Returns JobMetadata::WriteId of the new metadata.
+  std::string updateJob(const std::string &JobId, const JobMetadata &Metadata,
+                        std::uint64_t Version,
+                        const std::vector<ItemResult> &Results,
+                        std::uint64_t First, Instant Deadline,
+                        JobDirectory &Directory, ChangeCallback Done);
 
   /// Writes \p Progress. Failures are not reported because they only cause
   /// work to be repeated. Progress is the first part of an output, which is the
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -79,19 +79,26 @@
   return Now - *this->RouteMissingSince >= RouteRemovalDelay;
 }
 
-void OwnedJob::adoptMetadata(const KnownJob &Known) {
+bool OwnedJob::adoptMetadata(const KnownJob &Known) {
   const bool SameWrite = Known.Metadata.WriteId == this->Metadata.WriteId;
   if (Known.Version <= this->Version && !SameWrite)
-    return;
-  const auto NewlyCommitted =
-      static_cast<std::ptrdiff_t>(std::min<std::uint64_t>(
-          Known.Metadata.CommittedItems - this->Metadata.CommittedItems,
-          this->UncommittedResults.size()));
-  this->UncommittedResults.erase(this->UncommittedResults.begin(),
-                                 this->UncommittedResults.begin() +
-                                     NewlyCommitted);
+    return true;
+  if (this->StartedCommits.contains(Known.Metadata.WriteId)) {
+    const auto NewlyCommitted = static_cast<std::ptrdiff_t>(
+        Known.Metadata.CommittedItems - this->Metadata.CommittedItems);
+    this->UncommittedResults.erase(this->UncommittedResults.begin(),
+                                   this->UncommittedResults.begin() +
+                                       NewlyCommitted);
+  } else if (Known.Metadata.Epoch != this->Metadata.Epoch ||
+             Known.Metadata.CommittedItems != this->Metadata.CommittedItems) {
+    return false;
+  }
   this->Version = Known.Version;
   this->Metadata = Known.Metadata;
+  // Commits that depend on other metadata will not be applied any more.
+  if (!SameWrite)
+    this->StartedCommits.clear();
+  return true;
 }
 
 JobMetadata OwnedJob::metadataAfterCommit(std::size_t Count) const {
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -91,6 +91,9 @@
 
 /// A job that this VM owns.
 struct OwnedJob {
+  /// Distinguishes this object from others that this VM had for the same job
+  /// and whose calls to the store may still complete.
+  std::uint64_t Generation = 0;
   JobMetadata Metadata;
   /// The version of the metadata row.
   std::uint64_t Version = 0;
@@ -99,6 +102,8 @@
   std::vector<ItemResult> UncommittedResults;
   /// Whether a commit is in flight.
   bool Committing = false;
+  /// The write ids of the commits that were started with the current metadata.
+  std::set<std::string> StartedCommits;
   /// Whether the items are still being read from the store.
   bool Loading = true;
   /// Since when the settings, which were current all the time, have had no
@@ -111,11 +116,12 @@
   /// an operator who removes a route by mistake can bring it back.
   bool recordRoute(bool RouteExists, bool SettingsAreCurrent, Instant Now);
 
-  /// Adopts the metadata from the store. Only the owner commits results, in the
-  /// order of UncommittedResults. If the store has more results than this VM
-  /// knows of, they were written by a commit of this VM whose answer was lost,
-  /// and are removed from UncommittedResults.
-  void adoptMetadata(const KnownJob &Known);
+  /// Adopts the metadata from the store. Results that a commit of this object
+  /// wrote are removed from UncommittedResults, also if the answer to the
+  /// commit was lost. Returns false and adopts nothing if the store has results
+  /// that this object did not commit, so that its items must be loaded again.
+  /// An earlier object for the same job may have committed them.
+  [[nodiscard]] bool adoptMetadata(const KnownJob &Known);
 
   /// Returns the metadata after a commit of the first \p Count results in
   /// UncommittedResults.
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -109,8 +109,8 @@
       SettingsFeed(Dependencies.Loop, Dependencies.Store, Dependencies.Log,
                    Dependencies.Adapter.tables().SettingsTable, "",
                    MinUrgentChangeInterval,
-                   {[this](const std::vector<StoredRow> &Rows, bool) {
-                      this->handleSettingsRows(Rows);
+                   {[this](const RowListing &Listing) {
+                      this->handleSettingsRows(Listing.Rows);
                     },
                     [this](const std::vector<StoredRow> &Rows) {
                       this->handleSettingsRows(Rows);
@@ -118,19 +118,20 @@
       ServerFeed(Dependencies.Loop, Dependencies.Store, Dependencies.Log,
                  Dependencies.Adapter.tables().ServersTable, "",
                  MinUrgentChangeInterval,
-                 {[this](const std::vector<StoredRow> &Rows, bool AfterGap) {
-                    this->replaceServers(Rows, AfterGap);
+                 {[this](const RowListing &Listing) {
+                    this->replaceServers(Listing.Rows, Listing.AfterOutage);
                   },
                   [this](const std::vector<StoredRow> &Rows) {
                     this->handleServerRows(Rows);
                   }}),
       JobFeed(Dependencies.Loop, Dependencies.Store, Dependencies.Log,
               JobStore::JobTable, JobStore::Part, MinJobChangeInterval,
-              {[this](const std::vector<StoredRow> &Rows, bool) {
-                 this->handleJobRows(Rows, true);
+              {[this](const RowListing &Listing) {
+                 this->handleJobChanges(
+                     this->KnownJobs.replace(Listing.Rows, Listing.Version));
                },
                [this](const std::vector<StoredRow> &Rows) {
-                 this->handleJobRows(Rows, false);
+                 this->handleJobChanges(this->KnownJobs.update(Rows));
                }}),
       Registry(Dependencies.Loop, Dependencies.Store, Dependencies.Ids,
                Dependencies.Log, this->registration(),
@@ -384,12 +385,9 @@
   this->updateConnectionLimits();
 }
 
-void ServingNode::handleJobRows(const std::vector<StoredRow> &Rows,
-                                bool IsFullList) {
-  const std::vector<std::string> ChangedJobs =
-      IsFullList ? this->KnownJobs.replace(Rows) : this->KnownJobs.update(Rows);
-  this->Runner.handleJobChanges(ChangedJobs);
-  this->Api.handleJobChanges(ChangedJobs);
+void ServingNode::handleJobChanges(const std::vector<std::string> &JobIds) {
+  this->Runner.handleJobChanges(JobIds);
+  this->Api.handleJobChanges(JobIds);
 }
 
 void ServingNode::updateFeedIntervals() {
--- a/Source/Node/ServingNode.h
+++ b/Source/Node/ServingNode.h
@@ -75,7 +75,7 @@
   void handleServerRows(const std::vector<StoredRow> &Rows);
   void replaceServers(const std::vector<StoredRow> &Rows, bool AfterGap);
   std::optional<ServerEntry> readServer(const StoredRow &Row);
-  void handleJobRows(const std::vector<StoredRow> &Rows, bool IsFullList);
+  void handleJobChanges(const std::vector<std::string> &JobIds);
   /// Returns this VM as the others see it.
   ListedNode registration() const;
   PeerDigest makeDigest() const;
--- a/Source/Rows/RowFeed.cpp
+++ b/Source/Rows/RowFeed.cpp
@@ -67,8 +67,7 @@
 }
 
 void RowFeed::listRows() {
-  this->Rows.clear();
-  this->ListVersion = 0;
+  this->Listing = RowListing();
   this->readPage("");
 }
 
@@ -85,20 +84,20 @@
     this->handleAnswer(*Page);
     // The rows may change while the pages are read. Following starts at the
     // version of the first page, so that such changes are read afterwards.
-    if (this->ListVersion == 0)
-      this->ListVersion = Page->Version;
-    std::move(Page->Rows.begin(), Page->Rows.end(),
-              std::back_inserter(this->Rows));
-    if (Page->Truncated && !this->Rows.empty()) {
-      this->readPage(this->Rows.back().Key + '\0');
+    if (this->Listing.Version == 0)
+      this->Listing.Version = Page->Version;
+    std::vector<StoredRow> &Rows = this->Listing.Rows;
+    std::move(Page->Rows.begin(), Page->Rows.end(), std::back_inserter(Rows));
+    if (Page->Truncated && !Rows.empty()) {
+      this->readPage(Rows.back().Key + '\0');
       return;
     }
-    this->Version = this->ListVersion;
+    this->Version = this->Listing.Version;
     this->IsListed = true;
+    this->Listing.AfterOutage = std::exchange(this->HadOutage, false);
     // An error in a handler must not end the feed.
     this->Loop.runProtected([this] {
-      this->RowHandlers.OnListed(std::exchange(this->Rows, {}),
-                                 std::exchange(this->HadOutage, false));
+      this->RowHandlers.OnListed(std::exchange(this->Listing, RowListing()));
     });
     this->followChanges();
   });
--- a/Source/Rows/RowFeed.h
+++ b/Source/Rows/RowFeed.h
@@ -12,16 +12,24 @@
 
 class Logger;
 
+/// All rows of one part of a table.
+struct RowListing {
+  std::vector<StoredRow> Rows;
+  /// The listing is read in pages at different times. It includes every write
+  /// up to this version, and some of the later ones.
+  std::uint64_t Version = 0;
+  /// Whether the store was unreachable before.
+  bool AfterOutage = false;
+};
+
 /// Follows the changes of one part of a table, and lists the part again when
 /// changes may have been missed.
 class RowFeed {
 public:
   struct Handlers {
     /// Receives all rows of the part, at the start and after changes may have
-    /// been missed. \p AfterOutage states whether the store was unreachable
-    /// before.
-    std::function<void(const std::vector<StoredRow> &Rows, bool AfterOutage)>
-        OnListed;
+    /// been missed.
+    std::function<void(const RowListing &Listing)> OnListed;
     /// Receives the rows that changed, in order.
     std::function<void(const std::vector<StoredRow> &Rows)> OnChanged;
   };
@@ -59,8 +67,8 @@
   std::string Part;
   Duration ChangePause;
   Handlers RowHandlers;
-  std::vector<StoredRow> Rows;
-  std::uint64_t ListVersion = 0;
+  /// The listing that is being read; its version is 0 before the first page.
+  RowListing Listing;
   std::uint64_t Version = 0;
   bool IsListed = false;
   bool HadOutage = false;
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -457,7 +457,8 @@
   Range.Part = JobStore::Part;
   Bench.Rows.read(Range, [&](Result<RowPage> Page) { Listed = *Page; });
   cr_assert(runUntil(Bench.Loop, [&] { return Listed.has_value(); }));
-  Bench.Runner.handleJobChanges(Bench.Directory.replace(Listed->Rows));
+  Bench.Runner.handleJobChanges(
+      Bench.Directory.replace(Listed->Rows, Listed->Version));
   cr_assert(Bench.Runner.owns("j"));
 }
 
