RawHttp: Send no request whose head holds line breaks

Cause: ids, paths and headers of items come from a JSON document, whose strings may hold line breaks, and were written into the head of the item's request as they were.

Change: submissions with such items are rejected with 400 at once, and TcpBackendChannels sends no request whose head would not be read as one head. Items that earlier versions have accepted fail when their job is loaded. Headers of an item that the system sets itself are left out, since a second request id is a request that no client sent, too.

--- a/Source/BatchJobs/ItemRequest.h
+++ b/Source/BatchJobs/ItemRequest.h
@@ -7,7 +7,13 @@
 
 namespace turmericpass {
 
-/// Builds the request that runs an item on \p Server. If the item has events
+/// Checks that \p Item can be sent as one request. Its id, target and headers
+/// come from a document, in which they may hold any bytes. Fails with
+/// InvalidArgument.
+Result<void> checkItem(const JobItem &Item);
+
+/// Builds the request that runs an item on \p Server. Headers of the item that
+/// the system sets itself are left out. If the item has events
 /// from an earlier request, the request resumes after the last of them. The
 /// server gets the name of the job's organisation. If there is one, or if
 /// \p HasOrganisations states that the settings have any, headers of the item
--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -1,5 +1,6 @@
 #include "BatchJobs/JobApi.h"
 
+#include "BatchJobs/ItemRequest.h"
 #include "BatchJobs/JobRunner.h"
 #include "Loop/EventLoop.h"
 #include "Telemetry/Logger.h"
@@ -101,6 +102,11 @@
                  Items ? "The submission has no id." : Items.error().Message);
     return;
   }
+  for (const JobItem &Item : *Items)
+    if (const Result<void> Status = checkItem(Item); !Status) {
+      this->answer(Job->Caller, BadRequest, Job->JobId, Status.error().Message);
+      return;
+    }
   Job->Items = std::move(*Items);
   if (From.IsChecked)
     for (JobItem &Item : Job->Items)
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -104,6 +104,7 @@
                               {"epoch", Job.Metadata.Epoch},
                               {"items", Job.Items.size()},
                               {"listed", Job.Metadata.CommittedItems}});
+  this->failInvalidItems(JobId, Job);
   this->schedule();
 }
 
@@ -215,6 +216,14 @@
   }
 }
 
+void JobRunner::failInvalidItems(const std::string &JobId, OwnedJob &Job) {
+  for (std::size_t I = 0; I < Job.Items.size(); ++I)
+    if (Job.Items[I].State == ItemState::Pending)
+      if (const Result<void> Status = checkItem(Job.Items[I].Item); !Status)
+        this->finishItem({JobId, I}, Job.Items[I], false,
+                         Status.error().Message);
+}
+
 void JobRunner::failPendingItems(const std::string &JobId, OwnedJob &Job,
                                  std::string_view Reason) {
   for (std::size_t I = 0; I < Job.Items.size(); ++I)
--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -116,6 +116,9 @@
   /// Fails the pending items of jobs whose retention has ended or whose route
   /// was removed.
   void failItemsThatCannotRun();
+  /// Fails items that cannot be sent as a request. VMs of earlier versions may
+  /// have accepted such items.
+  void failInvalidItems(const std::string &JobId, OwnedJob &Job);
   void failPendingItems(const std::string &JobId, OwnedJob &Job,
                         std::string_view Reason);
   /// Returns the items that wait for a slot, in the order in which to start
--- a/Source/RawHttp/BackendChannels.h
+++ b/Source/RawHttp/BackendChannels.h
@@ -60,7 +60,7 @@
   virtual ~BackendChannels() = default;
 
   /// Sends a request. \p Handler is called from the event loop, never from
-  /// within this function.
+  /// within this function. A request without a valid head fails with NotSent.
   virtual SendId send(BackendRequest Request, SendHandler &Handler) = 0;
 
   /// Closes the connection of the request. The handler is not called for the
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -111,17 +111,7 @@
 }
 
 void BackendConnection::writeRequest() {
-  const RawRequest &Request = this->CurrentRequest.Request;
-  std::string Bytes;
-  Bytes.reserve(512 + Request.Body.size());
-  Bytes.append(Request.Method).append(" ").append(Request.Target);
-  Bytes.append(" HTTP/1.1\r\n");
-  for (const auto &[Name, Value] : Request.Headers)
-    appendHeader(Bytes, Name, Value);
-  if (!Request.Body.empty() || Request.Method == "POST" ||
-      Request.Method == "PUT")
-    appendHeader(Bytes, "Content-Length", std::to_string(Request.Body.size()));
-  Bytes.append("\r\n").append(Request.Body);
+  const std::string Bytes = formatRequest(this->CurrentRequest.Request);
   bufferevent_write(this->Channel, Bytes.data(), Bytes.size());
 }
 
--- a/Source/RawHttp/RawMessage.cpp
+++ b/Source/RawHttp/RawMessage.cpp
@@ -19,6 +19,25 @@
     "proxy-authenticate",
     "proxy-authorization"};
 
+/// The characters of a token besides letters and digits.
+constexpr std::string_view TokenMarks = "!#$%&'*+-.^_`|~";
+
+bool isTokenCharacter(char Each) {
+  return (Each >= 'a' && Each <= 'z') || (Each >= 'A' && Each <= 'Z') ||
+         (Each >= '0' && Each <= '9') ||
+         TokenMarks.find(Each) != std::string_view::npos;
+}
+
+bool isToken(std::string_view Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), isTokenCharacter);
+}
+
+bool isControlCharacter(char Each) {
+  const auto Byte = static_cast<unsigned char>(Each);
+  return Byte < 0x20 || Byte == 0x7f;
+}
+
 char lower(char Letter) {
   return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
                                         : Letter;
@@ -54,11 +73,50 @@
       [&](std::string_view Known) { return equalsIgnoringCase(Name, Known); });
 }
 
+bool isVisibleText(std::string_view Text) {
+  return !Text.empty() && std::none_of(Text.begin(), Text.end(), [](char Each) {
+    return Each == ' ' || isControlCharacter(Each);
+  });
+}
+
+bool isHeaderLine(std::string_view Name, std::string_view Value) {
+  return isToken(Name) &&
+         std::none_of(Value.begin(), Value.end(), [](char Each) {
+           return Each != '\t' && isControlCharacter(Each);
+         });
+}
+
+bool hasValidHead(const RawRequest &Request) {
+  return isToken(Request.Method) && isVisibleText(Request.Target) &&
+         std::all_of(Request.Headers.begin(), Request.Headers.end(),
+                     [](const auto &Header) {
+                       const auto &[Name, Value] = Header;
+                       return isHeaderLine(Name, Value) &&
+                              !equalsIgnoringCase(Name, "Content-Length") &&
+                              !equalsIgnoringCase(Name, "Transfer-Encoding");
+                     });
+}
+
 void appendHeader(std::string &Out, std::string_view Name,
                   std::string_view Value) {
   Out.append(Name).append(": ").append(Value).append("\r\n");
 }
 
+std::string formatRequest(const RawRequest &Request) {
+  constexpr std::size_t UsualHeadBytes = 512;
+  std::string Bytes;
+  Bytes.reserve(UsualHeadBytes + Request.Body.size());
+  Bytes.append(Request.Method).append(" ").append(Request.Target);
+  Bytes.append(" HTTP/1.1\r\n");
+  for (const auto &[Name, Value] : Request.Headers)
+    appendHeader(Bytes, Name, Value);
+  if (!Request.Body.empty() || Request.Method == "POST" ||
+      Request.Method == "PUT")
+    appendHeader(Bytes, "Content-Length", std::to_string(Request.Body.size()));
+  Bytes.append("\r\n").append(Request.Body);
+  return Bytes;
+}
+
 std::string_view reasonPhrase(int Status) {
   return http_status_str(static_cast<http_status>(Status)) ==
                  std::string_view("<unknown>")
--- a/Source/RawHttp/TcpBackendChannels.cpp
+++ b/Source/RawHttp/TcpBackendChannels.cpp
@@ -37,17 +37,26 @@
   return nullptr;
 }
 
+void TcpBackendChannels::failUnsent(SendId Id, SendHandler &Handler,
+                                    std::string_view Reason) {
+  this->Sends.emplace(Id, 0);
+  this->Loop.after(Duration(0), [this, Id, &Handler, Reason] {
+    if (this->Sends.erase(Id) > 0)
+      Handler.sendFailed(Id, SendFailure::NotSent, Reason);
+  });
+}
+
 SendId TcpBackendChannels::send(BackendRequest Request, SendHandler &Handler) {
   const SendId Id = this->NextSend++;
+  // The bytes that a server gets must be one request.
+  if (!hasValidHead(Request.Request)) {
+    this->failUnsent(Id, Handler, "the head of the request is invalid");
+    return Id;
+  }
   Pool &Target = this->Pools[Request.Address];
   BackendConnection *Connection = this->takeIdleConnection(Target);
   if (!Connection && Target.Limit != 0 && Target.Open >= Target.Limit) {
-    // The handler is called from the event loop, as for every failure.
-    this->Sends.emplace(Id, 0);
-    this->Loop.after(Duration(0), [this, Id, &Handler] {
-      if (this->Sends.erase(Id) > 0)
-        Handler.sendFailed(Id, SendFailure::NotSent, "connection limit");
-    });
+    this->failUnsent(Id, Handler, "connection limit");
     return Id;
   }
   if (!Connection) {
--- a/Source/RawHttp/TcpBackendChannels.h
+++ b/Source/RawHttp/TcpBackendChannels.h
@@ -40,6 +40,8 @@
     std::size_t Limit = 0;
   };
 
+  /// Fails request \p Id, of which nothing was sent, from the event loop.
+  void failUnsent(SendId Id, SendHandler &Handler, std::string_view Reason);
   BackendConnection *takeIdleConnection(Pool &From);
   void addIdleConnection(BackendConnection &Connection);
   void removeConnection(BackendConnection &Connection);
@@ -50,7 +52,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<BackendConnection>>
       Connections;
   /// Maps each request in flight to the id of its connection, or to 0 if it has
-  /// none because the connection limit is reached.
+  /// none because it cannot be sent.
   std::unordered_map<SendId, std::uint64_t> Sends;
   std::uint64_t NextConnection = 1;
   SendId NextSend = 1;
--- a/Tests/Support/ApiBench.h
+++ b/Tests/Support/ApiBench.h
@@ -12,6 +12,8 @@
   /// The size of the item's body, and its headers.
   std::size_t BodyBytes = 1;
   HttpHeaders ItemHeaders;
+  std::string ItemId = "item";
+  std::string ItemTarget = "/x";
 
   std::optional<JobCall> parseCall(const RawRequest &) const override {
     return std::nullopt;
@@ -20,9 +22,9 @@
   parseSubmission(const RawRequest &Request) const override {
     if (Request.Body.empty())
       return failure(ErrorCode::InvalidArgument, "It has no items.");
-    return std::vector<JobItem>{{"item", "/x", this->ItemHeaders,
-                                 std::string(this->BodyBytes, 'b'),
-                                 std::stoull(Request.Body)}};
+    return std::vector<JobItem>{
+        {this->ItemId, this->ItemTarget, this->ItemHeaders,
+         std::string(this->BodyBytes, 'b'), std::stoull(Request.Body)}};
   }
   std::string
   formatResults(std::uint64_t Total, std::uint64_t First,
