Rows: Tell silent connections from an outage of the store

Servers drain for 2 s.

Cause: any failed call of a feed counted as an outage of the store, after which servers without an entry stay in use for 2.2 s. And the call after a time-out could go out on another idle connection that was silent as well.

Change: the store was away only if it refuses a call, cannot be reached, or leaves two calls in a row unanswered. A lost history is an answer, not a failure.

--- a/Source/Rows/RowFeed.cpp
+++ b/Source/Rows/RowFeed.cpp
@@ -78,7 +78,7 @@
   Range.From = std::move(From);
   this->Store.read(std::move(Range), [this](Result<RowPage> Page) {
     if (!Page) {
-      this->handleFailure(Page.error(), true);
+      this->handleFailure(Page.error());
       return;
     }
     this->handleAnswer(*Page);
@@ -106,9 +106,17 @@
 void RowFeed::followChanges() {
   this->Store.changes(
       this->Table, this->Version, ChangeWaitTime, [this](Result<RowPage> Page) {
+        if (!Page && Page.error().Code == ErrorCode::NotFound) {
+          this->Log.log(LogLevel::Info,
+                        "The store does not have the changes any more.",
+                        {{"table", this->Table},
+                         {"part", this->Part},
+                         {"after", this->Version}});
+          this->listRows();
+          return;
+        }
         if (!Page) {
-          this->handleFailure(Page.error(),
-                              Page.error().Code == ErrorCode::NotFound);
+          this->handleFailure(Page.error());
           return;
         }
         this->handleAnswer(*Page);
@@ -127,28 +135,21 @@
       });
 }
 
-void RowFeed::handleFailure(const Error &Failure, bool NeedsListing) {
-  const bool IsHistoryGone = Failure.Code == ErrorCode::NotFound;
+void RowFeed::handleFailure(const Error &Failure) {
   if (this->Failures++ == 0)
     this->Log.log(LogLevel::Warning, "A call to the store failed.",
                   {{"table", this->Table},
                    {"part", this->Part},
                    {"code", toName(Failure.Code)},
                    {"reason", Failure.Message}});
-  if (!IsHistoryGone)
+  // A single call without an answer may be due to its connection alone.
+  if (Failure.Code == ErrorCode::Unavailable || this->Failures > 1)
     this->HadOutage = true;
-  const int Doublings = std::min(this->Failures - 1, MaxDoublings);
-  const Duration Pause =
-      IsHistoryGone ? Duration(0) : InitialRetryDelay * (1 << Doublings);
   // Entries may have expired while the store was unreachable, and the history
-  // may not show that, so all rows are listed again after an outage.
-  const bool ListRows = NeedsListing || this->HadOutage || !this->IsListed;
-  this->Loop.after(Pause, [this, ListRows] {
-    if (ListRows)
-      this->listRows();
-    else
-      this->followChanges();
-  });
+  // may not show that, so all rows are listed again.
+  const int Doublings = std::min(this->Failures - 1, MaxDoublings);
+  this->Loop.after(InitialRetryDelay * (1 << Doublings),
+                   [this] { this->listRows(); });
 }
 
 } // namespace turmericpass
--- a/Source/Rows/RowFeed.h
+++ b/Source/Rows/RowFeed.h
@@ -18,7 +18,9 @@
   /// The listing is read in pages at different times. It includes every write
   /// up to this version, and some of the later ones.
   std::uint64_t Version = 0;
-  /// Whether the store was unreachable before.
+  /// Whether the store was unreachable before, so that entries may have expired
+  /// because their owners could not renew them. A connection that broke or went
+  /// silent while the store could be reached over another one is no outage.
   bool AfterOutage = false;
 };
 
@@ -57,7 +59,7 @@
   void listRows();
   void readPage(std::string From);
   void followChanges();
-  void handleFailure(const Error &Failure, bool NeedsListing);
+  void handleFailure(const Error &Failure);
   void handleAnswer(const RowPage &Page);
 
   EventLoop &Loop;
@@ -72,6 +74,7 @@
   std::uint64_t Version = 0;
   bool IsListed = false;
   bool HadOutage = false;
+  /// The number of calls in a row that failed.
   int Failures = 0;
   Instant LastAnswer;
   std::int64_t StoreOffsetMillis = 0;
--- a/Tests/PlatformAdapter/PlatformAdapterTest.cpp
+++ b/Tests/PlatformAdapter/PlatformAdapterTest.cpp
@@ -321,6 +321,24 @@
   cr_assert(Code && *Code == ErrorCode::NotFound);
 }
 
+// Guards against a store that counts as reachable although it accepts no
+// connection, and against one that counts as away after a broken call.
+Test(PlatformRowStore, OnlyCallsThatWereNotSentShowAnUnreachableStore) {
+  for (const auto &[Failure, Expected] :
+       {std::pair(SendFailure::NotSent, ErrorCode::Unavailable),
+        std::pair(SendFailure::Unanswered, ErrorCode::Timeout),
+        std::pair(SendFailure::AnswerTruncated, ErrorCode::Timeout)}) {
+    StoreFixture Fixture;
+    std::optional<ErrorCode> Code;
+    Fixture.Store.read(
+        {"t", "p", "", "", 500}, [&](const Result<RowPage> &Page) {
+          Code = Page ? std::nullopt : std::optional(Page.error().Code);
+        });
+    Fixture.Channels.fail(2, Failure);
+    cr_assert(Code && *Code == Expected);
+  }
+}
+
 // Guards against bytes that base64 does not preserve, and against a crash on
 // invalid base64 text.
 Test(Base64, DecodedBytesAreTheEncodedOnes) {
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -21,6 +21,8 @@
   std::vector<Sent> All;
   std::set<SendId> Cancelled;
   std::set<SendId> Paused;
+  /// The addresses whose idle connections were closed, in order.
+  std::vector<std::string> Forgotten;
 
   SendId send(BackendRequest Order, SendHandler &Handler) override {
     const SendId Id = this->All.size() + 1;
@@ -34,7 +36,9 @@
     else
       this->Paused.insert(Id);
   }
-  void forget(const std::string &) override {}
+  void forget(const std::string &Address) override {
+    this->Forgotten.push_back(Address);
+  }
   bool hasIdleConnection(const std::string &) const override { return false; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
 
