RawHttp: Limit interim answers without headers

What callers saw: while a faulty server sent "HTTP/1.1 100 Continue" without end, the VM read it at full speed until the deadlines of its requests: 3.0 s of processor time in 3.1 s, and 504 for 180 of 180 requests (trial with four such servers and two VMs).

Cause: on_headers_complete returned 1 when the size of the interim heads exceeded the limit of a head, which the parser takes for an instruction to skip the body. Only interim answers with headers were limited. The test did not show it: after a partial write it began with the next piece, so that the bytes were invalid for another reason.

Change: the callback returns an error. The test continues partial writes.

--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -40,6 +40,10 @@
 /// The size of the status line of an interim answer.
 constexpr std::size_t InterimHeadBytes = 25;
 
+/// The result of on_headers_complete that ends the parsing with an error. The
+/// parser takes 1 and 2 for instructions to skip the body.
+constexpr int RejectHead = -1;
+
 template <typename State> State &stateOf(http_parser *Parser) {
   return *static_cast<State *>(Parser->data);
 }
@@ -84,7 +88,7 @@
     // Interim answers precede the head without end if the server is faulty, so
     // each of them counts towards its limit, also one without headers.
     if (S.isInformational())
-      return addToHeadSize(S, InterimHeadBytes);
+      return addToHeadSize(S, InterimHeadBytes) == 0 ? 0 : RejectHead;
     S.HeadComplete = true;
     if (P->type == HTTP_REQUEST)
       S.Head.Method = http_method_str(static_cast<http_method>(P->method));
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -195,7 +195,10 @@
       Piece += Repeated;
     std::size_t Sent = 0;
     cr_assert(runUntil(B.Loop, [&] {
-      Sent += B.Server.writeSome(Piece);
+      // A write that takes a part of the piece is continued, so that the head
+      // is valid up to the limit.
+      const std::string_view All = Piece;
+      Sent += B.Server.writeSome(All.substr(Sent % All.size()));
       return B.Recorder.ended() || Sent > (std::size_t{16} << 20U);
     }));
     cr_assert(B.Recorder.Failure.has_value(), "%s", Repeated.c_str());
--- a/Tests/RawHttp/MessageReaderTest.cpp
+++ b/Tests/RawHttp/MessageReaderTest.cpp
@@ -105,6 +105,21 @@
   cr_assert(Sink.Head.header("A").empty());
 }
 
+// Guards against interim answers without headers that never end, and that a VM
+// reads at full speed until the deadline of the request.
+Test(MessageReader, InterimAnswersWithoutHeadersAreLimited) {
+  RecordingSink Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  std::size_t Read = 0;
+  MessageReader::Step Step;
+  while (Step.Outcome == ReadOutcome::Partial && Read <= 2 * HeadBytes) {
+    Step = Reader.feed("HTTP/1.1 100 Continue\r\n\r\n");
+    Read += Step.Consumed;
+  }
+  cr_assert_eq(Step.Outcome, ReadOutcome::Invalid);
+  cr_assert_leq(Read, 2 * HeadBytes);
+}
+
 // Guards against a crash on input that is not HTTP.
 Test(MessageReader, AnyBytesAreReadWithoutACrash) {
   cr_assert(rc::check([](const std::string &Bytes) {
