RawHttp: Limit the answers to other requests that are skipped

Cause: an answer to an earlier request may come in place of the current one and is skipped. Nothing limited how much of such answers is read.

Change: the connection is closed after 4 MiB, the size of the largest answer that is held, and the request fails like one whose answer is broken.

--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -17,6 +17,11 @@
 
 constexpr std::size_t AnswerHeadBytes = std::size_t{64} << 10U;
 
+/// How much of answers to earlier requests is skipped before the connection is
+/// closed. A late answer is not larger than one that is accepted in time, but a
+/// faulty server may send other bytes without end.
+constexpr std::size_t MaxSkippedBytes = std::size_t{4} << 20U;
+
 /// How long an idle connection is reused if the server does not announce its
 /// idle timeout.
 constexpr Duration DefaultIdleLimit = std::chrono::seconds(4);
@@ -101,6 +106,7 @@
   this->Handler = &NewHandler;
   this->HeadReceived = false;
   this->SkippingAnswer = false;
+  this->SkippedBytes = 0;
   this->RejectionReason = {};
   this->BodyBytes = 0;
   this->Reusable = false;
@@ -201,6 +207,11 @@
     const MessageReader::Step Step =
         this->Reader.feed(std::string_view(Bytes, Available));
     evbuffer_drain(Input, Step.Consumed);
+    if (this->SkippingAnswer) {
+      this->SkippedBytes += Step.Consumed;
+      if (this->SkippedBytes > MaxSkippedBytes)
+        this->RejectionReason = "too many bytes that belong to other requests";
+    }
     Outcome =
         this->RejectionReason.empty() ? Step.Outcome : ReadOutcome::Invalid;
     if (Outcome == ReadOutcome::Complete && this->SkippingAnswer) {
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -64,6 +64,9 @@
   bool HeadReceived = false;
   /// The current answer belongs to an earlier request.
   bool SkippingAnswer = false;
+  /// The bytes of answers to earlier requests that came in place of the current
+  /// one.
+  std::size_t SkippedBytes = 0;
   bool Reusable = false;
   /// An answer on this connection had the echo header, so that each one has.
   bool ServerEchoes = false;
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -173,6 +173,29 @@
   cr_assert(B.Recorder.Done);
 }
 
+// Guards against answers to other requests that a VM reads without end, at full
+// speed, while the request waits for its own.
+Test(BackendChannels, AnswersToOtherRequestsAreSkippedUpToALimit) {
+  const std::string Body(8000, 'x');
+  const std::string Endless = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n";
+  const std::string Whole =
+      "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 8000\r\n\r\n" + Body;
+  for (const auto &[Start, Repeated] :
+       {std::pair(Endless, Body), std::pair(std::string(), Whole)}) {
+    Bench B;
+    B.send("r2");
+    B.Server.write(Start);
+    std::size_t Sent = 0;
+    cr_assert(runUntil(B.Loop, [&] {
+      const std::string_view All = Repeated;
+      Sent += B.Server.writeSome(All.substr(Sent % All.size()));
+      return B.Recorder.ended() || Sent > (std::size_t{32} << 20U);
+    }));
+    cr_assert(B.Recorder.Failure.has_value());
+    cr_assert_eq(B.Recorder.Heads, 0);
+  }
+}
+
 // Guards against heads without end: interim answers, header lines, chunk
 // extensions and trailers.
 Test(BackendChannels, HeadWithoutEndIsInvalid) {
