Serving: Count and free the memory of answers that are given up

What callers saw (trials, four servers whose bodies never end, two VMs, 300 requests at once): the VMs rose to 130 to 154 MB, although held answers are limited to 24 MiB. The smallest VMs have 120 MB and end with the requests of all their callers. And an answer of a sound server was given up when those of a faulty one had taken all the memory.

Cause: sizes were counted, while strings grow by doubling; and the body of a request that went on to another server kept its memory, because clear() does not free it. When the sum was exceeded, the answer that needed more was ended.

Change: the memory of a body is reserved in powers of two and counted, and freed when the body is given up. When there is too little, the answer that holds most is ended. An answer whose head announces more than the bound is ended at once.

SlowCallers.AnswerWithoutAnEndIsKeptUntilItIsComplete required that a caller has no answer yet after a head with too large a length. The request is answered with 502 now, so the test checks that answer, and that no piece was passed on.

EndedAnswersFreeTheirMemory, LargestAnswerMakesRoomForOthers and AnnouncedLengthBeyondTheBoundIsEndedAtTheHead fail without the change.

--- a/Source/Serving/AnswerForwarding.cpp
+++ b/Source/Serving/AnswerForwarding.cpp
@@ -39,7 +39,6 @@
     Call.PassedOnBytes = Call.Body.size();
     Callers.sendPiece(Call.Caller, Call.Body);
     this->clearBody(Call);
-    Call.Body.shrink_to_fit();
   }
   Call.PassedOnBytes += Bytes.size();
   if (Call.PassedOnBytes > AnswerMemory::MaxAnswerBytes) {
--- a/Source/Serving/OnlineCall.h
+++ b/Source/Serving/OnlineCall.h
@@ -75,6 +75,8 @@
   std::optional<std::uint64_t> LastEventId;
   /// The body of an answer that is forwarded only when it is complete.
   std::string Body;
+  /// The memory that is reserved for Body, in bytes.
+  std::size_t BodyMemory = 0;
   /// The bytes of the body that were passed on before it was complete.
   std::size_t PassedOnBytes = 0;
   std::optional<Instant> FirstByteAt;
--- a/Source/Serving/OnlineService.h
+++ b/Source/Serving/OnlineService.h
@@ -108,7 +108,15 @@
   void pauseIfUntaken(OnlineCall &Call);
   /// Starts the timer after which a piece of a paused answer is read.
   void armPausedRead(OnlineCall &Call);
+  /// Discards the body and gives its memory back.
   void clearBody(OnlineCall &Call);
+  /// Reserves memory for \p Bytes more of the body. Returns false if a bound of
+  /// AnswerMemory is exceeded.
+  bool reserveBody(OnlineCall &Call, std::size_t Bytes);
+  /// Does the same, and ends the answer that holds most memory if there is too
+  /// little. Returns false if that is the answer to \p Call, or if it is too
+  /// large.
+  bool makeRoomForBody(OnlineCall &Call, std::size_t Bytes);
   /// Ends a call that gets no answer of a server in time.
   void endCall(OnlineCall &Call, std::string_view Reason);
   /// Answers that the request did not run and may be sent again after
--- a/Source/Serving/OnlineServiceAnswers.cpp
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -6,6 +6,10 @@
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Metrics.h"
 
+#include <algorithm>
+#include <bit>
+#include <utility>
+
 namespace turmericpass {
 
 void OnlineService::answerHead(SendId Id, const RawHead &Head) {
@@ -51,6 +55,11 @@
     this->armStallTimer(*Call);
     return;
   }
+  if (!IsEventStream &&
+      Head.ContentLength.value_or(0) > AnswerMemory::MaxAnswerBytes) {
+    this->endOversizedAnswer(*Call, "the length of the answer is too large");
+    return;
+  }
   if (Success && !IsEventStream)
     this->recordFirstAnswer(*Call);
   Call->AnswerHead = Head;
@@ -64,8 +73,42 @@
 }
 
 void OnlineService::clearBody(OnlineCall &Call) {
-  this->Memory.release(Call.Body.size());
-  Call.Body.clear();
+  this->Memory.release(std::exchange(Call.BodyMemory, 0));
+  // Neither clear() nor the assignment of an empty string frees the memory.
+  std::string().swap(Call.Body);
+}
+
+bool OnlineService::reserveBody(OnlineCall &Call, std::size_t Bytes) {
+  const std::size_t Size = Call.Body.size() + Bytes;
+  if (Size <= Call.BodyMemory)
+    return true;
+  if (Size > AnswerMemory::MaxAnswerBytes)
+    return false;
+  // The length that a server announces need not come.
+  const std::size_t Needed = std::min<std::uint64_t>(
+      std::bit_ceil(Size),
+      std::max<std::uint64_t>(Size, Call.AnswerHead->ContentLength.value_or(
+                                        AnswerMemory::MaxAnswerBytes)));
+  if (!this->Memory.reserve(Call.BodyMemory, Needed - Call.BodyMemory))
+    return false;
+  Call.BodyMemory = Needed;
+  Call.Body.reserve(Needed);
+  return true;
+}
+
+bool OnlineService::makeRoomForBody(OnlineCall &Call, std::size_t Bytes) {
+  if (this->reserveBody(Call, Bytes))
+    return true;
+  if (Call.Body.size() + Bytes > AnswerMemory::MaxAnswerBytes)
+    return false;
+  OnlineCall *Largest = &Call;
+  for (const auto &Each : this->Calls)
+    if (Each.second->BodyMemory > Largest->BodyMemory)
+      Largest = Each.second.get();
+  if (Largest == &Call)
+    return false;
+  this->endOversizedAnswer(*Largest, "the held answers take too much memory");
+  return this->reserveBody(Call, Bytes);
 }
 
 void OnlineService::rejectAnswer(OnlineCall &Call, std::string_view Reason) {
@@ -94,7 +137,7 @@
   }
   if (this->passOnPiece(*Call, Bytes))
     return;
-  if (!this->Memory.reserve(Call->Body.size(), Bytes.size())) {
+  if (!this->makeRoomForBody(*Call, Bytes.size())) {
     this->endOversizedAnswer(*Call, "the answer is too large");
     return;
   }
--- a/Tests/Serving/EndlessAnswerTest.cpp
+++ b/Tests/Serving/EndlessAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include "Support/OnlineBench.h"
 
 #include <criterion/criterion.h>
+#include <malloc.h>
 
 using namespace turmericpass;
 using namespace std::chrono_literals;
@@ -73,6 +74,62 @@
   cr_assert_eq(Bench.answer(100).Body.size(), Piece.size());
 }
 
+// Guards against answers that hold several times as much memory as is counted,
+// because their strings grow by doubling and keep their memory when the request
+// is sent to another server.
+Test(EndlessAnswer, EndedAnswersFreeTheirMemory) {
+  const auto UsedMemory = [] {
+    const struct mallinfo2 Info = mallinfo2();
+    return Info.uordblks + Info.hblkhd;
+  };
+  OnlineBench Bench;
+  constexpr CallerId Callers = 30;
+  for (CallerId Caller = 1; Caller <= Callers; ++Caller) {
+    Bench.start(Caller, RequestKind::Idempotent);
+    Bench.Channels.head(Caller, 200);
+  }
+  const std::size_t Before = UsedMemory();
+  for (CallerId Caller = 1; Caller <= Callers; ++Caller) {
+    feedUntilCancelled(Bench, Caller, 2 * AnswerMemory::MaxAnswerBytes);
+    cr_assert_not(Bench.answer(Caller).Complete);
+    cr_assert_lt(UsedMemory(), Before + (std::size_t{8} << 20U));
+  }
+}
+
+// Guards against answers of sound servers that are given up because those of a
+// faulty one have taken all memory.
+Test(EndlessAnswer, LargestAnswerMakesRoomForOthers) {
+  OnlineBench Bench;
+  constexpr CallerId Endless = 24;
+  for (CallerId Caller = 1; Caller <= Endless; ++Caller) {
+    Bench.start(Caller, RequestKind::AtMostOnce);
+    Bench.Channels.head(Caller, 200);
+    for (std::size_t Fed = 0; Fed < (std::size_t{1} << 20U);
+         Fed += Piece.size())
+      Bench.Channels.body(Caller, Piece);
+  }
+  cr_assert(Bench.Channels.Cancelled.empty());
+  Bench.start(100, RequestKind::AtMostOnce);
+  Bench.Channels.head(Endless + 1, 200);
+  Bench.Channels.body(Endless + 1, Piece);
+  Bench.Channels.done(Endless + 1);
+  cr_assert_eq(Bench.answer(100).Status, 200);
+  cr_assert_eq(Bench.Channels.Cancelled.size(), 1);
+}
+
+// Guards against megabytes that are read of an answer whose head says that it
+// is too large.
+Test(EndlessAnswer, AnnouncedLengthBeyondTheBoundIsEndedAtTheHead) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::AtMostOnce);
+  RawHead Head;
+  Head.Status = 200;
+  Head.ContentLength = AnswerMemory::MaxAnswerBytes + 1;
+  Bench.Channels.All[0].Handler->answerHead(1, Head);
+  cr_assert(Bench.Channels.Cancelled.contains(1));
+  cr_assert_eq(Bench.answer(1).Status, 502);
+}
+
 // Guards against a stream whose event never ends.
 Test(EndlessAnswer, EventWithoutEndBreaksTheStreamOff) {
   OnlineBench Bench;
--- a/Tests/Serving/SlowCallersTest.cpp
+++ b/Tests/Serving/SlowCallersTest.cpp
@@ -103,8 +103,10 @@
   Bench.Channels.fail(1, SendFailure::AnswerTruncated);
   cr_assert_eq(Bench.Channels.All.size(), 2);
   announce(Bench, 2, AnswerMemory::MaxAnswerBytes + 1);
-  Bench.Channels.body(2, Piece);
-  cr_assert_eq(Bench.answer(1).Status, 0);
+  cr_assert(Bench.Channels.Cancelled.contains(2));
+  cr_assert_eq(Bench.answer(1).Status, 502);
+  cr_assert(Bench.answer(1).Complete);
+  cr_assert_lt(Bench.answer(1).Body.size(), Piece.size());
 }
 
 // Guards against servers that cut off an answer that stays unread for some
