Serving: Limit comments between the events of a stream

Cause: only the size of an incomplete event was limited. Comments and empty lines are complete, count as progress of the stream, and are no event.

Change: the limit of an event holds for all bytes since the last event with fields, in callers' streams and in those of batch items.

EndlessAnswer.CommentsWithoutEndBreakTheStreamOff fails without the change.

--- a/Source/BatchJobs/JobRunnerAnswers.cpp
+++ b/Source/BatchJobs/JobRunnerAnswers.cpp
@@ -96,7 +96,7 @@
   }
   this->CrashMonitor.eventsReceived(Key, *Run);
   if (Run->Output.size() > AnswerMemory::MaxOutputBytes ||
-      Run->Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes) {
+      Run->Events.bytesSinceEvent() > AnswerMemory::MaxEventBytes) {
     // The output of a server that does not stop is of no use.
     Run->discardOutput();
     this->Dependencies.Servers.recordFailure(Run->Server);
--- a/Source/Serving/AnswerMemory.h
+++ b/Source/Serving/AnswerMemory.h
@@ -20,7 +20,7 @@
 public:
   /// The maximum size of an answer that is passed on only when it is complete.
   static constexpr std::size_t MaxAnswerBytes = std::size_t{4} << 20U;
-  /// The maximum size of one event of a stream.
+  /// The maximum size of one event of a stream, with the comments before it.
   static constexpr std::size_t MaxEventBytes = std::size_t{256} << 10U;
   /// The maximum size of the output of one item of a job. It has to fit into
   /// one transaction and into one answer with results.
@@ -43,8 +43,8 @@
   explicit AnswerMemory(std::size_t TotalBytes = std::size_t{24} << 20U)
       : TotalBytes(TotalBytes) {}
 
-  /// Adds \p Bytes to an answer that has \p Held bytes. Returns false if a
-  /// bound is exceeded; then nothing is added.
+  /// Adds \p Bytes to the memory of an answer that has \p Held bytes of it.
+  /// Returns false if a bound is exceeded; then nothing is added.
   bool reserve(std::size_t Held, std::size_t Bytes);
   /// Gives back the bytes of an answer that is passed on or given up.
   void release(std::size_t Bytes);
--- a/Source/Serving/EventSplitter.cpp
+++ b/Source/Serving/EventSplitter.cpp
@@ -79,6 +79,8 @@
   for (std::size_t Length = eventLength(Unread, From);
        Length != std::string_view::npos; Length = eventLength(Unread, 0)) {
     Events.push_back(readEvent(Unread.substr(0, Length)));
+    this->BytesWithoutFields =
+        Events.back().HasFields ? 0 : this->BytesWithoutFields + Length;
     Unread.remove_prefix(Length);
   }
   this->Pending.erase(0, this->Pending.size() - Unread.size());
--- a/Source/Serving/EventSplitter.h
+++ b/Source/Serving/EventSplitter.h
@@ -36,11 +36,19 @@
   /// Returns the bytes of the event that is not complete yet.
   const std::string &incompleteEvent() const { return this->Pending; }
 
+  /// Returns the number of bytes that came after the last event with fields:
+  /// comments, empty lines and the event that is not complete yet.
+  std::size_t bytesSinceEvent() const {
+    return this->BytesWithoutFields + this->Pending.size();
+  }
+
   /// Discards an incomplete event, before another answer continues the stream.
-  void reset() { this->Pending.clear(); }
+  void reset() { *this = EventSplitter(); }
 
 private:
   std::string Pending;
+  /// The size of the complete events since the last one with fields.
+  std::size_t BytesWithoutFields = 0;
 };
 
 } // namespace turmericpass
--- a/Source/Serving/OnlineServiceAnswers.cpp
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -171,7 +171,7 @@
     Complete += Event.Bytes;
   }
   this->sendEvents(Call, Complete);
-  if (Call.Events.incompleteEvent().size() > AnswerMemory::MaxEventBytes)
+  if (Call.Events.bytesSinceEvent() > AnswerMemory::MaxEventBytes)
     this->endOversizedAnswer(Call, "an event of the stream is too large");
 }
 
--- a/Tests/BatchJobs/ItemAnswerTest.cpp
+++ b/Tests/BatchJobs/ItemAnswerTest.cpp
@@ -98,3 +98,23 @@
   cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("j"); }));
   cr_assert_eq(Bench.results("j").at(0).Output, "a");
 }
+
+// Guards against an item whose server sends comments or empty lines without
+// end, which are no progress but are read at full speed.
+Test(JobRunner, CommentsWithoutEndAreGivenUp) {
+  for (const std::string Line : {": comment\n\n", "\n"}) {
+    RunnerBench Bench;
+    cr_assert(Bench.startJob("j", 1));
+    Bench.Channels.head(1, 200, {{"Content-Type", "text/event-stream"}});
+    std::string Lines;
+    while (Lines.size() < 10'000)
+      Lines += Line;
+    std::size_t Fed = 0;
+    for (;
+         Fed < (std::size_t{8} << 20U) && !Bench.Channels.Cancelled.contains(1);
+         Fed += Lines.size())
+      Bench.Channels.body(1, Lines);
+    cr_assert_lt(Fed, std::size_t{1} << 20U);
+    cr_assert_gt(Bench.Servers.find("s1")->Failures, 0);
+  }
+}
--- a/Tests/Serving/EndlessAnswerTest.cpp
+++ b/Tests/Serving/EndlessAnswerTest.cpp
@@ -142,6 +142,42 @@
   cr_assert_not(Bench.answer(1).Complete);
 }
 
+// Guards against comments or empty lines without end, which are no event and
+// keep a stream from counting as stalled.
+Test(EndlessAnswer, CommentsWithoutEndBreakTheStreamOff) {
+  for (const std::string Line : {": comment\n\n", "\n"}) {
+    OnlineBench Bench;
+    Bench.start(1, RequestKind::Stream);
+    Bench.stream(1, "id: 0\ndata: a\n\n");
+    std::string Lines;
+    while (Lines.size() < Piece.size())
+      Lines += Line;
+    std::size_t Fed = 0;
+    while (Fed < 2 * AnswerMemory::MaxAnswerBytes &&
+           !Bench.Channels.Cancelled.contains(1)) {
+      Bench.Channels.body(1, Lines);
+      Fed += Lines.size();
+    }
+    cr_assert_leq(Fed, AnswerMemory::MaxEventBytes + 2 * Lines.size());
+    cr_assert(Bench.answer(1).Broken);
+  }
+}
+
+// Guards against a stream that is cut because many comments came between its
+// events, none of them too long.
+Test(EndlessAnswer, CommentsBetweenEventsAreCountedFromTheLastEvent) {
+  OnlineBench Bench;
+  Bench.start(1, RequestKind::Stream);
+  Bench.stream(1, "id: 0\ndata: a\n\n");
+  const std::string Comment = ":" + Piece + "\n\n";
+  for (int Id = 1; Id <= 16; ++Id) {
+    Bench.Channels.body(1, Comment + Comment);
+    Bench.Channels.body(1, "id: " + std::to_string(Id) + "\ndata: a\n\n");
+  }
+  Bench.Channels.done(1);
+  cr_assert(Bench.answer(1).Complete);
+}
+
 // Guards against a stream that piles up for a caller that does not read: the
 // server has to wait instead, and the stream is not cut for it.
 Test(EndlessAnswer, ServerWaitsForASlowCaller) {
