RawHttp: Reject requests of callers that cannot be sent on

Cause: the parser accepts a tab in a path and a space in a header name. Since such a request is not sent, which would have counted as a failure of each server in turn, so that a caller could make all servers look unreliable.

Change: the head of a request is checked when it is read, and answered with 400.

--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -90,6 +90,10 @@
     if (S.isInformational())
       return addToHeadSize(S, InterimHeadBytes) == 0 ? 0 : RejectHead;
     S.HeadComplete = true;
+    // The parser accepts some characters that must not be sent on.
+    if (P->type == HTTP_REQUEST &&
+        !(isVisibleText(S.Head.Target) && areHeaderLines(S.Head.Headers)))
+      return RejectHead;
     if (P->type == HTTP_REQUEST)
       S.Head.Method = http_method_str(static_cast<http_method>(P->method));
     else
--- a/Source/RawHttp/RawMessage.cpp
+++ b/Source/RawHttp/RawMessage.cpp
@@ -86,15 +86,21 @@
          });
 }
 
+bool areHeaderLines(const HttpHeaders &Headers) {
+  return std::all_of(Headers.begin(), Headers.end(), [](const auto &Header) {
+    return isHeaderLine(Header.first, Header.second);
+  });
+}
+
 bool hasValidHead(const RawRequest &Request) {
   return isToken(Request.Method) && isVisibleText(Request.Target) &&
-         std::all_of(Request.Headers.begin(), Request.Headers.end(),
-                     [](const auto &Header) {
-                       const auto &[Name, Value] = Header;
-                       return isHeaderLine(Name, Value) &&
-                              !equalsIgnoringCase(Name, "Content-Length") &&
-                              !equalsIgnoringCase(Name, "Transfer-Encoding");
-                     });
+         areHeaderLines(Request.Headers) &&
+         std::none_of(
+             Request.Headers.begin(), Request.Headers.end(),
+             [](const auto &Header) {
+               return equalsIgnoringCase(Header.first, "Content-Length") ||
+                      equalsIgnoringCase(Header.first, "Transfer-Encoding");
+             });
 }
 
 void appendHeader(std::string &Out, std::string_view Name,
--- a/Source/RawHttp/RawMessage.h
+++ b/Source/RawHttp/RawMessage.h
@@ -62,6 +62,9 @@
 /// and, after an empty line, begin the body or another message.
 bool isHeaderLine(std::string_view Name, std::string_view Value);
 
+/// Returns whether each of \p Headers is a header line.
+bool areHeaderLines(const HttpHeaders &Headers);
+
 /// Returns whether the head of \p Request, written as it is, is read as one
 /// head with its own body. It must not state the length of the body, which the
 /// writer adds.
--- a/Tests/RawHttp/RequestHeadTest.cpp
+++ b/Tests/RawHttp/RequestHeadTest.cpp
@@ -85,6 +85,35 @@
   cr_assert_lt(Listener.accept(), 0);
 }
 
+// Guards against callers whose requests cannot be sent on, so that each server
+// seems to fail: the parser accepts some characters that may not be sent.
+Test(RequestHead, EachRequestThatIsReadCanBeSentOn) {
+  const auto Read = [](const std::string &Target, const std::string &Header) {
+    RequestSink Sink;
+    MessageReader Reader(MessageReader::Kind::Requests, 1 << 16, Sink);
+    const ReadOutcome Outcome =
+        Reader.feed("GET " + Target + " HTTP/1.1\r\n" + Header + "\r\n\r\n")
+            .Outcome;
+    const bool IsComplete = Outcome == ReadOutcome::Complete;
+    RawRequest Request{Sink.Head.Method, Sink.Head.Target, Sink.Head.Headers,
+                       ""};
+    cr_assert(!IsComplete || hasValidHead(Request), "%s %s", Target.c_str(),
+              Header.c_str());
+    return IsComplete;
+  };
+  cr_assert(Read("/x", "A: b c\td\xc3\xa9"));
+  cr_assert(Read("/\xc3\xa9", "A: b"));
+  cr_assert_not(Read("/x\ty", "A: b"));
+  cr_assert_not(Read("/x", "A b: c"));
+  for (int Byte = 0; Byte < 256; ++Byte) {
+    const std::string Text =
+        "a" + std::string(1, static_cast<char>(Byte)) + "b";
+    (void)Read("/" + Text, "A: b");
+    (void)Read("/", Text + ": b");
+    (void)Read("/", "A: " + Text);
+  }
+}
+
 // Guards against any bytes in a head that passes the check and is read as
 // something else than this one request.
 Test(RequestHead, ValidHeadIsReadAsOneRequest) {
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 
-from standins import Engine, Proxy, Store, whole_output
+from standins import ENDLESS_KINDS, Engine, Proxy, Store, whole_output
 
 FRONT, READY, CONTROL, PEER, METRICS = 7001, 7002, 7003, 7004, 7005
 HOST = "soak.example"
@@ -310,7 +310,7 @@
         rng = random.Random(self.options.seed)
         while self.begun + self.options.seconds > time.monotonic():
             for engine in rng.sample(self.engines, self.options.endless):
-                engine.endless = rng.choice(["event", "body", "head"])
+                engine.endless = rng.choice(ENDLESS_KINDS)
             await asyncio.sleep(rng.uniform(0.5, 3.0))
             for engine in self.engines:
                 engine.endless = None
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -215,16 +215,8 @@
 
     async def send_endlessly(self, echo, writer):
         """Writes as fast as it can until the other side closes."""
-        kind = ("Content-Type: text/event-stream\r\n"
-                if self.endless == "event" else "")
-        head = "HTTP/1.1 200 OK\r\n" + kind + "".join(
-            f"{name}: {value}\r\n" for name, value in echo.items())
-        writer.write(head.encode())
-        if self.endless == "head":
-            piece = b"A: b\r\n" * 10000
-        else:
-            writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
-            piece = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+        start, piece = endless_answer(self.endless, echo)
+        writer.write(start)
         while not writer.is_closing():
             writer.write(piece)
             await writer.drain()
@@ -242,6 +234,32 @@
         writer.write(b"0\r\n\r\n")
 
 
+# What a server sends without end in place of an answer.
+ENDLESS_KINDS = ("event", "comment", "body", "length", "head", "interim",
+                 "garbage", "other")
+
+
+def endless_answer(kind, echo):
+    """Returns how an answer without end begins, and what is repeated then."""
+    if kind == "interim":
+        return b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 3000
+    if kind == "garbage":
+        return b"", b"\0no answer" * 7000
+    if kind == "other":
+        echo = {name: "of-another-request" for name in echo}
+    head = "HTTP/1.1 200 OK\r\n" + "".join(
+        f"{name}: {value}\r\n" for name, value in echo.items())
+    if kind in ("event", "comment"):
+        head += "Content-Type: text/event-stream\r\n"
+    if kind == "head":
+        return head.encode(), b"A: b\r\n" * 10000
+    if kind == "length":
+        return head.encode() + b"Content-Length: 9999999999\r\n\r\n", b"x" * 65536
+    text = b": comment\n\n" * 6000 if kind == "comment" else b"x" * 65536
+    return (head.encode() + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"%x\r\n%s\r\n" % (len(text), text))
+
+
 def event_count(request_id):
     """How many events the answer to a request has."""
     return 3 + sum(request_id.encode()) % 20
