--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -180,11 +180,12 @@
   const std::string Endless = "HTTP/1.1 200 OK\r\nId: other\r\n\r\n";
   const std::string Whole =
       "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 8000\r\n\r\n" + Body;
-  for (const auto &[Start, Repeated] :
+  for (const auto &Case :
        {std::pair(Endless, Body), std::pair(std::string(), Whole)}) {
+    const std::string &Repeated = Case.second;
     Bench B;
     B.send("r2");
-    B.Server.write(Start);
+    B.Server.write(Case.first);
     std::size_t Sent = 0;
     cr_assert(runUntil(B.Loop, [&] {
       const std::string_view All = Repeated;
