RawHttp: Treat a reset during the upload as a truncated answer

Callers got a part of an answer as a complete one: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the request was still being written.

The write reports the reset to libevent first and clears the error of the socket. The next read then reports an end of the stream, and both arrive as one event, of which only the end was looked at. Now an end counts as orderly only if no error was reported with it. If the server closes its sending side before a reset, the reads report that end, so complete answers are not lost.

--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -157,8 +157,12 @@
     return;
   }
   // An answer without a declared length ends when the server closes the
-  // connection, but not when the connection is reset.
-  if ((Events & BEV_EVENT_EOF) && this->HeadReceived) {
+  // connection, but not when the connection is reset. If a write reports the
+  // reset, the next read reports an end of the stream, and both arrive as one
+  // event.
+  const bool ClosedByServer =
+      (Events & BEV_EVENT_EOF) && !(Events & BEV_EVENT_ERROR);
+  if (ClosedByServer && this->HeadReceived) {
     this->ProcessingInput = true;
     const ReadOutcome Outcome = this->Reader.endOfStream();
     this->ProcessingInput = false;
@@ -174,7 +178,7 @@
   }
   this->fail(this->HeadReceived ? SendFailure::AnswerTruncated
                                 : SendFailure::Unanswered,
-             Events & BEV_EVENT_EOF ? "closed by the server" : "reset");
+             ClosedByServer ? "closed by the server" : "reset");
 }
 
 void BackendConnection::handleInput() {
--- /dev/null
+++ b/Tests/RawHttp/BrokenAnswerTest.cpp
@@ -0,0 +1,105 @@
+#include "Loop/EventLoop.h"
+#include "RawHttp/TcpBackendChannels.h"
+#include "Support/RawPeer.h"
+#include "Support/RunUntil.h"
+
+#include <criterion/criterion.h>
+#include <optional>
+
+using namespace turmericpass;
+
+namespace {
+
+/// What a request got from its server.
+struct AnswerRecorder : public SendHandler {
+  std::optional<int> Status;
+  std::string Body;
+  bool Done = false;
+  std::optional<SendFailure> Failure;
+  void answerHead(SendId, const RawHead &Head) override {
+    this->Status = Head.Status;
+  }
+  void answerBody(SendId, std::string_view Bytes) override {
+    this->Body += Bytes;
+  }
+  void answerDone(SendId) override { this->Done = true; }
+  void sendFailed(SendId, SendFailure Why, std::string_view) override {
+    this->Failure = Why;
+  }
+};
+
+/// A request to a server that the test plays.
+struct Bench {
+  BootClock Time;
+  EventLoop Loop{Time};
+  RawPeer Listener;
+  std::uint16_t Port = Listener.listen();
+  TcpBackendChannels Channels{Loop};
+  AnswerRecorder Recorder;
+  RawPeer Server;
+
+  /// Sends a request and waits until its head has arrived.
+  void send(std::string Body) {
+    BackendRequest Request;
+    Request.Address = "127.0.0.1:" + std::to_string(this->Port);
+    Request.Request.Method = "POST";
+    Request.Request.Target = "/x";
+    Request.Request.Body = std::move(Body);
+    this->Channels.send(std::move(Request), this->Recorder);
+    cr_assert(runUntil(this->Loop, [&] {
+      if (this->Server.Descriptor < 0)
+        this->Server.Descriptor = this->Listener.accept();
+      if (this->Server.Descriptor < 0)
+        return false;
+      std::array<char, 512> Buffer;
+      const ssize_t Count = recv(this->Server.Descriptor, Buffer.data(),
+                                 Buffer.size(), MSG_DONTWAIT);
+      if (Count > 0)
+        this->Server.Received.append(Buffer.data(),
+                                     static_cast<std::size_t>(Count));
+      return this->Server.Received.find("\r\n\r\n") != std::string::npos;
+    }));
+  }
+  void waitForEnd() {
+    cr_assert(runUntil(this->Loop, [&] {
+      return this->Recorder.Done || this->Recorder.Failure.has_value();
+    }));
+  }
+};
+
+/// Larger than what the sockets of both sides take, so that it is still being
+/// written when the answer arrives.
+const std::string LongUpload(std::size_t{24} << 20U, 'x');
+
+} // namespace
+
+// Guards against a part of an answer without a length that counts as the whole
+// of it, because a reset while the upload is being written is taken for an
+// orderly end.
+Test(BrokenAnswer, ResetDuringTheUploadCutsTheAnswer) {
+  for (const bool IsReadBefore : {true, false})
+    for (int Round = 0; Round < 10; ++Round) {
+      Bench B;
+      B.send(LongUpload);
+      B.Server.write("HTTP/1.1 200 OK\r\n\r\npart");
+      if (IsReadBefore)
+        cr_assert(runUntil(B.Loop, [&] { return B.Recorder.Body == "part"; }));
+      B.Server.reset();
+      B.waitForEnd();
+      cr_expect_not(B.Recorder.Done, "round %d", Round);
+      cr_expect(B.Recorder.Failure.has_value());
+    }
+}
+
+// Guards against the loss of an answer without a length whose server closes its
+// sending side in order before it has read the request.
+Test(BrokenAnswer, OrderlyEndDuringTheUploadIsTheEndOfTheAnswer) {
+  Bench B;
+  B.send(LongUpload);
+  B.Server.write("HTTP/1.1 413 Content Too Large\r\n\r\nwhole");
+  shutdown(B.Server.Descriptor, SHUT_WR);
+  B.waitForEnd();
+  cr_assert(B.Recorder.Done);
+  cr_assert_eq(*B.Recorder.Status, 413);
+  cr_assert_str_eq(B.Recorder.Body.c_str(), "whole");
+}
