RawHttp: Reject answers with an invalid status

A server in trouble sent an answer with status 000. Callers did not get that status, but its body: the reader took each status below 200 for that of an interim answer and skipped the head, so the body went to the request without a head, in front of the body of the answer that followed. Statuses from 600 on, 0200, 101 without an upgrade, and versions such as HTTP/2.0 were passed on.

An answer now needs a status line that begins with HTTP/1.x and three digits, and a status from 100 to 599 other than 101; only 100 to 199 are interim. AnswerHead holds the rule. The head of an answer is parsed line by line, since the parser shows a status, but not its digits. Empty lines before the status line belong to no request and are rejected, too; they had no limit.

--- /dev/null
+++ b/Source/Http/AnswerHead.h
@@ -0,0 +1,41 @@
+#ifndef TURMERICPASS_HTTP_ANSWERHEAD_H
+#define TURMERICPASS_HTTP_ANSWERHEAD_H
+
+#include <cstddef>
+#include <string_view>
+
+namespace turmericpass {
+
+// The rules for heads of answers. All code that reads answers applies them,
+// since the parsers that it uses accept more.
+
+/// Returns whether \p Status is that of an answer, which may be an interim
+/// answer.
+bool isAnswerStatus(int Status);
+
+/// Returns whether answers with \p Status precede the final answer.
+bool isInterimStatus(int Status);
+
+/// Checks the lines of the head of an answer for what its parsed form does not
+/// show: the digits of the status.
+class AnswerLines {
+public:
+  /// Checks \p Bytes, which are a line or a part of one. Returns false if the
+  /// line is not valid.
+  bool add(std::string_view Bytes);
+  /// Begins with the head of another answer.
+  void reset();
+
+private:
+  bool isValidAtColumn(char Byte) const;
+
+  /// The number of lines before the current one.
+  std::size_t Lines = 0;
+  /// The number of bytes of the current line, up to the end of the part that is
+  /// checked.
+  std::size_t Column = 0;
+};
+
+} // namespace turmericpass
+
+#endif
--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -1,5 +1,7 @@
 #include "RawHttp/MessageReader.h"
 
+#include "Http/AnswerHead.h"
+
 #include <http_parser.h>
 #include <utility>
 
@@ -16,6 +18,8 @@
   bool Started = false;
   bool HeadComplete = false;
   bool Complete = false;
+  /// The lines of the head, if the message is an answer.
+  AnswerLines Lines;
 
   void reset() {
     http_parser_init(&this->Parser, this->Messages == Kind::Requests
@@ -28,10 +32,16 @@
     this->Started = false;
     this->HeadComplete = false;
     this->Complete = false;
+    this->Lines.reset();
+  }
+
+  bool isInterim() const {
+    return this->Messages == Kind::Answers &&
+           isInterimStatus(static_cast<int>(this->Parser.status_code));
   }
 
-  bool isInformational() const {
-    return this->Messages == Kind::Answers && this->Parser.status_code < 200;
+  bool isInHeadOfAnswer() const {
+    return this->Messages == Kind::Answers && !this->HeadComplete;
   }
 };
 
@@ -85,16 +95,21 @@
   };
   Settings.on_headers_complete = [](http_parser *P) {
     State &S = stateOf<State>(P);
+    const bool IsRequest = P->type == HTTP_REQUEST;
+    // The parser accepts some characters that must not be sent on, and answers
+    // with other statuses.
+    const bool IsValid =
+        IsRequest
+            ? isVisibleText(S.Head.Target) && areHeaderLines(S.Head.Headers)
+            : isAnswerStatus(static_cast<int>(P->status_code));
+    if (!IsValid)
+      return RejectHead;
     // Interim answers precede the head without end if the server is faulty, so
     // each of them counts towards its limit, also one without headers.
-    if (S.isInformational())
+    if (S.isInterim())
       return addToHeadSize(S, InterimHeadBytes) == 0 ? 0 : RejectHead;
     S.HeadComplete = true;
-    // The parser accepts some characters that must not be sent on.
-    if (P->type == HTTP_REQUEST &&
-        !(isVisibleText(S.Head.Target) && areHeaderLines(S.Head.Headers)))
-      return RejectHead;
-    if (P->type == HTTP_REQUEST)
+    if (IsRequest)
       S.Head.Method = http_method_str(static_cast<http_method>(P->method));
     else
       S.Head.Status = static_cast<int>(P->status_code);
@@ -110,9 +125,10 @@
   };
   Settings.on_message_complete = [](http_parser *P) {
     State &S = stateOf<State>(P);
-    if (S.isInformational()) {
+    if (S.isInterim()) {
       S.Head = RawHead();
       S.LastWasValue = false;
+      S.Lines.reset();
       return 0;
     }
     S.Complete = true;
@@ -122,6 +138,12 @@
   return Settings;
 }
 
+/// Returns the first line of \p Bytes with its end, or all if it has none.
+std::string_view firstLine(std::string_view Bytes) {
+  const std::size_t End = Bytes.find('\n');
+  return End == std::string_view::npos ? Bytes : Bytes.substr(0, End + 1);
+}
+
 } // namespace
 
 MessageReader::MessageReader(Kind Messages, std::size_t HeadBytes,
@@ -140,17 +162,26 @@
   State &S = *this->ReaderState;
   if (!Bytes.empty())
     S.Started = true;
-  const std::size_t Consumed =
-      http_parser_execute(&S.Parser, &Settings, Bytes.data(), Bytes.size());
-  if (S.Complete) {
-    S.Sink->onMessageComplete();
-    S.reset();
-    return {ReadOutcome::Complete, Consumed};
-  }
-  // Protocol upgrades are not supported, so a message that switches the
-  // protocol is invalid.
-  if (HTTP_PARSER_ERRNO(&S.Parser) != HPE_OK || S.Parser.upgrade)
-    return {ReadOutcome::Invalid, Consumed};
+  std::size_t Consumed = 0;
+  do {
+    std::string_view Part = Bytes.substr(Consumed);
+    if (S.isInHeadOfAnswer()) {
+      Part = firstLine(Part);
+      if (!S.Lines.add(Part))
+        return {ReadOutcome::Invalid, Consumed};
+    }
+    Consumed +=
+        http_parser_execute(&S.Parser, &Settings, Part.data(), Part.size());
+    if (S.Complete) {
+      S.Sink->onMessageComplete();
+      S.reset();
+      return {ReadOutcome::Complete, Consumed};
+    }
+    // Protocol upgrades are not supported, so a message that switches the
+    // protocol is invalid.
+    if (HTTP_PARSER_ERRNO(&S.Parser) != HPE_OK || S.Parser.upgrade)
+      return {ReadOutcome::Invalid, Consumed};
+  } while (Consumed < Bytes.size());
   return {ReadOutcome::Partial, Consumed};
 }
 
--- a/Tests/RawHttp/BrokenAnswerTest.cpp
+++ b/Tests/RawHttp/BrokenAnswerTest.cpp
@@ -1,5 +1,6 @@
 #include "Loop/EventLoop.h"
 #include "RawHttp/TcpBackendChannels.h"
+#include "Support/BrokenAnswers.h"
 #include "Support/RawPeer.h"
 #include "Support/RunUntil.h"
 
@@ -71,8 +72,38 @@
 /// written when the answer arrives.
 const std::string LongUpload(std::size_t{24} << 20U, 'x');
 
+/// Expects that \p Answer does not reach the caller, whether its bytes arrive
+/// together or one by one.
+void expectNoAnswer(const BrokenAnswer &Answer) {
+  for (const std::size_t PieceBytes : {Answer.Bytes.size(), std::size_t{1}}) {
+    Bench B;
+    B.send("body");
+    const std::string_view All = Answer.Bytes;
+    for (std::size_t At = 0; At < All.size(); At += PieceBytes) {
+      B.Server.write(All.substr(At, PieceBytes));
+      B.Loop.runOnce(Duration(0));
+    }
+    B.Server.drop();
+    B.waitForEnd();
+    const char *Name = Answer.Name.c_str();
+    cr_expect_not(B.Recorder.Done, "%s", Name);
+    cr_expect_not(B.Recorder.Status.has_value(), "%s", Name);
+    cr_expect(B.Recorder.Body.empty(), "%s", Name);
+    // The server may have run the request.
+    cr_expect_neq(B.Recorder.Failure.value_or(SendFailure::NotSent),
+                  SendFailure::NotSent, "%s", Name);
+  }
+}
+
 } // namespace
 
+// Guards against an answer that is passed on although its status line is not
+// valid.
+Test(BrokenAnswer, AnswerWithABrokenStatusIsNoAnswer) {
+  for (const BrokenAnswer &Answer : makeAnswersWithBrokenStatus())
+    expectNoAnswer(Answer);
+}
+
 // Guards against a part of an answer without a length that counts as the whole
 // of it, because a reset while the upload is being written is taken for an
 // orderly end.
