RawHttp: Reject answers with headers that cannot be read

A server in trouble sent an answer in whose head the name of a header held a blank. Callers got that line passed on, or, where the header was one that delimits the body, a body that was not the server's. Names with control bytes were rejected before.

The parser accepts blanks in names, also as the white space before a colon or at the start of a line, and joins a line that begins with white space to the one before. The check of header lines was made for requests only. It now holds for answers and interim answers as well; folded lines, more than one header that delimits the body, an empty length, and transfer codings other than chunked are rejected. isAnswerHead() holds the rule; HeadSyntax is moved from RawMessage.

MessageReader.HeadersOfAnswersCanBeSent plays random bytes in a head and failed before; UnusualValidHeadsOfAnswersAreRead held before.

--- a/Source/Http/AnswerHead.cpp
+++ b/Source/Http/AnswerHead.cpp
@@ -1,5 +1,10 @@
 #include "Http/AnswerHead.h"
 
+#include "Http/HeadSyntax.h"
+
+#include <algorithm>
+#include <strings.h>
+
 namespace turmericpass {
 
 namespace {
@@ -11,18 +16,50 @@
 
 bool isDigit(char Each) { return Each >= '0' && Each <= '9'; }
 
+/// Returns \p Value without the white space at its end, which is not part of
+/// it.
+std::string_view trimEnd(std::string_view Value) {
+  return Value.substr(0, Value.find_last_not_of(" \t") + 1);
+}
+
+bool equalsLowercase(std::string_view Text, std::string_view Lowercase) {
+  return Text.size() == Lowercase.size() &&
+         strncasecmp(Text.data(), Lowercase.data(), Text.size()) == 0;
+}
+
+/// Returns whether \p Headers delimit the body in at most one way (RFC 9112,
+/// section 6). Transfer codings other than chunked are not supported, because
+/// the body would be passed on without the header that names them.
+bool delimitOneBody(const HttpHeaders &Headers) {
+  int Delimiters = 0;
+  for (const auto &[Name, UntrimmedValue] : Headers) {
+    const std::string_view Value = trimEnd(UntrimmedValue);
+    const bool IsLength = equalsLowercase(Name, "content-length");
+    if (!IsLength && !equalsLowercase(Name, "transfer-encoding"))
+      continue;
+    const bool IsValid =
+        IsLength
+            ? !Value.empty() && std::all_of(Value.begin(), Value.end(), isDigit)
+            : equalsLowercase(Value, "chunked");
+    if (!IsValid || ++Delimiters > 1)
+      return false;
+  }
+  return true;
+}
+
 } // namespace
 
-bool isAnswerStatus(int Status) {
+bool isAnswerHead(int Status, const HttpHeaders &Headers) {
   // No request asks for another protocol.
-  return Status >= 100 && Status < 600 && Status != SwitchingProtocolsStatus;
+  return Status >= 100 && Status < 600 && Status != SwitchingProtocolsStatus &&
+         areHeaderLines(Headers) && delimitOneBody(Headers);
 }
 
 bool isInterimStatus(int Status) { return Status >= 100 && Status < 200; }
 
 bool AnswerLines::isValidAtColumn(char Byte) const {
   if (this->Lines > 0)
-    return true;
+    return this->Column > 0 || (Byte != ' ' && Byte != '\t');
   if (this->Column == StatusLineStart.size())
     return Byte == ' ' || Byte == '\r' || Byte == '\n';
   const char Expected = StatusLineStart[this->Column];
--- a/Source/Http/AnswerHead.h
+++ b/Source/Http/AnswerHead.h
@@ -1,6 +1,8 @@
 #ifndef TURMERICPASS_HTTP_ANSWERHEAD_H
 #define TURMERICPASS_HTTP_ANSWERHEAD_H
 
+#include "Http/HttpTypes.h"
+
 #include <cstddef>
 #include <string_view>
 
@@ -9,15 +11,17 @@
 // The rules for heads of answers. All code that reads answers applies them,
 // since the parsers that it uses accept more.
 
-/// Returns whether \p Status is that of an answer, which may be an interim
-/// answer.
-bool isAnswerStatus(int Status);
+/// Returns whether \p Status and \p Headers form the head of an answer, which
+/// may be an interim answer. Any other head means that the answer is broken: a
+/// line that cannot be read may be the one that delimits the body.
+bool isAnswerHead(int Status, const HttpHeaders &Headers);
 
 /// Returns whether answers with \p Status precede the final answer.
 bool isInterimStatus(int Status);
 
 /// Checks the lines of the head of an answer for what its parsed form does not
-/// show: the digits of the status.
+/// show: the digits of the status, and folded headers, which may hide another
+/// header.
 class AnswerLines {
 public:
   /// Checks \p Bytes, which are a line or a part of one. Returns false if the
--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -101,7 +101,7 @@
     const bool IsValid =
         IsRequest
             ? isVisibleText(S.Head.Target) && areHeaderLines(S.Head.Headers)
-            : isAnswerStatus(static_cast<int>(P->status_code));
+            : isAnswerHead(static_cast<int>(P->status_code), S.Head.Headers);
     if (!IsValid)
       return RejectHead;
     // Interim answers precede the head without end if the server is faulty, so
--- a/Source/RawHttp/RawMessage.h
+++ b/Source/RawHttp/RawMessage.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_RAWHTTP_RAWMESSAGE_H
 #define TURMERICPASS_RAWHTTP_RAWMESSAGE_H
 
+#include "Http/HeadSyntax.h"
 #include "Http/HttpTypes.h"
 
 #include <cstdint>
@@ -53,18 +54,6 @@
 /// it must not be forwarded (RFC 9110, section 7.6.1).
 bool isHopByHop(std::string_view Name);
 
-/// Returns whether \p Text consists of visible characters, so that it can be
-/// written as one part of a request line. Bytes above 0x7f count as visible.
-bool isVisibleText(std::string_view Text);
-
-/// Returns whether \p Name and \p Value can be written as one header line (RFC
-/// 9110, sections 5.1 and 5.5). A line break in the value would end the line
-/// and, after an empty line, begin the body or another message.
-bool isHeaderLine(std::string_view Name, std::string_view Value);
-
-/// Returns whether each of \p Headers is a header line.
-bool areHeaderLines(const HttpHeaders &Headers);
-
 /// Returns whether the head of \p Request, written as it is, is read as one
 /// head with its own body. It must not state the length of the body, which the
 /// writer adds.
--- a/Tests/RawHttp/BrokenAnswerTest.cpp
+++ b/Tests/RawHttp/BrokenAnswerTest.cpp
@@ -104,6 +104,13 @@
     expectNoAnswer(Answer);
 }
 
+// Guards against an answer that is passed on although one of its headers cannot
+// be read: with that line, or with another body than its server sent.
+Test(BrokenAnswer, AnswerWithABrokenHeaderIsNoAnswer) {
+  for (const BrokenAnswer &Answer : makeAnswersWithBrokenHeaders())
+    expectNoAnswer(Answer);
+}
+
 // Guards against a part of an answer without a length that counts as the whole
 // of it, because a reset while the upload is being written is taken for an
 // orderly end.
--- a/Tests/RawHttp/MessageReaderTest.cpp
+++ b/Tests/RawHttp/MessageReaderTest.cpp
@@ -130,3 +130,51 @@
     Answers.feed("HTTP/1.1 200 OK\r\n" + Bytes);
   }));
 }
+
+// Guards against valid answers that are rejected as broken.
+Test(MessageReader, UnusualValidHeadsOfAnswersAreRead) {
+  for (const std::string Head :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2 \r\n\r\n",
+        "HTTP/1.1 200\r\nContent-Length:2\r\n\r\n",
+        "HTTP/1.0 200 \r\ncontent-length: \t2\r\n\r\n",
+        "HTTP/1.1 299 \xc3\xa9\r\nContent-LENGTH: 02\r\n\r\n",
+        "HTTP/1.1 599 No\nContent-Length: 2\n\n",
+        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: \xff\t\"\r\nEmpty:\r\n"
+        "Content-Length: 2\r\n\r\n",
+        "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"}) {
+    RecordingSink Sink;
+    MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+    const MessageReader::Step Step = Reader.feed(Head + "okHTTP");
+    cr_expect(Step.Outcome == ReadOutcome::Complete, "%s", Head.c_str());
+    cr_expect_eq(Step.Consumed, Head.size() + 2);
+    cr_expect_str_eq(Sink.Body.c_str(), "ok");
+  }
+  RecordingSink Sink;
+  MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+  const MessageReader::Step Step =
+      Reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked \r\n\r\n"
+                  "2\r\nok\r\n0\r\n\r\n");
+  cr_expect(Step.Outcome == ReadOutcome::Complete);
+  cr_expect_str_eq(Sink.Body.c_str(), "ok");
+}
+
+// Guards against a head with an arbitrary broken byte that is passed on with
+// headers that cannot be sent. Plays random bytes at random positions.
+Test(MessageReader, HeadersOfAnswersCanBeSent) {
+  cr_assert(rc::check([] {
+    std::string Bytes = "HTTP/1.1 200 OK\r\nServer-Stamp: a b\r\n"
+                        "Content-Length: 2\r\nX-Own: kept\r\n\r\nok";
+    const auto Changes = *rc::gen::inRange(1, 4);
+    for (int I = 0; I < Changes; ++I)
+      Bytes[*rc::gen::inRange<std::size_t>(0, Bytes.size())] =
+          *rc::gen::arbitrary<char>();
+    RecordingSink Sink;
+    MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+    Reader.feed(Bytes);
+    RC_ASSERT(Sink.Head.Status == 0 ||
+              (Sink.Head.Status >= 200 && Sink.Head.Status < 600));
+    for (const auto &[Name, Value] : Sink.Head.Headers)
+      RC_ASSERT(isHeaderLine(Name, Value));
+  }));
+}
--- a/Tests/Support/BrokenAnswers.h
+++ b/Tests/Support/BrokenAnswers.h
@@ -2,6 +2,7 @@
 #define TURMERICPASS_TESTS_SUPPORT_BROKENANSWERS_H
 
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericpass {
@@ -29,6 +30,42 @@
   return Answers;
 }
 
+/// Returns answers of which a header cannot be read.
+inline std::vector<BrokenAnswer> makeAnswersWithBrokenHeaders() {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Rest = "\r\nContent-Length: 6\r\n\r\nbroken";
+  std::vector<BrokenAnswer> Answers;
+  for (const std::string &Line : std::vector<std::string>{
+           "X-Note : a", "X Note: a", " X-Note: a", "\tX-Note: a",
+           "X-Note\t: a", "X\x01Note: a", "X-Note\x7f: a", "X-N\rote: a",
+           std::string("X\0Note: a", 9), "X\x1bNote: a", ": a", "X-Note",
+           "X-Note: a\x01", "X-Note: a\r\n folded", "X-Note:\r\n folded",
+           "X-Note: a\r\n\tContent-Length: 3"})
+    Answers.push_back({Line, Head + Line + Rest});
+  // The header delimits another body than the parser would find.
+  for (const std::string Line :
+       {"Content-Length : 3", "Content -Length: 3", " Content-Length: 3",
+        "Content-Length\t: 3", "Content-Length:", "Content-Length: 3, 3",
+        "Content-Length: 3\r\nContent-Length: 6", "Content-Length: +3",
+        "Content-Length: -3", "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding:", "Transfer-Encoding: gzip",
+        "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked"})
+    Answers.push_back({Line, Head + Line + "\r\n\r\n3\r\nbro\r\n0\r\n\r\n"});
+  Answers.push_back({"interim answer", "HTTP/1.1 103 Early\r\nX Note: a\r\n"
+                                       "\r\n" +
+                                           Head + Rest.substr(2)});
+  return Answers;
+}
+
+/// Returns all answers whose heads are not valid.
+inline std::vector<BrokenAnswer> makeAnswersWithBrokenHeads() {
+  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenStatus();
+  for (BrokenAnswer &Answer : makeAnswersWithBrokenHeaders())
+    Answers.push_back(std::move(Answer));
+  return Answers;
+}
+
 } // namespace turmericpass
 
 #endif
