--- /dev/null
+++ b/Tests/BatchJobs/BrokenItemAnswerTest.cpp
@@ -0,0 +1,97 @@
+#include "RawHttp/TcpBackendChannels.h"
+#include "Support/BrokenAnswers.h"
+#include "Support/RunnerBench.h"
+#include "Support/ScriptedServer.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+const std::string Output = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+
+/// A JobRunner whose server has a real socket.
+struct SocketBench {
+  RunnerBench Runner;
+  TcpBackendChannels Sockets{Runner.Loop};
+  ScriptedServer Server;
+
+  explicit SocketBench(const std::string &Answer) {
+    this->Runner.Channels.Sockets = &this->Sockets;
+    this->Server.Answer = Answer;
+    this->Runner.Servers.update(
+        {"s1", "model", this->Server.Address, "a", 8, false, 1});
+  }
+  ~SocketBench() { this->Runner.Channels.Sockets = nullptr; }
+  SocketBench(const SocketBench &) = delete;
+  SocketBench &operator=(const SocketBench &) = delete;
+
+  bool waitFor(const std::function<bool()> &Holds) {
+    return runUntil(this->Runner.Loop, [&] {
+      this->Server.serve();
+      return Holds();
+    });
+  }
+  /// Runs a job of one item, whose second answer is proper. Returns its
+  /// results.
+  std::vector<ItemResult> runItem() {
+    cr_assert(this->Runner.startJob("j", 1));
+    cr_assert(this->waitFor([&] { return this->hasEndedFirstRun(); }));
+    cr_expect(this->Runner.Runner.owns("j"), "the item has ended");
+    this->Server.Next = ScriptedServer::Ending::Close;
+    this->Server.Answer = "HTTP/1.1 200 OK\r\n"
+                          "Content-Type: text/event-stream\r\n"
+                          "Content-Length: " +
+                          std::to_string(Output.size()) + "\r\n\r\n" + Output;
+    cr_assert(this->waitFor([&] {
+      this->Runner.Runner.schedule();
+      return !this->Runner.Runner.owns("j");
+    }));
+    return this->Runner.results("j");
+  }
+
+private:
+  bool hasEndedFirstRun() const {
+    if (this->Server.Requests.empty())
+      return false;
+    const OwnedJob *Job = this->Runner.Runner.find("j");
+    return !Job || Job->Items[0].State == ItemState::Pending;
+  }
+};
+
+} // namespace
+
+// Guards against an item that ends with a broken answer as its result, or as
+// failed, and against an output that holds a part of one.
+Test(BrokenItemAnswer, ItemRunsAgain) {
+  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenHeads();
+  for (const std::string Start :
+       {"HTTP/1.1 600 OK", "HTTP/1.1 200 OK\r\nX Note: a",
+        "HTTP/1.1 200 OK\r\nContent-Length : 99"})
+    Answers.push_back({Start + " before events",
+                       Start + "\r\nContent-Type: text/event-stream\r\n"
+                               "\r\nid: 0\ndata: a\n\n"});
+  for (const BrokenAnswer &Broken : Answers) {
+    SocketBench Bench(Broken.Bytes);
+    const std::vector<ItemResult> Results = Bench.runItem();
+    cr_assert_eq(Results.size(), 1);
+    cr_expect(Results[0].Succeeded, "%s", Broken.Name.c_str());
+    cr_expect_str_eq(Results[0].Output.c_str(), "a\nb", "%s",
+                     Broken.Name.c_str());
+  }
+}
+
+// Guards against the events before a reset, taken for the whole output of an
+// item whose request was still being written.
+Test(BrokenItemAnswer, ResetDuringTheUploadIsNotTheEndOfTheOutput) {
+  SocketBench Bench("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+                    "id: 0\ndata: a\n\n");
+  Bench.Server.Next = ScriptedServer::Ending::Reset;
+  Bench.Server.RoundsToEnd = 20;
+  Bench.Runner.ItemBody.assign(std::size_t{8} << 20U, 'x');
+  const std::vector<ItemResult> Results = Bench.runItem();
+  cr_assert_eq(Results.size(), 1);
+  cr_assert(Results[0].Succeeded);
+  cr_assert_str_eq(Results[0].Output.c_str(), "a\nb");
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/BrokenServerAnswerTest.cpp
@@ -0,0 +1,74 @@
+#include "RawHttp/TcpBackendChannels.h"
+#include "Support/NodeBench.h"
+#include "Support/ScriptedServer.h"
+
+#include <criterion/criterion.h>
+
+using namespace turmericpass;
+
+namespace {
+
+/// A node whose server has a real socket.
+struct SocketBench {
+  ScriptedServer Server;
+  NodeBench Node{Server.Address};
+  TcpBackendChannels Sockets{Node.Loop};
+  RawPeer Caller;
+
+  SocketBench() { this->Node.Channels.Sockets = &this->Sockets; }
+  ~SocketBench() { this->Node.Channels.Sockets = nullptr; }
+  SocketBench(const SocketBench &) = delete;
+  SocketBench &operator=(const SocketBench &) = delete;
+
+  /// Returns all that the caller of a request with \p BodyBytes receives.
+  std::string answerTo(std::size_t BodyBytes) {
+    const std::string Request =
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: 1\r\n"
+        "Deadline-Ms: 9000\r\nConnection: close\r\nContent-Length: " +
+        std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
+    this->Node.connect(this->Caller);
+    std::size_t Written = 0;
+    cr_assert(runUntil(this->Node.Loop, [&] {
+      Written +=
+          this->Caller.writeSome(std::string_view(Request).substr(Written));
+      this->Server.serve();
+      return this->Caller.read();
+    }));
+    // Later requests check the server's status.
+    cr_assert(this->Server.Requests.at(0).starts_with("POST "));
+    return this->Caller.Received;
+  }
+};
+
+} // namespace
+
+Test(BrokenServerAnswer, CallerGetsNoAnswerWithStatus000) {
+  SocketBench Bench;
+  Bench.Server.Answer = "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nbroken"
+                        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken";
+  const std::string Answer = Bench.answerTo(4);
+  cr_assert(Answer.starts_with("HTTP/1.1 502 "));
+  cr_assert_eq(Answer.find("broken"), std::string::npos);
+}
+
+Test(BrokenServerAnswer, CallerGetsNoAnswerWithABrokenHeaderName) {
+  for (const std::string Line :
+       {"X Note: a", "X-Note : a", "X\x01Note: a", "Content-Length : 3"}) {
+    SocketBench Bench;
+    Bench.Server.Answer = "HTTP/1.1 200 OK\r\n" + Line + "\r\n\r\nbroken";
+    const std::string Answer = Bench.answerTo(4);
+    cr_expect(Answer.starts_with("HTTP/1.1 502 "), "%s", Line.c_str());
+    cr_expect_eq(Answer.find("broken"), std::string::npos);
+    cr_expect_eq(Answer.find("Note"), std::string::npos);
+  }
+}
+
+Test(BrokenServerAnswer, CallerGetsNoPartAfterAResetDuringTheUpload) {
+  SocketBench Bench;
+  Bench.Server.Answer = "HTTP/1.1 200 OK\r\n\r\npart";
+  Bench.Server.Next = ScriptedServer::Ending::Reset;
+  Bench.Server.RoundsToEnd = 20;
+  const std::string Answer = Bench.answerTo(std::size_t{8} << 20U);
+  cr_assert(Answer.starts_with("HTTP/1.1 502 "));
+  cr_assert_eq(Answer.find("part"), std::string::npos);
+}
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -9,7 +9,8 @@
 
 namespace turmericpass {
 
-/// BackendChannels whose servers are played by the test.
+/// BackendChannels whose servers are played by the test, or, if Sockets is set,
+/// reached through it.
 class FakeChannels : public BackendChannels {
 public:
   struct Sent {
@@ -17,6 +18,7 @@
     BackendRequest Order;
     SendHandler *Handler = nullptr;
   };
+  BackendChannels *Sockets = nullptr;
   /// Every request that was sent, in order.
   std::vector<Sent> All;
   std::set<SendId> Cancelled;
@@ -25,19 +27,28 @@
   std::vector<std::string> Forgotten;
 
   SendId send(BackendRequest Order, SendHandler &Handler) override {
-    const SendId Id = this->All.size() + 1;
+    const SendId Id = this->Sockets ? this->Sockets->send(Order, Handler)
+                                    : this->All.size() + 1;
     this->All.push_back({Id, std::move(Order), &Handler});
     return Id;
   }
-  void cancel(SendId Id) override { this->Cancelled.insert(Id); }
+  void cancel(SendId Id) override {
+    this->Cancelled.insert(Id);
+    if (this->Sockets)
+      this->Sockets->cancel(Id);
+  }
   void setReading(SendId Id, bool Reading) override {
     if (Reading)
       this->Paused.erase(Id);
     else
       this->Paused.insert(Id);
+    if (this->Sockets)
+      this->Sockets->setReading(Id, Reading);
   }
   void forget(const std::string &Address) override {
     this->Forgotten.push_back(Address);
+    if (this->Sockets)
+      this->Sockets->forget(Address);
   }
   bool hasIdleConnection(const std::string &) const override { return false; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
--- a/Tests/Support/NodeBench.h
+++ b/Tests/Support/NodeBench.h
@@ -27,11 +27,12 @@
   NodeConfig Config = makeConfig();
   ServingNode Node{{Loop, Channels, Rows, Adapter, Ids, Log}, Config};
 
-  NodeBench() {
+  explicit NodeBench(const std::string &ServerAddress = "127.0.0.1:1") {
     this->Rows.put("op", "", "config", makeDocument(7, ""));
     this->Rows.put("servers", "", "s1",
-                   R"({"service": "s", "address": "127.0.0.1:1", "zone": "z",
-                       "slots": 8, "state": "ready", "born": 1})");
+                   R"({"service": "s", "address": ")" + ServerAddress +
+                       R"(", "zone": "z", "slots": 8, "state": "ready",
+                          "born": 1})");
     cr_assert(this->Node.start());
     cr_assert(runUntil(this->Loop, [&] { return this->isReady(); }));
   }
@@ -43,7 +44,7 @@
          "kind": "non_idempotent", "service": "s", "timeout_ms": 15000,
          "target_latency_ms": 400, "priority": 1, "max_attempts": 1}],
       "services": [{"name": "s", "health_path": "/healthz", "max_conns": 100}],
-      "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+      "limits": {"max_header_bytes": 16384, "max_body_bytes": 16777216,
                  "header_timeout_ms": 15000, "idle_timeout_ms": 15000})" +
            More + "}";
   }
--- a/Tests/Support/OnlineBench.h
+++ b/Tests/Support/OnlineBench.h
@@ -42,6 +42,7 @@
   /// The identity and further headers of the next caller.
   CallerIdentity Identity;
   HttpHeaders MoreHeaders;
+  std::string Body = "body";
   OnlineService Online;
 
   OnlineBench()
@@ -81,7 +82,7 @@
                        {"X-Own", "kept"}};
     if (!Parts.empty())
       Request.Headers.emplace_back("Parts", Parts);
-    Request.Body = "body";
+    Request.Body = this->Body;
     Request.Headers.insert(Request.Headers.end(), MoreHeaders.begin(),
                            MoreHeaders.end());
     Online.startCall(Caller, std::move(Request), Route, Identity);
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -42,6 +42,7 @@
   int OtherVmsWaitingItems = 0;
   /// The path under which startJob() submits.
   std::string JobTarget = "/";
+  std::string ItemBody = "body";
   JobRunner Runner;
 
   RunnerBench()
@@ -90,7 +91,7 @@
     Metadata.Target = JobTarget;
     std::vector<JobItem> Items;
     for (std::size_t I = 0; I < Count; ++I)
-      Items.push_back({"item" + std::to_string(I), "/x", {}, "body", 10});
+      Items.push_back({"item" + std::to_string(I), "/x", {}, ItemBody, 10});
     Metadata.TotalTokens = 10 * Count;
     bool Accepted = false;
     Store.acceptJob(JobId, Metadata, Items,
