RawHttp: Read answers to HEAD requests without a body

Callers of HEAD requests got no answer before their deadline: the head of such an answer states the length of a body that is not sent, and the reader waited for it. It now ends such an answer with its head.

BackendChannels.AnswerToAHeadRequestEndsWithItsHead failed before.

--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -103,6 +103,7 @@
                               SendHandler &NewHandler) {
   this->CurrentSend = Send;
   this->CurrentRequest = std::move(NewRequest);
+  this->Reader.setWithoutBody(this->CurrentRequest.Request.Method == "HEAD");
   this->Handler = &NewHandler;
   this->HeadReceived = false;
   this->SkippingAnswer = false;
--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -15,6 +15,7 @@
   RawHead Head;
   std::size_t HeadSize = 0;
   bool LastWasValue = false;
+  bool WithoutBody = false;
   bool Started = false;
   bool HeadComplete = false;
   bool Complete = false;
@@ -50,9 +51,10 @@
 /// The size of the status line of an interim answer.
 constexpr std::size_t InterimHeadBytes = 25;
 
-/// The result of on_headers_complete that ends the parsing with an error. The
-/// parser takes 1 and 2 for instructions to skip the body.
+/// Results of on_headers_complete: the parsing ends with an error, or the
+/// message ends with its head.
 constexpr int RejectHead = -1;
+constexpr int SkipBody = 1;
 
 template <typename State> State &stateOf(http_parser *Parser) {
   return *static_cast<State *>(Parser->data);
@@ -117,7 +119,7 @@
       S.Head.ContentLength = P->content_length;
     S.Head.KeepAlive = http_should_keep_alive(P) != 0;
     S.Sink->onHead(std::move(S.Head));
-    return 0;
+    return S.WithoutBody ? SkipBody : 0;
   };
   Settings.on_body = [](http_parser *P, const char *At, std::size_t Length) {
     stateOf<State>(P).Sink->onBody(std::string_view(At, Length));
@@ -185,6 +187,10 @@
   return {ReadOutcome::Partial, Consumed};
 }
 
+void MessageReader::setWithoutBody(bool WithoutBody) {
+  this->ReaderState->WithoutBody = WithoutBody;
+}
+
 ReadOutcome MessageReader::endOfStream() {
   return this->feed(std::string_view()).Outcome;
 }
--- a/Source/RawHttp/MessageReader.h
+++ b/Source/RawHttp/MessageReader.h
@@ -48,6 +48,10 @@
   /// Parses \p Bytes up to the end of the current message.
   Step feed(std::string_view Bytes);
 
+  /// Sets whether answers have no body whatever their heads say, as those to
+  /// HEAD requests do.
+  void setWithoutBody(bool WithoutBody);
+
   /// Handles an orderly close of the connection by the sender. Returns Complete
   /// if the close ends the current message.
   ReadOutcome endOfStream();
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -47,8 +47,10 @@
     return Request;
   }
   /// Sends a request and waits until the server has it.
-  SendId send(const std::string &Id) {
-    const SendId Sent = Channels.send(makeRequest(Id), Recorder);
+  SendId send(const std::string &Id, const std::string &Method = "POST") {
+    BackendRequest Request = makeRequest(Id);
+    Request.Request.Method = Method;
+    const SendId Sent = Channels.send(std::move(Request), Recorder);
     cr_assert(runUntil(Loop, [&] {
       if (Server.Descriptor < 0)
         Server.Descriptor = Listener.accept();
@@ -251,6 +253,25 @@
   cr_assert_eq(B.Channels.openedConnections(), 1);
 }
 
+// Guards against a wait for the body that an answer to a HEAD request announces
+// but does not have.
+Test(BackendChannels, AnswerToAHeadRequestEndsWithItsHead) {
+  for (const std::string Header :
+       {"Content-Length: 5", "Transfer-Encoding: chunked"}) {
+    Bench B;
+    B.send("r2", "HEAD");
+    B.Server.write("HTTP/1.1 200 OK\r\nId: r2\r\n" + Header + "\r\n\r\n");
+    cr_assert(B.ended());
+    cr_assert(B.Recorder.Done);
+    B.Recorder = RecordingHandler();
+    B.send("r2");
+    B.Server.write(Answer);
+    cr_assert(B.ended());
+    cr_assert_str_eq(B.Recorder.Body.c_str(), "ok");
+    cr_assert_eq(B.Channels.openedConnections(), 1);
+  }
+}
+
 // Guards against a request being reported as not run although it may have run.
 Test(BackendChannels, ResetAfterTheRequestMeansThatItMayHaveRun) {
   Bench B;
