RawHttp: Read the answers to calls of the daemons

The four daemons and the command line read answers with the client of evhttp, which took broken ones for answers: statuses such as 20, 099, 2e2 and 999, names of headers with blanks and control bytes, folded lines, and lengths that it could not read, so that the body was another one.

evhttp does not show the lines that it has parsed, so they cannot be checked behind it. ChannelHttpClient replaces EvhttpClient: it sends calls through TcpBackendChannels, so all answers pass the same reader. The time limit of a call without progress holds while a long request is being written, as before. The server stays with evhttp.

All tests of the daemons pass unchanged, but for the type of the client.

--- a/Source/Backends/HttpBackendPort.cpp
+++ b/Source/Backends/HttpBackendPort.cpp
@@ -269,7 +269,7 @@
 void HttpBackendPort::scheduleFlush(Attempt &OpenAttempt) {
   if (OpenAttempt.Flush != 0 || OpenAttempt.Pending.Ids.empty())
     return;
-  // evhttp delivers each chunk separately. Deferring the flush to the next
+  // The client delivers each chunk separately. Deferring the flush to the next
   // iteration of the event loop merges the chunks that arrived in one read.
   OpenAttempt.Flush =
       this->Loop.after(Duration(0), [this, Id = OpenAttempt.Id] {
--- a/Source/Daemon/DaemonContext.cpp
+++ b/Source/Daemon/DaemonContext.cpp
@@ -62,7 +62,8 @@
           this->Options.Debug ? LogLevel::Debug : LogLevel::Info),
       Spans(this->Time, this->Ids, programName(Role), this->Options.Node.Name,
             this->Options.Trace),
-      Peers(this->Loop), Client(this->Loop, MaxReplyBytes),
+      Peers(this->Loop), Channels(this->Loop),
+      Client(this->Loop, this->Channels, MaxReplyBytes),
       Admin(this->Loop, HttpLimits{}) {
   std::signal(SIGPIPE, SIG_IGN);
 }
--- a/Source/Daemon/DaemonContext.h
+++ b/Source/Daemon/DaemonContext.h
@@ -4,10 +4,11 @@
 #include "Core/Clock.h"
 #include "Core/IdSource.h"
 #include "Daemon/DaemonOptions.h"
-#include "Http/EvhttpClient.h"
 #include "Http/HttpServer.h"
 #include "Loop/EventLoop.h"
 #include "Peers/NngPeerPort.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "Telemetry/JsonLogger.h"
 #include "Telemetry/Metrics.h"
 #include "Telemetry/Tracer.h"
@@ -69,7 +70,8 @@
   Metrics Stats;
   Tracer Spans;
   NngPeerPort Peers;
-  EvhttpClient Client;
+  TcpBackendChannels Channels;
+  ChannelHttpClient Client;
 
 private:
   void serveAdmin(ExchangeId Id, const HttpRequest &Request);
--- a/Source/Http/EvhttpSupport.cpp
+++ b/Source/Http/EvhttpSupport.cpp
@@ -41,10 +41,6 @@
   return Bytes;
 }
 
-int toEvhttpMethod(const std::string &Method) {
-  return MethodNames.valueOf(Method).value_or(evhttp_cmd_type{});
-}
-
 std::string methodName(evhttp_request *Request) {
   return std::string(MethodNames.nameOf(evhttp_request_get_command(Request)));
 }
--- a/Source/Http/EvhttpSupport.h
+++ b/Source/Http/EvhttpSupport.h
@@ -20,9 +20,6 @@
 /// Removes all bytes from \p Buffer and returns them.
 std::string drainBuffer(evbuffer *Buffer);
 
-/// Returns evhttp's value for \p Method, or 0 for an unknown method.
-int toEvhttpMethod(const std::string &Method);
-
 /// Returns the name of the method of \p Request.
 std::string methodName(evhttp_request *Request);
 
--- a/Source/Programs/CliSupport.cpp
+++ b/Source/Programs/CliSupport.cpp
@@ -16,8 +16,8 @@
 } // namespace
 
 CliContext::CliContext()
-    : Loop(this->Time), Ids(IdSource::randomSeed()),
-      Client(this->Loop, MaxReplyBytes) {
+    : Loop(this->Time), Ids(IdSource::randomSeed()), Channels(this->Loop),
+      Client(this->Loop, this->Channels, MaxReplyBytes) {
   std::signal(SIGPIPE, SIG_IGN);
 }
 
--- a/Source/Programs/CliSupport.h
+++ b/Source/Programs/CliSupport.h
@@ -4,8 +4,9 @@
 #include "Core/Clock.h"
 #include "Core/IdSource.h"
 #include "Daemon/DaemonOptions.h"
-#include "Http/EvhttpClient.h"
 #include "Loop/EventLoop.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 
 #include <boost/program_options.hpp>
 #include <functional>
@@ -48,7 +49,8 @@
   BootClock Time;
   EventLoop Loop;
   IdSource Ids;
-  EvhttpClient Client;
+  TcpBackendChannels Channels;
+  ChannelHttpClient Client;
 };
 
 /// A folder that was read and checked.
--- a/Source/RawHttp/BackendChannels.h
+++ b/Source/RawHttp/BackendChannels.h
@@ -71,6 +71,10 @@
   /// sends faster than its bytes are used has to wait.
   virtual void setReading(SendId Id, bool Reading) = 0;
 
+  /// Returns how many bytes of the request wait to be written, or 0 if the
+  /// request has ended.
+  virtual std::size_t unsentBytes(SendId Id) const = 0;
+
   /// Closes the idle connections to \p Address.
   virtual void forget(const std::string &Address) = 0;
 
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -122,6 +122,10 @@
   bufferevent_write(this->Channel, Bytes.data(), Bytes.size());
 }
 
+std::size_t BackendConnection::unsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(this->Channel));
+}
+
 bool BackendConnection::hasUnreadInput() const {
   char Byte = 0;
   const ssize_t Count =
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -25,6 +25,9 @@
   /// Stops or resumes reading the answer.
   void setReading(bool Reading);
 
+  /// Returns how many bytes of the request wait to be written.
+  std::size_t unsentBytes() const;
+
   /// Ends the current request. Returns true if the connection is processing
   /// input: the object must then not be destroyed yet, and the connection
   /// removes itself once the input is processed.
--- a/Source/RawHttp/TcpBackendChannels.cpp
+++ b/Source/RawHttp/TcpBackendChannels.cpp
@@ -16,10 +16,13 @@
 } // namespace
 
 TcpBackendChannels::TcpBackendChannels(EventLoop &Loop) : Loop(Loop) {
-  this->Loop.every(SweepPeriod, [this] { this->closeExpired(); });
+  this->Sweep = this->Loop.every(SweepPeriod, [this] { this->closeExpired(); });
 }
 
-TcpBackendChannels::~TcpBackendChannels() { this->Connections.clear(); }
+TcpBackendChannels::~TcpBackendChannels() {
+  this->Loop.cancel(this->Sweep);
+  this->Connections.clear();
+}
 
 BackendConnection *TcpBackendChannels::takeIdleConnection(Pool &From) {
   const Instant Now = this->Loop.clock().now();
@@ -93,6 +96,14 @@
     Entry->second->setReading(Reading);
 }
 
+std::size_t TcpBackendChannels::unsentBytes(SendId Id) const {
+  const auto Found = this->Sends.find(Id);
+  if (Found == this->Sends.end())
+    return 0;
+  const auto Entry = this->Connections.find(Found->second);
+  return Entry == this->Connections.end() ? 0 : Entry->second->unsentBytes();
+}
+
 void TcpBackendChannels::forget(const std::string &Address) {
   const auto Found = this->Pools.find(Address);
   if (Found == this->Pools.end())
--- a/Source/RawHttp/TcpBackendChannels.h
+++ b/Source/RawHttp/TcpBackendChannels.h
@@ -1,6 +1,7 @@
 #ifndef TURMERICPASS_RAWHTTP_TCPBACKENDCHANNELS_H
 #define TURMERICPASS_RAWHTTP_TCPBACKENDCHANNELS_H
 
+#include "Loop/EventLoop.h"
 #include "RawHttp/BackendChannels.h"
 
 #include <map>
@@ -11,7 +12,6 @@
 namespace turmericpass {
 
 class BackendConnection;
-class EventLoop;
 
 /// Implements BackendChannels over TCP.
 class TcpBackendChannels : public BackendChannels {
@@ -22,6 +22,7 @@
   SendId send(BackendRequest Request, SendHandler &Handler) override;
   void cancel(SendId Id) override;
   void setReading(SendId Id, bool Reading) override;
+  std::size_t unsentBytes(SendId Id) const override;
   void forget(const std::string &Address) override;
   bool hasIdleConnection(const std::string &Address) const override;
   void setConnectionLimit(const std::string &Address,
@@ -48,6 +49,7 @@
   void closeExpired();
 
   EventLoop &Loop;
+  WatchId Sweep = 0;
   std::unordered_map<std::string, Pool> Pools;
   std::unordered_map<std::uint64_t, std::unique_ptr<BackendConnection>>
       Connections;
--- a/Tests/Backends/HttpBackendPortTest.cpp
+++ b/Tests/Backends/HttpBackendPortTest.cpp
@@ -1,7 +1,8 @@
 #include "Backends/HttpBackendPort.h"
 
 #include "Core/PrefixBlocks.h"
-#include "Http/EvhttpClient.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "StandIns/EnginePrompt.h"
 #include "StandIns/StandInEngine.h"
 #include "StandIns/StandInService.h"
@@ -41,7 +42,8 @@
   NullLogger Log;
   StandInEngine Engine;
   StandInService Service;
-  EvhttpClient Client{Loop, MaxBodyBytes};
+  TcpBackendChannels Channels{Loop};
+  ChannelHttpClient Client{Loop, Channels, MaxBodyBytes};
   std::unique_ptr<HttpBackendPort> Port =
       std::make_unique<HttpBackendPort>(Loop, Client);
   std::string EngineAddress;
--- a/Tests/Backends/StandInEngineTest.cpp
+++ b/Tests/Backends/StandInEngineTest.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/StandInEngine.h"
-#include "Http/EvhttpClient.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "StandIns/EngineOrders.h"
 #include "StandIns/StandInService.h"
 #include "Support/RunUntil.h"
@@ -18,7 +19,8 @@
   BootClock Time;
   EventLoop Loop{Time};
   NullLogger Log;
-  EvhttpClient Client{Loop, std::size_t{1} << 20U};
+  TcpBackendChannels Channels{Loop};
+  ChannelHttpClient Client{Loop, Channels, std::size_t{1} << 20U};
   std::string Address;
   std::vector<std::string> Replies;
   int Failures = 0;
--- a/Tests/Core/LoopbackTest.cpp
+++ b/Tests/Core/LoopbackTest.cpp
@@ -1,7 +1,8 @@
-#include "Http/EvhttpClient.h"
 #include "Http/HttpServer.h"
 #include "Loop/EventLoop.h"
 #include "Peers/NngPeerPort.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "Support/RunUntil.h"
 
 #include <criterion/criterion.h>
@@ -94,7 +95,8 @@
     Server.startStream(Id, 200, {{"Content-Type", "text/event-stream"}});
     Server.sendPiece(Id, "one");
   });
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   std::string Got;
   bool Done = false;
   HttpCallHandlers Handlers;
@@ -124,7 +126,8 @@
     Server.sendPiece(Id, "one");
   });
   Server.onCallerDisconnected([&](ExchangeId) { Gone = true; });
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   bool Started = false;
   HttpCallHandlers Handlers;
   Handlers.Piece = [&](std::string_view) { Started = true; };
@@ -142,7 +145,8 @@
 Test(Http, RefusedConnectionCountsAsNotSent) {
   const BootClock Time;
   EventLoop Loop(Time);
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   bool Failed = false;
   HttpCallHandlers Handlers;
   Handlers.Failed = [&](const Error &, HttpProgress Progress) {
@@ -166,7 +170,8 @@
     Server.sendPiece(Id, "one");
     Loop.after(20ms, [&Server, Id] { Server.abort(Id); });
   });
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   bool Failed = false;
   HttpCallHandlers Handlers;
   Handlers.Piece = [](std::string_view) {};
--- a/Tests/Http/HttpServerTest.cpp
+++ b/Tests/Http/HttpServerTest.cpp
@@ -1,7 +1,8 @@
 #include "Http/HttpServer.h"
-#include "Http/EvhttpClient.h"
 #include "Http/PercentEncoding.h"
 #include "Loop/EventLoop.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "Support/RunUntil.h"
 
 #include <arpa/inet.h>
@@ -38,7 +39,8 @@
   bool Disconnected = false;
   Server.onRequest([&](ExchangeId, const HttpRequest &) { Requested = true; });
   Server.onCallerDisconnected([&](ExchangeId) { Disconnected = true; });
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   const HttpCallId Id =
       Client.call("127.0.0.1:" + std::to_string(Port), getRequest(), 5s, {});
   cr_assert(runUntil(Loop, [&] { return Requested; }));
@@ -56,7 +58,8 @@
   Server.onRequest([&](ExchangeId Id, const HttpRequest &) {
     Loop.after(5ms, [&Server, Id] { Server.reply(Id, {200, {}, "late"}); });
   });
-  EvhttpClient Client(Loop, BodyLimit);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, BodyLimit);
   for (int Turn = 0; Turn < 3; ++Turn) {
     std::string Received;
     HttpCallHandlers Handlers;
--- a/Tests/Platform/PlatformAdaptersTest.cpp
+++ b/Tests/Platform/PlatformAdaptersTest.cpp
@@ -1,8 +1,9 @@
-#include "Http/EvhttpClient.h"
 #include "Platform/HttpObjectStore.h"
 #include "Platform/HttpTable.h"
 #include "Platform/HttpVmList.h"
 #include "Platform/HttpWeightStore.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "StandIns/StandInPlatform.h"
 #include "Support/RunUntil.h"
 #include "Telemetry/Logger.h"
@@ -22,7 +23,8 @@
   EventLoop Loop{Time};
   NullLogger Log;
   StandInPlatform Platform{Loop, Log, {0, 2, 0, 16, 1}};
-  EvhttpClient Client{Loop, std::size_t{1} << 20U};
+  TcpBackendChannels Channels{Loop};
+  ChannelHttpClient Client{Loop, Channels, std::size_t{1} << 20U};
   std::string Address =
       "127.0.0.1:" + std::to_string(*Platform.listen("127.0.0.1", 0));
   HttpTable Rows{Client, Address};
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -45,6 +45,7 @@
     if (this->Sockets)
       this->Sockets->setReading(Id, Reading);
   }
+  std::size_t unsentBytes(SendId) const override { return 0; }
   void forget(const std::string &Address) override {
     this->Forgotten.push_back(Address);
     if (this->Sockets)
--- a/Tests/Support/GatewayBench.h
+++ b/Tests/Support/GatewayBench.h
@@ -4,9 +4,10 @@
 #include "Control/DecisionLog.h"
 #include "Core/Hash.h"
 #include "Gateway/GatewayDaemon.h"
-#include "Http/EvhttpClient.h"
 #include "Http/HttpServer.h"
 #include "Loop/EventLoop.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 #include "Support/FakeIntentLedger.h"
 #include "Support/FakePeerPort.h"
 #include "Support/RunUntil.h"
@@ -78,7 +79,8 @@
                         JobService *Jobs = nullptr)
       : Loop(LoopTime), Http(Loop, {}), Ids(7),
         Spans(Time, Ids, "test", "a1", false), Records(Time, 100, 100000),
-        Fleet(std::move(Settings)), Client(Loop, std::size_t{64} << 20U),
+        Fleet(std::move(Settings)), Channels(Loop),
+        Client(Loop, Channels, std::size_t{64} << 20U),
         Gateway({Loop, Http, Peers, Time, Ids, Log, Stats, Spans, Fleet,
                  Records, &Intents, Jobs, "a"}) {
     // As in DaemonContext: a write to a broken connection is an error value.
@@ -132,7 +134,8 @@
   DecisionLog Records;
   StaticFleet Fleet;
   FakeIntentLedger Intents;
-  EvhttpClient Client;
+  TcpBackendChannels Channels;
+  ChannelHttpClient Client;
   GatewayDaemon Gateway;
   std::uint16_t Port = 0;
 
--- a/Utilities/Experiment/ReplayNode.h
+++ b/Utilities/Experiment/ReplayNode.h
@@ -44,6 +44,7 @@
   SendId send(BackendRequest, SendHandler &) override { return 0; }
   void cancel(SendId) override {}
   void setReading(SendId, bool) override {}
+  std::size_t unsentBytes(SendId) const override { return 0; }
   void forget(const std::string &) override {}
   bool hasIdleConnection(const std::string &) const override { return true; }
   void setConnectionLimit(const std::string &, std::size_t) override {}
--- a/Utilities/Load/LoadMain.cpp
+++ b/Utilities/Load/LoadMain.cpp
@@ -1,6 +1,7 @@
-#include "Http/EvhttpClient.h"
 #include "LoadRunner.h"
 #include "Loop/EventLoop.h"
+#include "RawHttp/ChannelHttpClient.h"
+#include "RawHttp/TcpBackendChannels.h"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -27,7 +28,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   const BootClock Time;
   EventLoop Loop(Time);
-  EvhttpClient Client(Loop, MaxReplyBytes);
+  TcpBackendChannels Channels(Loop);
+  ChannelHttpClient Client(Loop, Channels, MaxReplyBytes);
   LoadRunner Runner(Loop, Client, *Plan);
   Runner.run();
   std::cout << Runner.report() << '\n';
