Soak: Let servers give broken answers

Callers must not get such an answer, nor items its text.

The proxies ended a connection in order where the other side had reset it, and their own resets were orderly ends unless bytes were left unread. They reset now.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -3,7 +3,7 @@
 and checks the promises from what callers and backend servers see.
 
 usage: soak.py NODE_PROGRAM --seed N [--seconds S] [--nodes N] [--endless N]
-               [--logs DIR]
+               [--broken N] [--logs DIR]
 
 Exit status 0 if every promise was kept, 1 if one was broken."""
 
@@ -18,7 +18,8 @@
 import tempfile
 import time
 
-from standins import ENDLESS_KINDS, Engine, Proxy, Store, whole_output
+from standins import (BROKEN_KINDS, ENDLESS_KINDS, Engine, Proxy, Store,
+                      whole_output)
 
 FRONT, READY, CONTROL, PEER, METRICS = 7001, 7002, 7003, 7004, 7005
 HOST = "soak.example"
@@ -152,6 +153,8 @@
         if answer is None:
             return
         status, headers, body, whole = answer
+        if not 200 <= status < 600 or "x-note" in headers or "x note" in headers:
+            self.fail(f"request {request_id} has a broken answer: {answer!r}")
         if status in NOT_RUN:
             self.refused += 1
             if runs and kind == "plain/once/":
@@ -316,6 +319,17 @@
                 engine.endless = None
             await asyncio.sleep(rng.uniform(0.1, 1.0))
 
+    async def break_answers(self):
+        """Lets servers give broken answers."""
+        rng = random.Random(self.options.seed)
+        while self.begun + self.options.seconds > time.monotonic():
+            for engine in rng.sample(self.engines, self.options.broken):
+                engine.broken = rng.choice(BROKEN_KINDS)
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            for engine in self.engines:
+                engine.broken = None
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
+
     async def watch_memory(self):
         """Checks that no node takes more than a VM has."""
         while self.begun + self.options.seconds > time.monotonic():
@@ -367,6 +381,8 @@
             readers = [asyncio.ensure_future(self.readers()) for _ in range(3)]
             if self.options.endless:
                 keepers.append(asyncio.ensure_future(self.send_endlessly()))
+            if self.options.broken:
+                keepers.append(asyncio.ensure_future(self.break_answers()))
             await asyncio.gather(self.inject(), self.submit(),
                                  self.watch_memory(),
                                  *(self.online() for _ in range(6)))
@@ -426,6 +442,8 @@
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--endless", type=int, default=0, metavar="N",
                         help="N servers at a time send without end")
+    parser.add_argument("--broken", type=int, default=0, metavar="N",
+                        help="N servers at a time give broken answers")
     parser.add_argument("--logs")
     options = parser.parse_args()
     options.logs = options.logs or tempfile.mkdtemp(prefix="soak-")
--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -5,6 +5,8 @@
 import base64
 import json
 import random
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -29,6 +31,13 @@
     return head.encode("latin-1") + b"\r\n" + body
 
 
+def reset(writer):
+    """Resets a connection; a plain abort can end it in order."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class HttpServer:
     """Serves connections with a handler coroutine; can be closed and opened."""
 
@@ -180,6 +189,8 @@
         self.busy = 0
         # While it is set, answers never end: "event", "body" or "head".
         self.endless = None
+        # While it is set, answers are broken: one of BROKEN_KINDS.
+        self.broken = None
         self.born = int(time.time() * 1000)
 
     def entry(self, state):
@@ -205,6 +216,12 @@
         try:
             if self.endless:
                 await self.send_endlessly(echo, writer)
+            elif self.broken:
+                writer.write(broken_answer(self.broken, request_id, echo))
+                await writer.drain()
+                if self.broken == "reset":
+                    reset(writer)
+                writer.close()
             elif "/plain/" in target:
                 await asyncio.sleep(self.EVENT_PAUSE_S)
                 writer.write(answer_bytes(200, echo, b"plain " + body))
@@ -260,6 +277,29 @@
             b"%x\r\n%s\r\n" % (len(text), text))
 
 
+# How an answer is broken.
+BROKEN_KINDS = ("status", "interim", "name", "control", "fold", "length",
+                "two lengths", "reset")
+
+
+def broken_answer(kind, request_id, echo):
+    """Returns the bytes of an answer that callers must not get."""
+    lines = [f"{name}: {value}" for name, value in echo.items()]
+    lines.append("Content-Type: text/event-stream")
+    broken_lines = {
+        "name": "X Note: a", "control": "X\x01Note: a",
+        "fold": "X-Note: a\r\n folded", "length": "Content-Length : 3",
+        "two lengths": "Content-Length: 3\r\nContent-Length: 6"}
+    if kind in broken_lines:
+        lines.append(broken_lines[kind])
+    status = "000 OK" if kind == "status" else "200 OK"
+    start = "HTTP/1.1 000 OK\r\n\r\n" if kind == "interim" else ""
+    # A stream may be resumed after the events before a reset.
+    data = f"{request_id}-0" if kind == "reset" else "broken"
+    return (start + f"HTTP/1.1 {status}\r\n" + "\r\n".join(lines) +
+            f"\r\n\r\nid: 0\ndata: {data}\n\n").encode()
+
+
 def event_count(request_id):
     """How many events the answer to a request has."""
     return 3 + sum(request_id.encode()) % 20
@@ -285,7 +325,7 @@
 
     def reset(self):
         for writer in list(self.links):
-            writer.transport.abort()
+            reset(writer)
 
     async def connected(self, reader, writer):
         try:
@@ -307,6 +347,8 @@
                 if direction not in self.silent:
                     writer.write(data)
                     await writer.drain()
-        except (ConnectionError, OSError, asyncio.CancelledError):
+        except (ConnectionError, OSError):
+            reset(writer)
+        except asyncio.CancelledError:
             pass
         writer.close()
