Http: Share the comparison of names, and the recorder of answers in tests

equalsIgnoringCase() moves from RawMessage to HeadSyntax, so that AnswerHead needs no second one. AnswerRecorder replaces two handlers of the tests of RawHttp. ChannelHttpClient limits the bytes that come, not the length that is announced, since an answer to a HEAD request announces a body it does not have.

--- a/Source/Http/AnswerHead.cpp
+++ b/Source/Http/AnswerHead.cpp
@@ -3,7 +3,6 @@
 #include "Http/HeadSyntax.h"
 
 #include <algorithm>
-#include <strings.h>
 
 namespace turmericpass {
 
@@ -22,11 +21,6 @@
   return Value.substr(0, Value.find_last_not_of(" \t") + 1);
 }
 
-bool equalsLowercase(std::string_view Text, std::string_view Lowercase) {
-  return Text.size() == Lowercase.size() &&
-         strncasecmp(Text.data(), Lowercase.data(), Text.size()) == 0;
-}
-
 /// Returns whether \p Headers delimit the body in at most one way (RFC 9112,
 /// section 6). Transfer codings other than chunked are not supported, because
 /// the body would be passed on without the header that names them.
@@ -34,13 +28,13 @@
   int Delimiters = 0;
   for (const auto &[Name, UntrimmedValue] : Headers) {
     const std::string_view Value = trimEnd(UntrimmedValue);
-    const bool IsLength = equalsLowercase(Name, "content-length");
-    if (!IsLength && !equalsLowercase(Name, "transfer-encoding"))
+    const bool IsLength = equalsIgnoringCase(Name, "Content-Length");
+    if (!IsLength && !equalsIgnoringCase(Name, "Transfer-Encoding"))
       continue;
     const bool IsValid =
         IsLength
             ? !Value.empty() && std::all_of(Value.begin(), Value.end(), isDigit)
-            : equalsLowercase(Value, "chunked");
+            : equalsIgnoringCase(Value, "chunked");
     if (!IsValid || ++Delimiters > 1)
       return false;
   }
--- a/Source/Http/HeadSyntax.cpp
+++ b/Source/Http/HeadSyntax.cpp
@@ -20,8 +20,19 @@
   return Byte < 0x20 || Byte == 0x7f;
 }
 
+char lower(char Letter) {
+  return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
+                                        : Letter;
+}
+
 } // namespace
 
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         std::equal(Left.begin(), Left.end(), Right.begin(),
+                    [](char A, char B) { return lower(A) == lower(B); });
+}
+
 bool isToken(std::string_view Text) {
   return !Text.empty() &&
          std::all_of(Text.begin(), Text.end(), isTokenCharacter);
--- a/Source/Http/HeadSyntax.h
+++ b/Source/Http/HeadSyntax.h
@@ -7,6 +7,10 @@
 
 namespace turmericpass {
 
+/// Returns whether \p Left and \p Right are equal if the case of ASCII letters
+/// is ignored.
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
+
 /// Returns whether \p Text can be the name of a method or a header (RFC 9110,
 /// section 5.6.2).
 bool isToken(std::string_view Text);
--- a/Source/RawHttp/ChannelHttpClient.cpp
+++ b/Source/RawHttp/ChannelHttpClient.cpp
@@ -27,8 +27,8 @@
                                    HttpCallHandlers Handlers) {
   BackendRequest Order;
   Order.Address = Address;
-  // A connection that cannot be opened must not count as a request that may
-  // have run.
+  // A server that cannot be reached is reported as such before the idle limit
+  // ends the call.
   Order.ConnectTime = IdleLimit / 2;
   Order.Request.Method = std::move(Request.Method);
   Order.Request.Target = std::move(Request.Path);
@@ -101,10 +101,6 @@
   OpenCall->Progress = HttpProgress::Replying;
   OpenCall->Reply.Status = Head.Status;
   OpenCall->Reply.Headers = Head.Headers;
-  if (Head.ContentLength.value_or(0) > this->MaxBodyBytes) {
-    this->abort(Id, {ErrorCode::TooLarge, "The reply exceeds the size limit."});
-    return;
-  }
   // The handler may cancel the call, which destroys the original handler, so a
   // copy is called.
   if (const auto Handler = OpenCall->Handlers.Head)
--- a/Source/RawHttp/RawMessage.cpp
+++ b/Source/RawHttp/RawMessage.cpp
@@ -19,19 +19,8 @@
     "proxy-authenticate",
     "proxy-authorization"};
 
-char lower(char Letter) {
-  return Letter >= 'A' && Letter <= 'Z' ? static_cast<char>(Letter + 32)
-                                        : Letter;
-}
-
 } // namespace
 
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
-  return Left.size() == Right.size() &&
-         std::equal(Left.begin(), Left.end(), Right.begin(),
-                    [](char A, char B) { return lower(A) == lower(B); });
-}
-
 bool RawHead::hasLength() const {
   return !this->header("Content-Length").empty() ||
          !this->header("Transfer-Encoding").empty();
--- a/Source/RawHttp/RawMessage.h
+++ b/Source/RawHttp/RawMessage.h
@@ -46,10 +46,6 @@
 /// empty view if the header is missing.
 std::string_view rawHeader(const HttpHeaders &Headers, std::string_view Name);
 
-/// Returns whether \p Left and \p Right are equal if the case of ASCII letters
-/// is ignored.
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
-
 /// Returns whether header \p Name applies to a single connection only, so that
 /// it must not be forwarded (RFC 9110, section 7.6.1).
 bool isHopByHop(std::string_view Name);
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -1,6 +1,7 @@
 #include "RawHttp/TcpBackendChannels.h"
 
 #include "Loop/EventLoop.h"
+#include "Support/AnswerRecorder.h"
 #include "Support/RawPeer.h"
 #include "Support/RunUntil.h"
 
@@ -11,29 +12,13 @@
 
 namespace {
 
-struct RecordingHandler : public SendHandler {
-  int Heads = 0;
-  std::string Body;
-  bool Done = false;
-  std::optional<SendFailure> Failure;
-  void answerHead(SendId, const RawHead &) override { ++this->Heads; }
-  void answerBody(SendId, std::string_view Bytes) override {
-    this->Body += Bytes;
-  }
-  void answerDone(SendId) override { this->Done = true; }
-  void sendFailed(SendId, SendFailure Why, std::string_view) override {
-    this->Failure = Why;
-  }
-  bool ended() const { return this->Done || this->Failure.has_value(); }
-};
-
 struct Bench {
   BootClock Time;
   EventLoop Loop{Time};
   RawPeer Listener;
   std::uint16_t Port = Listener.listen();
   TcpBackendChannels Channels{Loop};
-  RecordingHandler Recorder;
+  AnswerRecorder Recorder;
   RawPeer Server;
 
   BackendRequest makeRequest(const std::string &Id) {
@@ -62,7 +47,7 @@
     return Sent;
   }
   bool ended() {
-    return runUntil(Loop, [&] { return Recorder.ended(); });
+    return runUntil(Loop, [&] { return Recorder.hasEnded(); });
   }
 };
 
@@ -98,7 +83,7 @@
       B.send("r1");
       B.Server.write(First);
       cr_assert(B.ended());
-      B.Recorder = RecordingHandler();
+      B.Recorder = AnswerRecorder();
       B.Server.write(Copy.substr(0, Split));
       RawPeer NewConnection;
       bool Answered = false;
@@ -115,7 +100,7 @@
             Current.write(Copy.substr(Split));
           Current.write(Answer);
         }
-        return B.Recorder.ended();
+        return B.Recorder.hasEnded();
       }));
       if (Copy == First || NewConnection.Descriptor >= 0)
         cr_assert_str_eq(B.Recorder.Body.c_str(), "ok");
@@ -144,7 +129,7 @@
   B.Server.Received.clear();
   B.Server.write(Refusal);
   cr_assert(B.ended());
-  B.Recorder = RecordingHandler();
+  B.Recorder = AnswerRecorder();
   B.send("r2");
   B.Server.write(Refusal);
   cr_assert(B.ended());
@@ -192,7 +177,7 @@
     cr_assert(runUntil(B.Loop, [&] {
       const std::string_view All = Repeated;
       Sent += B.Server.writeSome(All.substr(Sent % All.size()));
-      return B.Recorder.ended() || Sent > (std::size_t{32} << 20U);
+      return B.Recorder.hasEnded() || Sent > (std::size_t{32} << 20U);
     }));
     cr_assert(B.Recorder.Failure.has_value());
     cr_assert_eq(B.Recorder.Heads, 0);
@@ -225,7 +210,7 @@
       // is valid up to the limit.
       const std::string_view All = Piece;
       Sent += B.Server.writeSome(All.substr(Sent % All.size()));
-      return B.Recorder.ended() || Sent > (std::size_t{16} << 20U);
+      return B.Recorder.hasEnded() || Sent > (std::size_t{16} << 20U);
     }));
     cr_assert(B.Recorder.Failure.has_value(), "%s", Repeated.c_str());
     cr_assert(B.Recorder.Body.empty());
@@ -263,7 +248,7 @@
     B.Server.write("HTTP/1.1 200 OK\r\nId: r2\r\n" + Header + "\r\n\r\n");
     cr_assert(B.ended());
     cr_assert(B.Recorder.Done);
-    B.Recorder = RecordingHandler();
+    B.Recorder = AnswerRecorder();
     B.send("r2");
     B.Server.write(Answer);
     cr_assert(B.ended());
@@ -321,9 +306,9 @@
   Bench B;
   B.Channels.setConnectionLimit(B.makeRequest("").Address, 1);
   B.send("r2");
-  RecordingHandler Second;
+  AnswerRecorder Second;
   B.Channels.send(B.makeRequest("r3"), Second);
-  cr_assert(runUntil(B.Loop, [&] { return Second.ended(); }));
+  cr_assert(runUntil(B.Loop, [&] { return Second.hasEnded(); }));
   cr_assert_eq(*Second.Failure, SendFailure::NotSent);
 }
 
@@ -334,7 +319,7 @@
   const SendId Id = B.send("r2");
   B.Channels.cancel(Id);
   cr_assert(runUntil(B.Loop, [&] { return B.Server.read(); }));
-  cr_assert_not(B.Recorder.ended());
+  cr_assert_not(B.Recorder.hasEnded());
 }
 
 // Guards against an answer of the store, or a view of another VM, whose body
@@ -355,7 +340,7 @@
       B.Server.write("HTTP/1.1 200 OK\r\nId: r2\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n");
     B.Server.write(Chunk);
-    return B.Recorder.ended();
+    return B.Recorder.hasEnded();
   }));
   cr_assert_eq(*B.Recorder.Failure, SendFailure::AnswerTruncated);
   cr_assert_leq(B.Recorder.Body.size(), 100'000);
--- a/Tests/RawHttp/BrokenAnswerTest.cpp
+++ b/Tests/RawHttp/BrokenAnswerTest.cpp
@@ -1,34 +1,16 @@
 #include "Loop/EventLoop.h"
 #include "RawHttp/TcpBackendChannels.h"
+#include "Support/AnswerRecorder.h"
 #include "Support/BrokenAnswers.h"
 #include "Support/RawPeer.h"
 #include "Support/RunUntil.h"
 
 #include <criterion/criterion.h>
-#include <optional>
 
 using namespace turmericpass;
 
 namespace {
 
-/// What a request got from its server.
-struct AnswerRecorder : public SendHandler {
-  std::optional<int> Status;
-  std::string Body;
-  bool Done = false;
-  std::optional<SendFailure> Failure;
-  void answerHead(SendId, const RawHead &Head) override {
-    this->Status = Head.Status;
-  }
-  void answerBody(SendId, std::string_view Bytes) override {
-    this->Body += Bytes;
-  }
-  void answerDone(SendId) override { this->Done = true; }
-  void sendFailed(SendId, SendFailure Why, std::string_view) override {
-    this->Failure = Why;
-  }
-};
-
 /// A request to a server that the test plays.
 struct Bench {
   BootClock Time;
@@ -62,15 +44,13 @@
     }));
   }
   void waitForEnd() {
-    cr_assert(runUntil(this->Loop, [&] {
-      return this->Recorder.Done || this->Recorder.Failure.has_value();
-    }));
+    cr_assert(runUntil(this->Loop, [&] { return this->Recorder.hasEnded(); }));
   }
 };
 
 /// Larger than what the sockets of both sides take, so that it is still being
 /// written when the answer arrives.
-const std::string LongUpload(std::size_t{24} << 20U, 'x');
+constexpr std::size_t LongUploadBytes = std::size_t{24} << 20U;
 
 /// Expects that \p Answer does not reach the caller, whether its bytes arrive
 /// together or one by one.
@@ -118,7 +98,7 @@
   for (const bool IsReadBefore : {true, false})
     for (int Round = 0; Round < 10; ++Round) {
       Bench B;
-      B.send(LongUpload);
+      B.send(std::string(LongUploadBytes, 'x'));
       B.Server.write("HTTP/1.1 200 OK\r\n\r\npart");
       if (IsReadBefore)
         cr_assert(runUntil(B.Loop, [&] { return B.Recorder.Body == "part"; }));
@@ -133,7 +113,7 @@
 // sending side in order before it has read the request.
 Test(BrokenAnswer, OrderlyEndDuringTheUploadIsTheEndOfTheAnswer) {
   Bench B;
-  B.send(LongUpload);
+  B.send(std::string(LongUploadBytes, 'x'));
   B.Server.write("HTTP/1.1 413 Content Too Large\r\n\r\nwhole");
   shutdown(B.Server.Descriptor, SHUT_WR);
   B.waitForEnd();
