--- a/Tests/Soak/standins.py
+++ b/Tests/Soak/standins.py
@@ -33,8 +33,11 @@
 
 def reset(writer):
     """Resets a connection; a plain abort can end it in order."""
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection = writer.get_extra_info("socket")
+    # The connection may have ended already.
+    if connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                              struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
