Soak: Share the loop that switches the answers of servers

send_endlessly() and break_answers() were the same loop over two attributes of a server. switch_answers() serves both, with the same random draws.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -308,26 +308,16 @@
             running.add(asyncio.ensure_future(self.fault()))
         await asyncio.gather(*running)
 
-    async def send_endlessly(self):
-        """Lets servers send without end, and watches the nodes' memory."""
+    async def switch_answers(self, switch, kinds, count):
+        """Lets count servers at a time answer in one of kinds, each for a
+        while. The switch is the attribute of the server that sets it."""
         rng = random.Random(self.options.seed)
         while self.begun + self.options.seconds > time.monotonic():
-            for engine in rng.sample(self.engines, self.options.endless):
-                engine.endless = rng.choice(ENDLESS_KINDS)
+            for engine in rng.sample(self.engines, count):
+                setattr(engine, switch, rng.choice(kinds))
             await asyncio.sleep(rng.uniform(0.5, 3.0))
             for engine in self.engines:
-                engine.endless = None
-            await asyncio.sleep(rng.uniform(0.1, 1.0))
-
-    async def break_answers(self):
-        """Lets servers give broken answers."""
-        rng = random.Random(self.options.seed)
-        while self.begun + self.options.seconds > time.monotonic():
-            for engine in rng.sample(self.engines, self.options.broken):
-                engine.broken = rng.choice(BROKEN_KINDS)
-            await asyncio.sleep(rng.uniform(0.5, 3.0))
-            for engine in self.engines:
-                engine.broken = None
+                setattr(engine, switch, None)
             await asyncio.sleep(rng.uniform(0.1, 1.0))
 
     async def watch_memory(self):
@@ -379,10 +369,12 @@
             self.begun = time.monotonic()
             self.over = False
             readers = [asyncio.ensure_future(self.readers()) for _ in range(3)]
-            if self.options.endless:
-                keepers.append(asyncio.ensure_future(self.send_endlessly()))
-            if self.options.broken:
-                keepers.append(asyncio.ensure_future(self.break_answers()))
+            for switch, kinds, count in (
+                    ("endless", ENDLESS_KINDS, self.options.endless),
+                    ("broken", BROKEN_KINDS, self.options.broken)):
+                if count:
+                    keepers.append(asyncio.ensure_future(
+                        self.switch_answers(switch, kinds, count)))
             await asyncio.gather(self.inject(), self.submit(),
                                  self.watch_memory(),
                                  *(self.online() for _ in range(6)))
