--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -176,8 +176,15 @@
                        and n[1] == query.get("part", "") and n[2] >= first
                        and (not last or n[2] < last))
         limit = min(int(query.get("limit", 500)), 500)
-        return 200, self.reply(rows=[self.row(n) for n in found[:limit]],
-                               truncated=len(found) > limit)
+        rows, size = [], 0
+        for name in found[:limit]:
+            row = self.row(name)
+            size += len(row["value"])
+            # An answer holds 1 MB at most.
+            if rows and size > 1_000_000:
+                break
+            rows.append(row)
+        return 200, self.reply(rows=rows, truncated=len(found) > len(rows))
 
     async def handle(self, method, target, headers, reader, writer):
         body = await self.body(headers, reader)
