--- a/review/12/case.py
+++ b/review/12/case.py
@@ -32,7 +32,7 @@
     async def run(self, request, first, body, stamp, writer):
         self.answers += 1
         if (time.monotonic() < self.faulty_until
-                and self.answers % ANSWERS_PER_FAULT == 1):
+                and self.answers % ANSWERS_PER_FAULT == 0):
             self.fleet.record.add(f"engine {self.name} sends bytes that are no "
                                   f"answer before its answer to {request}")
             self.fleet.faulty.add(request)
--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -60,6 +60,9 @@
 class Server:
     """An HTTP/1.1 server that can be killed and started again."""
 
+    # After this time it closes an idle channel, if it is set.
+    idle_s = None
+
     def __init__(self, address):
         self.address = address
         self.server = None
@@ -82,12 +85,14 @@
         self.writers.add(writer)
         try:
             while True:
-                line, headers = await read_head(reader)
+                line, headers = await asyncio.wait_for(read_head(reader),
+                                                       self.idle_s)
                 method, target, _ = line.split(" ", 2)
                 await self.handle(method, target, headers, reader, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, ValueError,
-                asyncio.LimitOverrunError, asyncio.CancelledError):
+                asyncio.LimitOverrunError, asyncio.TimeoutError,
+                asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
