--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -275,6 +275,7 @@
             await writer.drain()
             self.running[request] = number
         writer.write(b"0\r\n\r\n")
+        self.fleet.completed.append(time.monotonic())
         self.fleet.record.add(f"engine {self.name} has completed {request}")
 
 
@@ -379,7 +380,8 @@
         self.logs = self.folder
         self.record = Record(folder)
         self.events = events
-        self.runs = []
+        # When an engine began or completed a run.
+        self.runs, self.completed = [], []
         ips = [f"127.9.{random.randint(1, 250)}.{n + 1}" for n in range(nodes)]
         self.ip = f"127.8.{random.randint(1, 250)}.1"
         self.store = Store(f"{self.ip}:{free_ports([self.ip], 1)[0]}")
