--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Shows the case with real processes. TROUBLE=0 leaves the resets out.
+# Shows the case with real processes. TROUBLE=0 leaves the wrong bytes out.
 exec python3 "$(dirname "$0")/case.py"
--- /dev/null
+++ b/review/found/crashing-stream/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Shows the case with real processes. TROUBLE=0 leaves the deadly request out.
+exec python3 "$(dirname "$0")/case.py"
