RawHttp: Reject interim answers that have a body

Cause: MessageReader passed over the head of the interim answer and gave its body to the handler of the answer. The body joined the first line of the first event. EventSplitter took the line for a field, because it had a colon, and ItemRun skipped the event, because it had no id any more.

On the path behind it, EventSplitter requires that the name of a field is a token, and an event with data and no id makes the item start again. Interim answers without a body are passed over as before.

--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -16,7 +16,7 @@
 
 bool ItemRun::appendEvent(const StreamEvent &Event, Instant Now) {
   if (!Event.Id)
-    return true;
+    return Event.Data.empty();
   if (this->LastEventId && *Event.Id != *this->LastEventId + 1)
     return false;
   if (this->LastEventId)
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -69,7 +69,8 @@
   Duration LongestGap{0};
 
   /// Appends an event that arrived at \p Now to the output. Returns false and
-  /// does nothing if its id does not follow that of the last one.
+  /// does nothing if its id does not follow that of the last one, or if it has
+  /// data but no id.
   bool appendEvent(const StreamEvent &Event, Instant Now);
   /// Returns whether an answer that has ended was broken off. Without an event,
   /// only a stream with a length shows that nothing was missing.
--- a/Source/Http/AnswerHead.cpp
+++ b/Source/Http/AnswerHead.cpp
@@ -12,6 +12,8 @@
 constexpr std::string_view StatusLineStart = "HTTP/1.# ###";
 
 constexpr int SwitchingProtocolsStatus = 101;
+constexpr int NoContentStatus = 204;
+constexpr int NotModifiedStatus = 304;
 
 bool isDigit(char Each) { return Each >= '0' && Each <= '9'; }
 
@@ -41,16 +43,35 @@
   return true;
 }
 
+/// Returns whether one of \p Headers, whose syntax is valid, announces a body.
+bool announceBody(const HttpHeaders &Headers) {
+  return std::any_of(Headers.begin(), Headers.end(), [](const auto &Header) {
+    const auto &[Name, Value] = Header;
+    if (equalsIgnoringCase(Name, "Content-Length"))
+      return trimEnd(Value).find_first_not_of('0') != std::string::npos;
+    return equalsIgnoringCase(Name, "Transfer-Encoding");
+  });
+}
+
 } // namespace
 
 bool isAnswerHead(int Status, const HttpHeaders &Headers) {
   // No request asks for another protocol.
-  return Status >= 100 && Status < 600 && Status != SwitchingProtocolsStatus &&
-         areHeaderLines(Headers) && delimitOneBody(Headers);
+  if (Status < 100 || Status >= 600 || Status == SwitchingProtocolsStatus ||
+      !areHeaderLines(Headers) || !delimitOneBody(Headers))
+    return false;
+  // The headers of a 304 describe the body that another status would have had.
+  return !isAnswerWithoutBody(Status) || Status == NotModifiedStatus ||
+         !announceBody(Headers);
 }
 
 bool isInterimStatus(int Status) { return Status >= 100 && Status < 200; }
 
+bool isAnswerWithoutBody(int Status) {
+  return isInterimStatus(Status) || Status == NoContentStatus ||
+         Status == NotModifiedStatus;
+}
+
 bool AnswerLines::isValidAtColumn(char Byte) const {
   if (this->Lines > 0)
     return this->Column > 0 || (Byte != ' ' && Byte != '\t');
--- a/Source/Http/AnswerHead.h
+++ b/Source/Http/AnswerHead.h
@@ -19,6 +19,10 @@
 /// Returns whether answers with \p Status precede the final answer.
 bool isInterimStatus(int Status);
 
+/// Returns whether answers with \p Status end with their head (RFC 9112,
+/// section 6.3).
+bool isAnswerWithoutBody(int Status);
+
 /// Checks the lines of the head of an answer for what its parsed form does not
 /// show: the digits of the status, and folded headers, which may hide another
 /// header.
--- a/Source/RawHttp/MessageReader.cpp
+++ b/Source/RawHttp/MessageReader.cpp
@@ -118,8 +118,10 @@
     if (!(P->flags & F_CHUNKED) && (P->flags & F_CONTENTLENGTH))
       S.Head.ContentLength = P->content_length;
     S.Head.KeepAlive = http_should_keep_alive(P) != 0;
+    const bool EndsWithHead =
+        !IsRequest && (S.WithoutBody || isAnswerWithoutBody(S.Head.Status));
     S.Sink->onHead(std::move(S.Head));
-    return S.WithoutBody ? SkipBody : 0;
+    return EndsWithHead ? SkipBody : 0;
   };
   Settings.on_body = [](http_parser *P, const char *At, std::size_t Length) {
     stateOf<State>(P).Sink->onBody(std::string_view(At, Length));
--- a/Source/Serving/EventSplitter.cpp
+++ b/Source/Serving/EventSplitter.cpp
@@ -1,5 +1,7 @@
 #include "Serving/EventSplitter.h"
 
+#include "Http/HeadSyntax.h"
+
 #include <charconv>
 #include <utility>
 
@@ -23,8 +25,12 @@
     return;
   Event.HasFields = true;
   // A field without a colon has an empty value.
-  if (Line.find(':') == std::string_view::npos && Line != "id" &&
-      Line != "data" && Line != "event" && Line != "retry")
+  const std::size_t NameEnd = Line.find(':');
+  const bool IsField =
+      NameEnd == std::string_view::npos
+          ? Line == "id" || Line == "data" || Line == "event" || Line == "retry"
+          : isToken(Line.substr(0, NameEnd));
+  if (!IsField)
     Event.IsWellFormed = false;
   if (const auto Id = fieldValue(Line, "id")) {
     std::uint64_t Number = 0;
--- a/Source/Serving/EventSplitter.h
+++ b/Source/Serving/EventSplitter.h
@@ -18,8 +18,8 @@
   std::optional<std::uint64_t> Id;
   /// The values of its data fields, separated by line feeds.
   std::string Data;
-  /// Whether each line is a field or a comment. Other text, such as the head of
-  /// another answer, is no part of a stream.
+  /// Whether each line is a field, whose name is a token, or a comment. Other
+  /// text, such as the head of another answer, is no part of a stream.
   bool IsWellFormed = true;
   /// Whether there is any field, and not comments alone.
   bool HasFields = false;
--- a/Tests/BatchJobs/BrokenItemAnswerTest.cpp
+++ b/Tests/BatchJobs/BrokenItemAnswerTest.cpp
@@ -72,6 +72,15 @@
     Answers.push_back({Start + " before events",
                        Start + "\r\nContent-Type: text/event-stream\r\n"
                                "\r\nid: 0\ndata: a\n\n"});
+  for (const std::string Body :
+       {"Transfer-Encoding: chunked\r\n\r\n13\r\n{\"status\":\"queued\"}\r\n"
+        "0\r\n\r\n",
+        "Content-Length: 11\r\n\r\nevent: odd\n"})
+    Answers.push_back(
+        {"interim answer with " + Body,
+         "HTTP/1.1 102 Processing\r\n" + Body +
+             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" +
+             Output});
   for (const BrokenAnswer &Broken : Answers) {
     SocketBench Bench(Broken.Bytes);
     const std::vector<ItemResult> Results = Bench.runItem();
@@ -82,6 +91,20 @@
   }
 }
 
+// Guards against an output that lacks an event, because its id was not read.
+Test(BrokenItemAnswer, EventsWithoutIdsAreNotSkipped) {
+  for (const std::string Events :
+       {"{\"status\":\"queued\"}id: 0\ndata: a\n\nid: 1\ndata: b\n\n",
+        "data: a\n\nid: 1\ndata: b\n\n", "id: 0\ndata: a\n\ndata: b\n\n"}) {
+    SocketBench Bench("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                      "\r\n" +
+                      Events);
+    const std::vector<ItemResult> Results = Bench.runItem();
+    cr_assert_eq(Results.size(), 1);
+    cr_expect_str_eq(Results[0].Output.c_str(), "a\nb", "%s", Events.c_str());
+  }
+}
+
 // Guards against the events before a reset, taken for the whole output of an
 // item whose request was still being written.
 Test(BrokenItemAnswer, ResetDuringTheUploadIsNotTheEndOfTheOutput) {
--- a/Tests/RawHttp/MessageReaderTest.cpp
+++ b/Tests/RawHttp/MessageReaderTest.cpp
@@ -142,6 +142,8 @@
         "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~: \xff\t\"\r\nEmpty:\r\n"
         "Content-Length: 2\r\n\r\n",
         "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+        "HTTP/1.1 102 Processing\r\nContent-Length: 0\r\n\r\n"
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"}) {
     RecordingSink Sink;
     MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
@@ -159,6 +161,24 @@
   cr_expect_str_eq(Sink.Body.c_str(), "ok");
 }
 
+// Guards against waiting for the body of an answer that ends with its head, and
+// against taking the next answer for that body.
+Test(MessageReader, AnswersWithoutBodyEndWithTheirHead) {
+  for (const std::string Head :
+       {"HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 8\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    RecordingSink Sink;
+    MessageReader Reader(MessageReader::Kind::Answers, HeadBytes, Sink);
+    const MessageReader::Step Step = Reader.feed(Head + "HTTP/1.1 200 OK");
+    cr_expect(Step.Outcome == ReadOutcome::Complete, "%s", Head.c_str());
+    cr_expect_eq(Step.Consumed, Head.size(), "%s", Head.c_str());
+    cr_expect(Sink.Body.empty(), "%s", Head.c_str());
+  }
+}
+
 // Guards against a head with an arbitrary broken byte that is passed on with
 // headers that cannot be sent. Plays random bytes at random positions.
 Test(MessageReader, HeadersOfAnswersCanBeSent) {
--- a/Tests/Serving/DecisionsTest.cpp
+++ b/Tests/Serving/DecisionsTest.cpp
@@ -78,6 +78,21 @@
   }));
 }
 
+// Guards against other text that counts as fields, because it has colons, and
+// swallows the fields behind it.
+Test(EventSplitter, OtherTextIsNotAnEvent) {
+  for (const std::string Line :
+       {"{\"status\":\"queued\"}id: 0", "HTTP/1.1 200 OK", "a b: c",
+        "<p title=\"a:b\">"}) {
+    EventSplitter Splitter;
+    const std::vector<StreamEvent> Events =
+        Splitter.feed(Line + "\ndata: a\n\nid: 1\ndata: b\n\n");
+    cr_assert_eq(Events.size(), 2);
+    cr_expect_not(Events[0].IsWellFormed, "%s", Line.c_str());
+    cr_expect(Events[1].IsWellFormed);
+  }
+}
+
 // Checks that the VMs together withdraw neither too few items, which would let
 // callers wait, nor more than needed.
 Test(LoadBook, AllVmsTogetherYieldWhatCallersNeed) {
--- a/Tests/Support/BrokenAnswers.h
+++ b/Tests/Support/BrokenAnswers.h
@@ -55,6 +55,15 @@
   Answers.push_back({"interim answer", "HTTP/1.1 103 Early\r\nX Note: a\r\n"
                                        "\r\n" +
                                            Head + Rest.substr(2)});
+  // Answers with these statuses have no body.
+  for (const std::string Status : {"100", "102", "103", "199", "204"})
+    for (const std::string Body :
+         {"Transfer-Encoding: chunked\r\n\r\n3\r\nbro\r\n0\r\n\r\n",
+          "Content-Length: 3\r\n\r\nbro",
+          "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"})
+      Answers.push_back(
+          {"body of a " + Status,
+           "HTTP/1.1 " + Status + " Odd\r\n" + Body + Head + Rest.substr(2)});
   return Answers;
 }
 
