Serving: Reject answers that do not name their request

Cause: BackendConnection looked for the id in an answer only if an earlier answer on the connection had had one, so the first answer on a new connection was not checked, and nothing looked for the stamp.

Callers' requests, hedged sends and items use it. A broken answer counts against its server; the request goes to another one or gets a 502. A refusal on a new connection need not name its request, since a server may refuse a request before it has read the id. The second copy of the refusal of a request without an id is not taken for the refusal of the next one any more.

Servers of unit tests echo the id now, and their broken answers have it, so that they are rejected for the defect that is tested.

--- a/Source/BatchJobs/JobRunner.h
+++ b/Source/BatchJobs/JobRunner.h
@@ -131,6 +131,8 @@
                     std::string_view Reason);
   /// Handles a response with an error status: fails the item or postpones it.
   void handleFailure(const ItemKey &Key, ItemRun &Run, int Status);
+  /// Ends an answer that no proper server gives, and postpones the item.
+  void rejectAnswer(const ItemKey &Key, ItemRun &Run, std::string_view Reason);
   void finishItem(const ItemKey &Key, ItemRun &Run, bool Succeeded,
                   std::string_view Reason);
   /// Starts to commit results of the job unless a commit is in flight already.
--- a/Source/BatchJobs/JobRunnerAnswers.cpp
+++ b/Source/BatchJobs/JobRunnerAnswers.cpp
@@ -4,6 +4,7 @@
 #include "Loop/EventLoop.h"
 #include "Serving/AnswerMemory.h"
 #include "Serving/LeavingAnswer.h"
+#include "Serving/ServerAnswer.h"
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Metrics.h"
 
@@ -27,9 +28,15 @@
   ItemRun *Run = this->findItemOfSend(Id, Key);
   if (!Run)
     return;
+  const ServerAnswer Answer =
+      classifyAnswer(Head, Run->Item.Id, this->Dependencies.Protocol);
+  if (Answer.Kind == AnswerKind::Broken) {
+    this->rejectAnswer(Key, *Run, Answer.Defect);
+    return;
+  }
   recordIfLeaving(Run->Server, Head, this->Dependencies.Protocol,
                   this->Dependencies.Servers, this->Dependencies.Log);
-  if (this->Dependencies.Protocol.indicatesNotRun(Head)) {
+  if (Answer.Kind == AnswerKind::Refused) {
     if (Head.Status == this->Dependencies.Protocol.WrongServerStatus)
       this->Dependencies.Servers.recordFailure(Run->Server);
     this->postponeItem(Key, *Run, RefusalDelay,
@@ -41,13 +48,16 @@
   const std::string_view Type = Head.header("Content-Type");
   Run->AnswerIsStream =
       Type.starts_with(this->Dependencies.Protocol.EventStreamType);
-  if (Head.Status < 200 || Head.Status >= 300) {
+  if (Answer.Kind == AnswerKind::Failed)
     this->handleFailure(Key, *Run, Head.Status);
-  } else if (!Type.empty() && !Run->AnswerIsStream) {
-    this->Dependencies.Servers.recordFailure(Run->Server);
-    this->postponeItem(Key, *Run, BrokenAnswerDelay,
-                       "the answer is no event stream");
-  }
+  else if (!Type.empty() && !Run->AnswerIsStream)
+    this->rejectAnswer(Key, *Run, "the answer is no event stream");
+}
+
+void JobRunner::rejectAnswer(const ItemKey &Key, ItemRun &Run,
+                             std::string_view Reason) {
+  this->Dependencies.Servers.recordFailure(Run.Server);
+  this->postponeItem(Key, Run, BrokenAnswerDelay, Reason);
 }
 
 void JobRunner::handleFailure(const ItemKey &Key, ItemRun &Run, int Status) {
@@ -81,8 +91,7 @@
   const Instant Now = this->Dependencies.Loop.clock().now();
   for (const StreamEvent &Event : Run->Events.feed(Bytes)) {
     if (!Event.IsWellFormed) {
-      this->Dependencies.Servers.recordFailure(Run->Server);
-      this->postponeItem(Key, *Run, BrokenAnswerDelay,
+      this->rejectAnswer(Key, *Run,
                          "the stream contains other text than events");
       return;
     }
@@ -99,9 +108,8 @@
       Run->Events.bytesSinceEvent() > AnswerMemory::MaxEventBytes) {
     // The output of a server that does not stop is of no use.
     Run->discardOutput();
-    this->Dependencies.Servers.recordFailure(Run->Server);
     this->Dependencies.Stats.add("answers_oversized_total");
-    this->postponeItem(Key, *Run, BrokenAnswerDelay, "the answer is too large");
+    this->rejectAnswer(Key, *Run, "the answer is too large");
   }
 }
 
--- a/Source/RawHttp/BackendConnection.cpp
+++ b/Source/RawHttp/BackendConnection.cpp
@@ -288,8 +288,9 @@
   SendHandler *Receiver = this->Handler;
   TcpBackendChannels &Channels = this->Owner;
   Channels.Sends.erase(EndedSend);
-  this->CarriedUnnamedRequest =
-      this->CarriedUnnamedRequest || this->CurrentRequest.EchoHeader.empty();
+  this->CarriedUnnamedRequest = this->CarriedUnnamedRequest ||
+                                this->CurrentRequest.EchoHeader.empty() ||
+                                this->CurrentRequest.EchoValue.empty();
   this->CurrentRequest = BackendRequest();
   this->UsableUntil = Channels.Loop.clock().now() + this->IdleLimit;
   // The server's end of the connection is noticed by reading.
--- a/Source/RawHttp/BackendConnection.h
+++ b/Source/RawHttp/BackendConnection.h
@@ -73,7 +73,7 @@
   bool Reusable = false;
   /// An answer on this connection had the echo header, so that each one has.
   bool ServerEchoes = false;
-  /// The connection has carried a request without the echo header. A second
+  /// The connection has carried a request without a value to echo. A second
   /// copy of its answer cannot be told from an answer that lacks the header.
   bool CarriedUnnamedRequest = false;
   /// The reason for which the current answer is not accepted, if any.
--- a/Source/Serving/BackendProtocol.h
+++ b/Source/Serving/BackendProtocol.h
@@ -40,6 +40,11 @@
   std::string Organisation;
   /// The content type of an event stream.
   std::string EventStreamType = "text/event-stream";
+  /// Present in each successful answer of a server. If empty, servers are not
+  /// required to send such a header.
+  std::string Stamp;
+  /// Whether servers may send bodies with a content coding.
+  bool AllowsContentCodings = true;
 
   /// Returns whether the header \p Name carries a key or the name of an
   /// organisation. A server must not get such a header from a caller whose
--- a/Source/Serving/OnlineServiceAnswers.cpp
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -3,6 +3,7 @@
 #include "Serving/CrashGuard.h"
 #include "Serving/GatewayStatus.h"
 #include "Serving/LeavingAnswer.h"
+#include "Serving/ServerAnswer.h"
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Metrics.h"
 
@@ -16,9 +17,15 @@
   OnlineCall *Call = this->findCall(Id);
   if (!Call || this->holdHead(*Call, Id, Head))
     return;
+  const ServerAnswer Answer =
+      classifyAnswer(Head, Call->RequestId, this->Dependencies.Protocol);
+  if (Answer.Kind == AnswerKind::Broken) {
+    this->rejectAnswer(*Call, Answer.Defect);
+    return;
+  }
   recordIfLeaving(Call->Server, Head, this->Dependencies.Protocol,
                   this->Dependencies.Servers, this->Dependencies.Log);
-  if (this->Dependencies.Protocol.indicatesNotRun(Head)) {
+  if (Answer.Kind == AnswerKind::Refused) {
     --Call->PossibleRuns;
     ++Call->Refusals;
     const std::string Server = Call->Server;
@@ -29,7 +36,7 @@
     return;
   }
   this->Dependencies.Servers.recordSuccess(Call->Server);
-  const bool Success = Head.Status >= 200 && Head.Status < 300;
+  const bool Success = Answer.Kind == AnswerKind::Succeeded;
   if (!Success && Head.Status >= 500 && Call->Route.mayRepeat() &&
       Call->PossibleRuns < Call->Route.MaxAttempts) {
     this->endSend(*Call, true);
--- a/Source/Serving/OnlineServiceHedging.cpp
+++ b/Source/Serving/OnlineServiceHedging.cpp
@@ -6,6 +6,7 @@
 #include "Serving/LoadTracker.h"
 #include "Serving/OnlineRequest.h"
 #include "Serving/PlacementPolicy.h"
+#include "Serving/ServerAnswer.h"
 #include "Serving/ServerDirectory.h"
 #include "Telemetry/Logger.h"
 #include "Telemetry/Metrics.h"
@@ -169,14 +170,19 @@
   const BackendProtocol &Protocol = this->Dependencies.Protocol;
   const bool IsCopy = Call.Hedge.isCopy(Id);
   const std::string Server = IsCopy ? Call.Hedge.Copy->Server : Call.Server;
-  const bool NotRun = Protocol.indicatesNotRun(Head);
-  if (NotRun || Head.Status < 200 || Head.Status >= 300) {
+  const ServerAnswer Answer = classifyAnswer(Head, Call.RequestId, Protocol);
+  if (Answer.Kind != AnswerKind::Succeeded) {
     if (!Call.Hedge.Copy) {
       this->cancelHedgeTimer(Call);
       return false;
     }
+    if (Answer.Kind == AnswerKind::Broken) {
+      this->endOneSend(Call, Id, SendEnd::Rejected, Answer.Defect);
+      return true;
+    }
     recordIfLeaving(Server, Head, Protocol, this->Dependencies.Servers,
                     this->Dependencies.Log);
+    const bool NotRun = Answer.Kind == AnswerKind::Refused;
     if (Head.Status == Protocol.WrongServerStatus)
       this->Dependencies.Servers.recordFailure(Server);
     else if (!NotRun)
--- a/Tests/BatchJobs/BrokenItemAnswerTest.cpp
+++ b/Tests/BatchJobs/BrokenItemAnswerTest.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Names the item.
+const std::string Echo = "Id: item0\r\n";
+
 const std::string Output = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 
 /// A JobRunner whose server has a real socket.
@@ -40,7 +43,7 @@
     cr_assert(this->waitFor([&] { return this->hasEndedFirstRun(); }));
     cr_expect(this->Runner.Runner.owns("j"), "the item has ended");
     this->Server.Next = ScriptedServer::Ending::Close;
-    this->Server.Answer = "HTTP/1.1 200 OK\r\n"
+    this->Server.Answer = "HTTP/1.1 200 OK\r\n" + Echo +
                           "Content-Type: text/event-stream\r\n"
                           "Content-Length: " +
                           std::to_string(Output.size()) + "\r\n\r\n" + Output;
@@ -65,22 +68,22 @@
 // Guards against an item that ends with a broken answer as its result, or as
 // failed, and against an output that holds a part of one.
 Test(BrokenItemAnswer, ItemRunsAgain) {
-  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenHeads();
+  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenHeads(Echo);
   for (const std::string Start :
        {"HTTP/1.1 600 OK", "HTTP/1.1 200 OK\r\nX Note: a",
         "HTTP/1.1 200 OK\r\nContent-Length : 99"})
-    Answers.push_back({Start + " before events",
-                       Start + "\r\nContent-Type: text/event-stream\r\n"
-                               "\r\nid: 0\ndata: a\n\n"});
+    Answers.push_back(
+        {Start + " before events", Start + "\r\n" + Echo +
+                                       "Content-Type: text/event-stream\r\n"
+                                       "\r\nid: 0\ndata: a\n\n"});
   for (const std::string Body :
        {"Transfer-Encoding: chunked\r\n\r\n13\r\n{\"status\":\"queued\"}\r\n"
         "0\r\n\r\n",
         "Content-Length: 11\r\n\r\nevent: odd\n"})
-    Answers.push_back(
-        {"interim answer with " + Body,
-         "HTTP/1.1 102 Processing\r\n" + Body +
-             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" +
-             Output});
+    Answers.push_back({"interim answer with " + Body,
+                       "HTTP/1.1 102 Processing\r\n" + Body +
+                           "HTTP/1.1 200 OK\r\n" + Echo +
+                           "Content-Type: text/event-stream\r\n\r\n" + Output});
   for (const BrokenAnswer &Broken : Answers) {
     SocketBench Bench(Broken.Bytes);
     const std::vector<ItemResult> Results = Bench.runItem();
@@ -96,19 +99,39 @@
   for (const std::string Events :
        {"{\"status\":\"queued\"}id: 0\ndata: a\n\nid: 1\ndata: b\n\n",
         "data: a\n\nid: 1\ndata: b\n\n", "id: 0\ndata: a\n\ndata: b\n\n"}) {
-    SocketBench Bench("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                      "\r\n" +
-                      Events);
+    SocketBench Bench("HTTP/1.1 200 OK\r\n" + Echo +
+                      "Content-Type: text/event-stream\r\n\r\n" + Events);
     const std::vector<ItemResult> Results = Bench.runItem();
     cr_assert_eq(Results.size(), 1);
     cr_expect_str_eq(Results[0].Output.c_str(), "a\nb", "%s", Events.c_str());
   }
 }
 
+// Guards against an item that fails for good, or has other events as its
+// output, because of an answer that is not its own.
+Test(BrokenItemAnswer, AnswerThatDoesNotNameTheItemIsNotItsAnswer) {
+  const std::string Events = "Content-Type: text/event-stream\r\n\r\n"
+                             "id: 0\ndata: x\n\nid: 1\ndata: y\n\n";
+  for (const std::string &Answer : std::vector<std::string>{
+           "HTTP/1.1 200 OK\r\n" + Events,
+           "HTTP/1.1 200 OK\r\n" + Echo + "Id: item1\r\n" + Events,
+           "HTTP/1.1 200 OK\r\n" + Echo + "Not-Run: 1\r\n" + Events,
+           "HTTP/1.1 422 Unprocessable\r\n\r\n",
+           "HTTP/1.1 500 Failed\r\n\r\n"}) {
+    SocketBench Bench(Answer);
+    Bench.Runner.Settings.Routes[0].MaxAttempts = 1;
+    const std::vector<ItemResult> Results = Bench.runItem();
+    cr_assert_eq(Results.size(), 1);
+    cr_expect(Results[0].Succeeded, "%s", Answer.c_str());
+    cr_expect_str_eq(Results[0].Output.c_str(), "a\nb", "%s", Answer.c_str());
+  }
+}
+
 // Guards against the events before a reset, taken for the whole output of an
 // item whose request was still being written.
 Test(BrokenItemAnswer, ResetDuringTheUploadIsNotTheEndOfTheOutput) {
-  SocketBench Bench("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+  SocketBench Bench("HTTP/1.1 200 OK\r\n" + Echo +
+                    "Content-Type: text/event-stream\r\n\r\n"
                     "id: 0\ndata: a\n\n");
   Bench.Server.Next = ScriptedServer::Ending::Reset;
   Bench.Server.RoundsToEnd = 20;
--- a/Tests/PlatformAdapter/BrokenServerAnswerTest.cpp
+++ b/Tests/PlatformAdapter/BrokenServerAnswerTest.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// What each proper answer to the request has.
+const std::string Proper = "Request-Id: 1\r\nServer-Stamp: s\r\n";
+
 /// A node whose server has a real socket.
 struct SocketBench {
   ScriptedServer Server;
@@ -44,8 +47,10 @@
 
 Test(BrokenServerAnswer, CallerGetsNoAnswerWithStatus000) {
   SocketBench Bench;
-  Bench.Server.Answer = "HTTP/1.1 000 OK\r\nContent-Length: 6\r\n\r\nbroken"
-                        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken";
+  Bench.Server.Answer = "HTTP/1.1 000 OK\r\n" + Proper +
+                        "Content-Length: 6\r\n\r\nbroken"
+                        "HTTP/1.1 200 OK\r\n" +
+                        Proper + "Content-Length: 6\r\n\r\nbroken";
   const std::string Answer = Bench.answerTo(4);
   cr_assert(Answer.starts_with("HTTP/1.1 502 "));
   cr_assert_eq(Answer.find("broken"), std::string::npos);
@@ -55,7 +60,8 @@
   for (const std::string Line :
        {"X Note: a", "X-Note : a", "X\x01Note: a", "Content-Length : 3"}) {
     SocketBench Bench;
-    Bench.Server.Answer = "HTTP/1.1 200 OK\r\n" + Line + "\r\n\r\nbroken";
+    Bench.Server.Answer =
+        "HTTP/1.1 200 OK\r\n" + Proper + Line + "\r\n\r\nbroken";
     const std::string Answer = Bench.answerTo(4);
     cr_expect(Answer.starts_with("HTTP/1.1 502 "), "%s", Line.c_str());
     cr_expect_eq(Answer.find("broken"), std::string::npos);
@@ -65,10 +71,29 @@
 
 Test(BrokenServerAnswer, CallerGetsNoPartAfterAResetDuringTheUpload) {
   SocketBench Bench;
-  Bench.Server.Answer = "HTTP/1.1 200 OK\r\n\r\npart";
+  Bench.Server.Answer = "HTTP/1.1 200 OK\r\n" + Proper + "\r\npart";
   Bench.Server.Next = ScriptedServer::Ending::Reset;
   Bench.Server.RoundsToEnd = 20;
   const std::string Answer = Bench.answerTo(std::size_t{8} << 20U);
   cr_assert(Answer.starts_with("HTTP/1.1 502 "));
   cr_assert_eq(Answer.find("part"), std::string::npos);
 }
+
+// Guards against a page of another program that is passed on as the success of
+// a request, because it is the first answer on its connection.
+Test(BrokenServerAnswer, CallerGetsNoSuccessThatIsNotOfItsRequest) {
+  for (const std::string Lines :
+       {"", "Request-Id: 1\r\n", "Server-Stamp: s\r\n",
+        "Request-Id: 1\r\nServer-Stamp: s\r\nContent-Encoding: gzip\r\n"}) {
+    SocketBench Bench;
+    Bench.Server.Answer =
+        "HTTP/1.1 200 OK\r\n" + Lines + "Content-Length: 6\r\n\r\nbroken";
+    const std::string Answer = Bench.answerTo(4);
+    cr_expect(Answer.starts_with("HTTP/1.1 502 "), "%s", Lines.c_str());
+    cr_expect_eq(Answer.find("broken"), std::string::npos);
+  }
+  SocketBench Bench;
+  Bench.Server.Answer =
+      "HTTP/1.1 200 OK\r\n" + Proper + "Content-Length: 5\r\n\r\nwhole";
+  cr_assert(Bench.answerTo(4).ends_with("whole"));
+}
--- a/Tests/PlatformAdapter/NodeStopTest.cpp
+++ b/Tests/PlatformAdapter/NodeStopTest.cpp
@@ -43,7 +43,8 @@
   cr_assert(
       runUntil(Bench.Loop, [&] { return Bench.callerSends().size() == 1; }));
   const SendId Send = Bench.callerSends()[0];
-  Bench.Channels.head(Send, 200, {{"Content-Length", "2"}});
+  Bench.Channels.head(Send, 200,
+                      {{"Content-Length", "2"}, {"Server-Stamp", "s"}});
   Bench.Channels.body(Send, "ok");
   Bench.Channels.done(Send);
   cr_assert(Bench.answerTo(Short).starts_with("HTTP/1.1 200"));
@@ -87,10 +88,12 @@
       runUntil(Bench.Loop, [&] { return Bench.callerSends().size() == 2; }));
   const SendId PlainSend = Bench.callerSends()[0];
   const SendId Stream = Bench.callerSends()[1];
-  Bench.Channels.head(PlainSend, 200);
+  Bench.Channels.head(PlainSend, 200, {{"Server-Stamp", "s"}});
   Bench.Channels.body(PlainSend, Drawing);
   Bench.Channels.done(PlainSend);
-  Bench.Channels.head(Stream, 200, {{"Content-Type", "text/event-stream"}});
+  Bench.Channels.head(
+      Stream, 200,
+      {{"Content-Type", "text/event-stream"}, {"Server-Stamp", "s"}});
   Bench.Channels.body(Stream, "data: a\n\n");
   Bench.Node.stop();
   const Instant StopBegan = Bench.Time.now();
--- a/Tests/RawHttp/BackendChannelsTest.cpp
+++ b/Tests/RawHttp/BackendChannelsTest.cpp
@@ -111,30 +111,34 @@
 
 // Guards against a refusal of a request that names no id, such as a check of
 // the server's health, that the server writes once more on the kept connection:
-// the next request, which may be running, would be told not to have run.
+// the next request, which may be running, would be told not to have run. The
+// same holds for a caller's request without an id.
 Test(BackendChannels, SecondCopyOfARefusalRefusesNoOtherRequest) {
   const std::string Refusal = "HTTP/1.1 503 Service Unavailable\r\n"
                               "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-  Bench B;
-  BackendRequest Check = B.makeRequest("");
-  Check.EchoHeader.clear();
-  B.Channels.send(std::move(Check), B.Recorder);
-  cr_assert(runUntil(B.Loop, [&] {
-    if (B.Server.Descriptor < 0)
-      B.Server.Descriptor = B.Listener.accept();
-    else
-      B.Server.read();
-    return B.Server.Received.ends_with("\r\n\r\nbody");
-  }));
-  B.Server.Received.clear();
-  B.Server.write(Refusal);
-  cr_assert(B.ended());
-  B.Recorder = AnswerRecorder();
-  B.send("r2");
-  B.Server.write(Refusal);
-  cr_assert(B.ended());
-  cr_assert_eq(B.Recorder.Heads, 0);
-  cr_assert(B.Recorder.Failure == SendFailure::AnswerTruncated);
+  for (const bool IsCheck : {true, false}) {
+    Bench B;
+    BackendRequest Unnamed = B.makeRequest("");
+    if (IsCheck)
+      Unnamed.EchoHeader.clear();
+    B.Channels.send(std::move(Unnamed), B.Recorder);
+    cr_assert(runUntil(B.Loop, [&] {
+      if (B.Server.Descriptor < 0)
+        B.Server.Descriptor = B.Listener.accept();
+      else
+        B.Server.read();
+      return B.Server.Received.ends_with("\r\n\r\nbody");
+    }));
+    B.Server.Received.clear();
+    B.Server.write(Refusal);
+    cr_assert(B.ended());
+    B.Recorder = AnswerRecorder();
+    B.send("r2");
+    B.Server.write(Refusal);
+    cr_assert(B.ended());
+    cr_assert_eq(B.Recorder.Heads, 0);
+    cr_assert(B.Recorder.Failure == SendFailure::AnswerTruncated);
+  }
 }
 
 // Guards against reading without end from a server that is not waited for.
--- a/Tests/Serving/BrokenOnlineAnswerTest.cpp
+++ b/Tests/Serving/BrokenOnlineAnswerTest.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
+/// Names the request.
+const std::string Echo = "Id: r1\r\n";
+
 const std::string GoodAnswer =
-    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood";
+    "HTTP/1.1 200 OK\r\n" + Echo + "Content-Length: 4\r\n\r\ngood";
 
 /// An OnlineService whose two servers have real sockets. The first one that
 /// gets a request gives a broken answer, the other one a good one.
@@ -58,7 +61,7 @@
 
 /// Returns the start of an answer without a length.
 std::string makePart(const std::string &Type) {
-  return "HTTP/1.1 200 OK\r\nContent-Type: " + Type +
+  return "HTTP/1.1 200 OK\r\n" + Echo + "Content-Type: " + Type +
          "\r\n\r\nid: 0\ndata: part\n\n";
 }
 
@@ -76,7 +79,7 @@
 // have run.
 Test(BrokenOnlineAnswer, RequestThatMayNotRepeatFails) {
   for (const RequestKind Kind : {RequestKind::AtMostOnce, RequestKind::Stream})
-    for (const BrokenAnswer &Broken : makeAnswersWithBrokenHeads()) {
+    for (const BrokenAnswer &Broken : makeAnswersWithBrokenHeads(Echo)) {
       SocketBench Bench(Broken.Bytes);
       const FakeCallers::Answer &Answer = Bench.answerTo(Kind);
       const char *Name = Broken.Name.c_str();
@@ -90,7 +93,7 @@
 // Guards against a request that fails although it may be sent to another
 // server.
 Test(BrokenOnlineAnswer, RepeatableRequestGoesToAnotherServer) {
-  for (const BrokenAnswer &Broken : makeAnswersWithBrokenHeads()) {
+  for (const BrokenAnswer &Broken : makeAnswersWithBrokenHeads(Echo)) {
     SocketBench Bench(Broken.Bytes);
     const FakeCallers::Answer &Answer = Bench.answerTo(RequestKind::Idempotent);
     cr_expect_eq(Answer.Status, 200, "%s", Broken.Name.c_str());
@@ -101,7 +104,8 @@
 // Guards against a refusal with a broken head that is taken as the promise that
 // the request did not run.
 Test(BrokenOnlineAnswer, BrokenRefusalPromisesNothing) {
-  SocketBench Bench("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nX Note: a\r\n"
+  SocketBench Bench("HTTP/1.1 503 Full\r\n" + Echo +
+                    "Not-Run: 1\r\nX Note: a\r\n"
                     "Content-Length: 0\r\n\r\n");
   cr_assert_eq(Bench.answerTo(RequestKind::AtMostOnce).Status, 502);
   cr_assert(Bench.Good.Requests.empty());
--- a/Tests/Serving/HedgedRequestTest.cpp
+++ b/Tests/Serving/HedgedRequestTest.cpp
@@ -99,6 +99,25 @@
   cr_assert_eq(Bench.load(), 0);
 }
 
+// Guards against a copy whose answer is not that of the request, but ends the
+// first send.
+Test(HedgedRequest, AnswerThatDoesNotNameTheRequestDoesNotWin) {
+  for (const bool IsCopy : {true, false}) {
+    HedgeBench Bench;
+    Bench.startLate(RequestKind::Idempotent);
+    const SendId Improper = IsCopy ? HedgeBench::Copy : HedgeBench::First;
+    const SendId Proper = IsCopy ? HedgeBench::First : HedgeBench::Copy;
+    Bench.Channels.headAsIs(Improper, 200);
+    cr_assert(Bench.Channels.Cancelled.contains(Improper));
+    cr_assert_not(Bench.Channels.Cancelled.contains(Proper));
+    Bench.Channels.head(Proper, 200);
+    Bench.Channels.body(Proper, "proper");
+    Bench.Channels.done(Proper);
+    cr_assert_str_eq(Bench.answer(1).Body.c_str(), "proper");
+    cr_assert_eq(Bench.load(), 0);
+  }
+}
+
 // Guards against a stream that joins the head of one run with the events of the
 // other, and against comments that win although they answer nothing.
 Test(HedgedRequest, FirstEventDecidesBetweenStreams) {
--- a/Tests/Serving/SlowCallersTest.cpp
+++ b/Tests/Serving/SlowCallersTest.cpp
@@ -17,8 +17,10 @@
   RawHead Head;
   Head.Status = 200;
   Head.ContentLength = Bytes;
-  Head.Headers = {{"Content-Length", std::to_string(*Head.ContentLength)}};
-  Bench.Channels.All[Send - 1].Handler->answerHead(Send, Head);
+  const FakeChannels::Sent &Sent = Bench.Channels.All[Send - 1];
+  Head.Headers = {{"Content-Length", std::to_string(*Head.ContentLength)},
+                  {Sent.Order.EchoHeader, Sent.Order.EchoValue}};
+  Sent.Handler->answerHead(Send, Head);
 }
 
 } // namespace
--- a/Tests/Support/BrokenAnswers.h
+++ b/Tests/Support/BrokenAnswers.h
@@ -13,9 +13,11 @@
   std::string Bytes;
 };
 
-/// Returns answers whose status line is not valid.
-inline std::vector<BrokenAnswer> makeAnswersWithBrokenStatus() {
-  const std::string Rest = "\r\nContent-Length: 6\r\n\r\nbroken";
+/// Returns answers whose status line is not valid. Their heads contain \p
+/// Lines, each with its line break.
+inline std::vector<BrokenAnswer>
+makeAnswersWithBrokenStatus(const std::string &Lines = {}) {
+  const std::string Rest = "\r\n" + Lines + "Content-Length: 6\r\n\r\nbroken";
   std::vector<BrokenAnswer> Answers;
   for (const std::string Line :
        {"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK",
@@ -24,15 +26,18 @@
         "HTTP/1.1 -200 OK", "HTTP/1.1 OK", "HTTP/1.1 101 Switching Protocols",
         "HTTP/2.0 200 OK", "\r\nHTTP/1.1 200 OK"})
     Answers.push_back({Line, Line + Rest});
-  Answers.push_back({"000 without a length", "HTTP/1.1 000 \r\n\r\n"});
+  Answers.push_back(
+      {"000 without a length", "HTTP/1.1 000 \r\n" + Lines + "\r\n"});
   Answers.push_back({"000 before an answer",
                      "HTTP/1.1 000 OK" + Rest + "HTTP/1.1 200 OK" + Rest});
   return Answers;
 }
 
-/// Returns answers of which a header cannot be read.
-inline std::vector<BrokenAnswer> makeAnswersWithBrokenHeaders() {
-  const std::string Head = "HTTP/1.1 200 OK\r\n";
+/// Returns answers of which a header is not valid. Their heads contain
+/// \p Lines, each with its line break.
+inline std::vector<BrokenAnswer>
+makeAnswersWithBrokenHeaders(const std::string &Lines = {}) {
+  const std::string Head = "HTTP/1.1 200 OK\r\n" + Lines;
   const std::string Rest = "\r\nContent-Length: 6\r\n\r\nbroken";
   std::vector<BrokenAnswer> Answers;
   for (const std::string &Line : std::vector<std::string>{
@@ -67,10 +72,12 @@
   return Answers;
 }
 
-/// Returns all answers whose heads are not valid.
-inline std::vector<BrokenAnswer> makeAnswersWithBrokenHeads() {
-  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenStatus();
-  for (BrokenAnswer &Answer : makeAnswersWithBrokenHeaders())
+/// Returns all answers whose heads are not valid. The heads contain \p Lines,
+/// each with its line break.
+inline std::vector<BrokenAnswer>
+makeAnswersWithBrokenHeads(const std::string &Lines = {}) {
+  std::vector<BrokenAnswer> Answers = makeAnswersWithBrokenStatus(Lines);
+  for (BrokenAnswer &Answer : makeAnswersWithBrokenHeaders(Lines))
     Answers.push_back(std::move(Answer));
   return Answers;
 }
--- a/Tests/Support/FakeChannels.h
+++ b/Tests/Support/FakeChannels.h
@@ -56,8 +56,15 @@
 
   Sent &last() { return this->All.back(); }
 
-  /// Answers request \p Id with a head.
+  /// Answers request \p Id with a head that names the request.
   void head(SendId Id, int Status, HttpHeaders Headers = {}) {
+    const BackendRequest &Order = this->All[Id - 1].Order;
+    if (!Order.EchoHeader.empty() && !Order.EchoValue.empty())
+      Headers.emplace_back(Order.EchoHeader, Order.EchoValue);
+    this->headAsIs(Id, Status, std::move(Headers));
+  }
+  /// Answers request \p Id with a head that has these headers alone.
+  void headAsIs(SendId Id, int Status, HttpHeaders Headers = {}) {
     RawHead Head;
     Head.Status = Status;
     Head.Headers = std::move(Headers);
