Serving: Promise that a request did not run only if that is true

The status tells them that it did not run, so they sent it again and it ran twice.

Cause: OnlineService counted an answer without the mark of a refusal as a run, but passed its status on, also 503, 429 and 408, if the request could not be sent again.

classifyAnswer() tells failures with these statuses and without the mark from others. True refusals still become a 503 of the VM with a Retry-After, and other failures of servers are passed on as they are, which tests show.

--- a/Source/BatchJobs/JobRunnerAnswers.cpp
+++ b/Source/BatchJobs/JobRunnerAnswers.cpp
@@ -48,7 +48,7 @@
   const std::string_view Type = Head.header("Content-Type");
   Run->AnswerIsStream =
       Type.starts_with(this->Dependencies.Protocol.EventStreamType);
-  if (Answer.Kind == AnswerKind::Failed)
+  if (Answer.Kind != AnswerKind::Succeeded)
     this->handleFailure(Key, *Run, Head.Status);
   else if (!Type.empty() && !Run->AnswerIsStream)
     this->rejectAnswer(Key, *Run, "the answer is no event stream");
--- a/Source/Serving/BackendProtocol.h
+++ b/Source/Serving/BackendProtocol.h
@@ -3,6 +3,7 @@
 
 #include "RawHttp/RawMessage.h"
 
+#include <set>
 #include <string>
 
 namespace turmericpass {
@@ -24,6 +25,9 @@
   std::string Leaving;
   /// The status of a refusal by a server that is not the expected one.
   int WrongServerStatus = 421;
+  /// The statuses of answers that tell callers that their requests did not run
+  /// and will not run.
+  std::set<int> NotRunStatuses;
   /// The id of the last event that the sender has received. The answer
   /// continues after that event.
   std::string LastEventId;
--- a/Source/Serving/ServerAnswer.cpp
+++ b/Source/Serving/ServerAnswer.cpp
@@ -58,7 +58,10 @@
   if (IsRefusal)
     return {AnswerKind::Refused, {}};
   if (!IsSuccess)
-    return {AnswerKind::Failed, {}};
+    return {Protocol.NotRunStatuses.contains(Head.Status)
+                ? AnswerKind::UnprovenRefusal
+                : AnswerKind::Failed,
+            {}};
   const std::string_view Defect = findDefectOfSuccess(Head, Protocol);
   return {Defect.empty() ? AnswerKind::Succeeded : AnswerKind::Broken, Defect};
 }
--- a/Source/Serving/ServerAnswer.h
+++ b/Source/Serving/ServerAnswer.h
@@ -16,6 +16,9 @@
   Succeeded,
   /// The server may have run the request, and failed it.
   Failed,
+  /// The same, but the status would tell the caller that the request did not
+  /// run, which the server has not stated.
+  UnprovenRefusal,
   /// No proper server gives this answer to the request, which may have run.
   Broken,
 };
--- a/Tests/PlatformAdapter/BrokenServerAnswerTest.cpp
+++ b/Tests/PlatformAdapter/BrokenServerAnswerTest.cpp
@@ -79,6 +79,28 @@
   cr_assert_eq(Answer.find("part"), std::string::npos);
 }
 
+// Guards against the status of a server that tells the caller of a request that
+// it did not run, although it may have run, so that the caller sends it again.
+// What the server states to be true still reaches the caller.
+Test(BrokenServerAnswer, CallerIsToldThatARequestDidNotRunOnlyIfThatIsTrue) {
+  const std::string End = "Retry-After: 9\r\nContent-Length: 6\r\n\r\ntheirs";
+  for (const std::string Status : {"408", "429", "503"}) {
+    const std::string Head = "HTTP/1.1 " + Status + " Busy\r\n" + Proper;
+    SocketBench Unproven;
+    Unproven.Server.Answer = Head + End;
+    const std::string Failure = Unproven.answerTo(4);
+    cr_expect(Failure.starts_with("HTTP/1.1 502 "), "%s", Failure.c_str());
+    for (const char *Part : {"Server-Stamp", "Retry-After", "theirs"})
+      cr_expect_eq(Failure.find(Part), std::string::npos, "%s", Part);
+
+    SocketBench Proven;
+    Proven.Server.Answer = Head + "Not-Run: 1\r\n" + End;
+    const std::string Refusal = Proven.answerTo(4);
+    cr_expect(Refusal.starts_with("HTTP/1.1 503 "), "%s", Refusal.c_str());
+    cr_expect_neq(Refusal.find("Retry-After"), std::string::npos);
+  }
+}
+
 // Guards against a page of another program that is passed on as the success of
 // a request, because it is the first answer on its connection.
 Test(BrokenServerAnswer, CallerGetsNoSuccessThatIsNotOfItsRequest) {
