--- a/Source/BatchJobs/ItemCrashMonitor.cpp
+++ b/Source/BatchJobs/ItemCrashMonitor.cpp
@@ -130,8 +130,8 @@
   // Another owner must not start to count at 0 again.
   this->Store.saveProgress(Key.JobId, {Run->takeProgress(Key.Index)});
   const ItemCrashCounts &Counts = Run->Crashes.counts();
-  const bool IsLimited = Run->Crashes.isOnTrial() &&
-                         Counts.Trials >= ItemCrashPolicy::FirstTrials;
+  const bool IsLimited =
+      Run->Crashes.isOnTrial() && Counts.Trials >= ItemCrashPolicy::FirstTrials;
   this->Log.log(IsLimited ? LogLevel::Warning : LogLevel::Info,
                 IsLimited ? "Servers crash when they run an item; it is tried "
                             "from time to time."
--- a/Source/BatchJobs/JobRunner.cpp
+++ b/Source/BatchJobs/JobRunner.cpp
@@ -42,13 +42,14 @@
     : Dependencies(std::move(Dependencies)),
       Loader(this->Dependencies.Loop, this->Dependencies.Store,
              this->Dependencies.Log),
-      CrashMonitor(this->Dependencies.Loop.clock(), this->Dependencies.Detector,
-                   this->Dependencies.Crashes, this->Dependencies.Store,
-                   this->Dependencies.Log, this->Dependencies.Stats,
-                   [this](const ItemKey &Key) { return this->findItem(Key); },
-                   [this](const OwnedJob &Job, const ItemRun &Run) {
-                     return this->serviceOf(Job, Run);
-                   }),
+      CrashMonitor(
+          this->Dependencies.Loop.clock(), this->Dependencies.Detector,
+          this->Dependencies.Crashes, this->Dependencies.Store,
+          this->Dependencies.Log, this->Dependencies.Stats,
+          [this](const ItemKey &Key) { return this->findItem(Key); },
+          [this](const OwnedJob &Job, const ItemRun &Run) {
+            return this->serviceOf(Job, Run);
+          }),
       Starter(this->Dependencies.Loop.clock(), this->Dependencies.Placement,
               this->Dependencies.Servers, this->Dependencies.Log,
               {this->Dependencies.OtherVmsHaveUrgentItems,
