BatchJobs: Do not overlook or undo changes of other VMs

Cause: the answer to a transaction has the newest version of the store, which may be newer than the rows that the transaction wrote. JobStore gave it to the rows, so JobDirectory took a change by another VM in between for an old row. A commit conditional on that version could even succeed and undo the change. JobCleaner gave such a version to its removals.

A version from an answer is an upper bound now, with the replaced row's version as a floor: any other row above the floor is newer. Transactions are sent only with an exact version; if the feed has not reported it, the row is read. The identity of the replaced row is checked as well, so updateJob() takes no version any more.

The store of the unit tests takes the version when it sends its answer, as the real one may. JobCleanerTest reports the rows as the feed does, because the cleaner waits for exact versions; its expectations are the same.

--- a/Source/BatchJobs/JobApi.cpp
+++ b/Source/BatchJobs/JobApi.cpp
@@ -423,8 +423,7 @@
         }
         Metadata.Cancelled = true;
         this->Dependencies.Store.updateJob(
-            Call.JobId, Metadata, (*Known)->Version, {}, 0, Deadline,
-            this->Dependencies.Directory,
+            Call.JobId, Metadata, {}, 0, Deadline, this->Dependencies.Directory,
             [this, Caller, Call, From, RequestId,
              Deadline](JobStore::ChangeOutcome Outcome) {
               if (Outcome == JobStore::ChangeOutcome::Done) {
--- a/Source/BatchJobs/JobCleaner.cpp
+++ b/Source/BatchJobs/JobCleaner.cpp
@@ -22,7 +22,8 @@
     if (this->JobsBeingRemoved.size() >= MaxConcurrentRemovals)
       return;
     const std::int64_t Age = StoreMillis - Known.Metadata.AcceptedAtMillis;
-    if (Known.Version == 0 || Known.Metadata.isOpen() ||
+    if (Known.Version.Newest == 0 || !Known.Version.isExact() ||
+        Known.Metadata.isOpen() ||
         std::chrono::milliseconds(Age) <= this->Retention ||
         !IsAssignedToThisVm(JobId) ||
         !this->JobsBeingRemoved.insert(JobId).second)
@@ -48,7 +49,7 @@
   this->Rows.read(
       std::move(Range),
       [this, JobId, RangeIndex, PartName = Ranges[RangeIndex].Part,
-       Version = Known->Version](Result<RowPage> Page) {
+       Version = Known->Version.Newest](Result<RowPage> Page) {
         if (!Page) {
           // The next call of clean() retries.
           this->JobsBeingRemoved.erase(JobId);
@@ -89,6 +90,11 @@
       JobDirectory::admissionKey(Route, Organisation);
   const JobDirectory::Admission Before =
       this->Directory.admission(Route, Organisation);
+  if (!Known->Version.isExact() || !Before.Version.isExact()) {
+    // The next call of clean() retries, once the feed has reported the rows.
+    this->JobsBeingRemoved.erase(JobId);
+    return;
+  }
   const std::uint64_t Tokens = Known->Metadata.TotalTokens;
   const std::string NewAdmissionValue = JobDirectory::admissionValue(
       Before.AcceptedTokens > Tokens ? Before.AcceptedTokens - Tokens : 0,
@@ -96,27 +102,19 @@
   RowTransaction Change;
   Change.Part = JobStore::Part;
   Change.Conditions = {
-      {JobStore::JobTable, JobDirectory::metadataKey(JobId), Known->Version},
-      {JobStore::JobTable, AdmissionKey, Before.Version}};
+      {JobStore::JobTable, JobDirectory::metadataKey(JobId),
+       Known->Version.Newest},
+      {JobStore::JobTable, AdmissionKey, Before.Version.Newest}};
   Change.Writes = {{JobStore::JobTable, AdmissionKey, NewAdmissionValue}};
   Change.Removals = {{JobStore::JobTable, JobDirectory::metadataKey(JobId)}};
-  this->Rows.transact(std::move(Change), [this, JobId, AdmissionKey,
-                                          NewAdmissionValue](
-                                             const TransactionResult &Answer) {
+  this->Rows.transact(Change, [this, JobId, Committed = Change](
+                                  const TransactionResult &Answer) {
     this->JobsBeingRemoved.erase(JobId);
     if (Answer.Outcome != TransactionOutcome::Committed) {
       this->Directory.merge(Answer.Current);
       return;
     }
-    StoredRow MetadataRow;
-    MetadataRow.Key = JobDirectory::metadataKey(JobId);
-    MetadataRow.Removed = true;
-    MetadataRow.Version = Answer.Version;
-    StoredRow AdmissionRow;
-    AdmissionRow.Key = AdmissionKey;
-    AdmissionRow.Value = NewAdmissionValue;
-    AdmissionRow.Version = Answer.Version;
-    this->Directory.merge({MetadataRow, AdmissionRow});
+    this->Directory.mergeCommitted(Committed, Answer.Version);
     this->Log.log(LogLevel::Info, "Removed an expired job.", {{"job", JobId}});
   });
 }
--- a/Source/BatchJobs/JobDirectory.h
+++ b/Source/BatchJobs/JobDirectory.h
@@ -13,11 +13,24 @@
 
 class Logger;
 
+/// The version of a row as far as it is known. The answer to a transaction may
+/// have a newer version than the rows that the transaction wrote.
+struct KnownVersion {
+  /// The version of the row, or a newer one.
+  std::uint64_t Newest = 0;
+  /// The version of the row, or that of the row which it replaced. Another
+  /// value of the row with a higher version is newer.
+  std::uint64_t Floor = 0;
+
+  bool isExact() const { return this->Newest == this->Floor; }
+};
+
 /// The metadata of a job as last read from the store.
 struct KnownJob {
   JobMetadata Metadata;
-  /// The version of the metadata row.
-  std::uint64_t Version = 0;
+  /// The version of the metadata row, which is 0 if the metadata could not be
+  /// decoded.
+  KnownVersion Version;
 };
 
 /// The metadata of every job as this VM last read it from the store. Performs
@@ -39,6 +52,12 @@
   /// their jobs, because the feed does not report a known version again.
   void merge(const std::vector<StoredRow> &Rows);
 
+  /// Applies what a committed transaction of this VM did to rows on which it
+  /// had a condition. \p AnsweredVersion is the version in the answer of the
+  /// store.
+  void mergeCommitted(const RowTransaction &Change,
+                      std::uint64_t AnsweredVersion);
+
   /// Returns nullptr if the job is unknown or its metadata could not be
   /// decoded.
   const KnownJob *find(const std::string &JobId) const;
@@ -53,7 +72,7 @@
   /// acceptances on different VMs conflict. Jobs without an organisation have a
   /// row of their own.
   struct Admission {
-    std::uint64_t Version = 0;
+    KnownVersion Version;
     /// The tokens of all accepted jobs that are still in the store, finished
     /// ones included.
     std::uint64_t AcceptedTokens = 0;
@@ -71,6 +90,15 @@
   std::uint64_t waitingTokens(const std::string &Route,
                               const std::string &Organisation) const;
 
+  /// What distinguishes the known value of a row from others, and its version.
+  struct KnownRow {
+    /// The id of the write, or the value of an admission row; empty if there is
+    /// no row.
+    std::string Identity;
+    KnownVersion Version;
+  };
+  KnownRow row(const std::string &Key) const;
+
   /// Return the keys of the rows in JobStore::JobTable.
   static std::string metadataKey(const std::string &JobId);
   static std::string admissionKey(const std::string &Route,
@@ -84,6 +112,13 @@
   /// Applies one row and appends the id of its job to \p Changed if the job
   /// changed.
   void apply(const StoredRow &Row, std::vector<std::string> &Changed);
+  void applyAdmission(const StoredRow &Row);
+  void applyRemoval(const StoredRow &Row, const std::string &JobId,
+                    std::vector<std::string> &Changed);
+  /// Applies a row that this VM wrote in place of the one with version
+  /// \p Replaced. The version of \p Row is that of the answer.
+  void applyWritten(const StoredRow &Row, std::uint64_t Replaced,
+                    std::vector<std::string> &Changed);
 
   /// Returns \p Changed and the jobs that merge() changed, each once.
   std::vector<std::string>
--- a/Source/BatchJobs/JobStore.cpp
+++ b/Source/BatchJobs/JobStore.cpp
@@ -43,6 +43,10 @@
   std::string WriteId;
   RowTransaction Change;
   Instant Deadline;
+  /// The row that the change is based on, as JobDirectory::row() identifies it.
+  /// The key is empty if there is none.
+  std::string ReplacedKey;
+  std::string ReplacedIdentity;
   JobDirectory *Directory = nullptr;
   ChangeCallback Done;
   /// Whether an attempt got no answer, so that the store may have applied the
@@ -76,8 +80,8 @@
 
 std::shared_ptr<JobStore::PendingTransaction>
 JobStore::prepareTransaction(const std::string &JobId, JobMetadata Metadata,
-                             std::uint64_t Version, Instant Deadline,
-                             JobDirectory &Directory, ChangeCallback Done) {
+                             Instant Deadline, JobDirectory &Directory,
+                             ChangeCallback Done) {
   auto Pending = std::make_shared<PendingTransaction>();
   Pending->JobId = JobId;
   Pending->WriteId = Metadata.WriteId = this->Ids.shortId();
@@ -86,7 +90,7 @@
   Pending->Done = std::move(Done);
   Pending->Change.Part = Part;
   Pending->Change.Conditions = {
-      {JobTable, JobDirectory::metadataKey(JobId), Version}};
+      {JobTable, JobDirectory::metadataKey(JobId), 0}};
   Pending->Change.Writes = {
       {JobTable, JobDirectory::metadataKey(JobId), encodeMetadata(Metadata)}};
   return Pending;
@@ -96,13 +100,15 @@
                          const std::vector<JobItem> &Items, Instant Deadline,
                          JobDirectory &Directory, ChangeCallback Done) {
   std::shared_ptr<PendingTransaction> Pending = this->prepareTransaction(
-      JobId, Metadata, 0, Deadline, Directory, std::move(Done));
+      JobId, Metadata, Deadline, Directory, std::move(Done));
   RowTransaction &Change = Pending->Change;
   const std::string Key =
       JobDirectory::admissionKey(Metadata.Route, Metadata.Organisation);
   const JobDirectory::Admission Before =
       Directory.admission(Metadata.Route, Metadata.Organisation);
-  Change.Conditions.push_back({JobTable, Key, Before.Version});
+  Pending->ReplacedKey = Key;
+  Pending->ReplacedIdentity = Before.Value;
+  Change.Conditions.push_back({JobTable, Key, 0});
   Change.Writes.push_back(
       {JobTable, Key,
        JobDirectory::admissionValue(
@@ -110,7 +116,7 @@
   const std::vector<RowWrite> ItemRows = splitValue(
       DataTable, itemsPrefix(JobId), encodeItems(Items), this->Rows.limits());
   if (addRowsIfWithinLimits(Change, ItemRows, this->Rows.limits()))
-    this->sendTransaction(std::move(Pending));
+    this->sendWithExactVersion(std::move(Pending));
   else
     this->writeItemsFirst(Pending, ItemRows);
 }
@@ -144,7 +150,7 @@
                            ? ChangeOutcome::Conflict
                            : ChangeOutcome::NotDone);
     else if (RemainingRows.empty())
-      this->sendTransaction(Acceptance);
+      this->sendWithExactVersion(Acceptance);
     else
       this->writeItemsFirst(Acceptance, RemainingRows);
   };
@@ -184,19 +190,20 @@
                                             static_cast<std::ptrdiff_t>(Count));
   JobMetadata Metadata = Job.metadataAfterCommit(Count);
   Metadata.Owner = Owner;
-  return {Count, this->updateJob(JobId, Metadata, Job.Version, Results,
-                                 Job.Metadata.CommittedItems, Deadline,
-                                 Directory, std::move(Done))};
+  return {Count,
+          this->updateJob(JobId, Metadata, Results, Job.Metadata.CommittedItems,
+                          Deadline, Directory, std::move(Done))};
 }
 
 std::string JobStore::updateJob(const std::string &JobId,
                                 const JobMetadata &Metadata,
-                                std::uint64_t Version,
                                 const std::vector<ItemResult> &Results,
                                 std::uint64_t First, Instant Deadline,
                                 JobDirectory &Directory, ChangeCallback Done) {
   std::shared_ptr<PendingTransaction> Pending = this->prepareTransaction(
-      JobId, Metadata, Version, Deadline, Directory, std::move(Done));
+      JobId, Metadata, Deadline, Directory, std::move(Done));
+  Pending->ReplacedKey = JobDirectory::metadataKey(JobId);
+  Pending->ReplacedIdentity = Metadata.WriteId;
   RowTransaction &Change = Pending->Change;
   for (const ItemResult &Item : Results)
     for (RowWrite &Row :
@@ -204,7 +211,7 @@
                     encodeResult(Item), this->Rows.limits()))
       Change.Writes.push_back(std::move(Row));
   std::string WriteId = Pending->WriteId;
-  this->sendTransaction(std::move(Pending));
+  this->sendWithExactVersion(std::move(Pending));
   return WriteId;
 }
 
@@ -248,6 +255,60 @@
                       });
 }
 
+void JobStore::sendWithExactVersion(
+    std::shared_ptr<PendingTransaction> Pending) {
+  const JobDirectory::KnownRow Replaced =
+      Pending->Directory->row(Pending->ReplacedKey);
+  if (Replaced.Identity != Pending->ReplacedIdentity) {
+    // The callers of updateJob() do not expect an outcome before it returns.
+    this->Loop.after(Duration(0), [Pending = std::move(Pending)] {
+      Pending->Done(ChangeOutcome::Conflict);
+    });
+    return;
+  }
+  if (!Replaced.Version.isExact()) {
+    this->readReplacedRow(std::move(Pending));
+    return;
+  }
+  for (RowCondition &Condition : Pending->Change.Conditions)
+    if (Condition.Key == Pending->ReplacedKey)
+      Condition.Version = Replaced.Version.Newest;
+  this->sendTransaction(std::move(Pending));
+}
+
+void JobStore::readReplacedRow(std::shared_ptr<PendingTransaction> Pending) {
+  RowRange Range;
+  Range.Table = JobTable;
+  Range.Part = Part;
+  Range.From = Pending->ReplacedKey;
+  Range.To = Range.From + '\x01';
+  Range.Limit = 1;
+  this->Rows.read(std::move(Range), [this, Pending = std::move(Pending)](
+                                        const Result<RowPage> &Page) {
+    const bool HasTimeLeft =
+        this->Loop.clock().now() + RetryDelay < Pending->Deadline;
+    if (Page && HasTimeLeft) {
+      Pending->Directory->merge(Page->Rows);
+      const JobDirectory::KnownRow Replaced =
+          Pending->Directory->row(Pending->ReplacedKey);
+      // The row may be gone, or its value may not be readable.
+      if (Page->Rows.empty() || !Replaced.Version.isExact())
+        Pending->Done(ChangeOutcome::Conflict);
+      else
+        this->sendWithExactVersion(Pending);
+    } else if (HasTimeLeft) {
+      this->Loop.after(
+          RetryDelay, [this, Pending] { this->sendWithExactVersion(Pending); });
+    } else {
+      this->Log.log(LogLevel::Info, "The row of a job could not be read.",
+                    {{"job", Pending->JobId},
+                     {"key", Pending->ReplacedKey},
+                     {"detail", Page ? "too late" : Page.error().Message}});
+      Pending->Done(ChangeOutcome::NotDone);
+    }
+  });
+}
+
 void JobStore::sendTransaction(std::shared_ptr<PendingTransaction> Pending) {
   RowTransaction Change = Pending->Change;
   this->Rows.transact(std::move(Change), [this, Pending = std::move(Pending)](
@@ -272,12 +333,7 @@
                                    const TransactionResult &Answer) {
   ChangeOutcome Outcome = ChangeOutcome::NotDone;
   if (Answer.Outcome == TransactionOutcome::Committed) {
-    std::vector<StoredRow> Written;
-    for (const RowWrite &Row : Pending.Change.Writes)
-      if (Row.Table == JobTable)
-        Written.push_back(
-            {Row.Table, Part, Row.Key, Row.Value, Answer.Version, false});
-    Pending.Directory->merge(Written);
+    Pending.Directory->mergeCommitted(Pending.Change, Answer.Version);
     Outcome = ChangeOutcome::Done;
   } else if (Answer.Outcome == TransactionOutcome::Conflict) {
     Pending.Directory->merge(Answer.Current);
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -84,11 +84,11 @@
                               const std::string &Owner, Instant Deadline,
                               JobDirectory &Directory, ChangeCallback Done);
 
-  /// Replaces the job's metadata if it still has \p Version. The same
-  /// transaction writes \p Results to the positions from \p First on. Retries
-  /// until \p Deadline. Returns JobMetadata::WriteId of the new metadata.
+  /// Replaces the job's metadata if the row with the same JobMetadata::WriteId
+  /// as \p Metadata is still the current one. The same transaction writes
+  /// \p Results to the positions from \p First on. Retries until \p Deadline.
+  /// Returns JobMetadata::WriteId of the new metadata.
   std::string updateJob(const std::string &JobId, const JobMetadata &Metadata,
-                        std::uint64_t Version,
                         const std::vector<ItemResult> &Results,
                         std::uint64_t First, Instant Deadline,
                         JobDirectory &Directory, ChangeCallback Done);
@@ -124,18 +124,23 @@
 private:
   struct PendingTransaction;
   struct PendingRangeRead;
-  /// Creates a transaction that replaces the job's metadata of version
-  /// \p Version with \p Metadata.
+  /// Creates a transaction that writes \p Metadata, provided that there is no
+  /// such job.
   std::shared_ptr<PendingTransaction>
   prepareTransaction(const std::string &JobId, JobMetadata Metadata,
-                     std::uint64_t Version, Instant Deadline,
-                     JobDirectory &Directory, ChangeCallback Done);
+                     Instant Deadline, JobDirectory &Directory,
+                     ChangeCallback Done);
   /// Writes \p ItemRows in transactions of their own and then sends
   /// \p Acceptance.
   void writeItemsFirst(const std::shared_ptr<PendingTransaction> &Acceptance,
                        const std::vector<RowWrite> &ItemRows);
   std::vector<RowWrite> makeProgressRows(const std::string &JobId,
                                          const ItemProgress &Item) const;
+  /// Sends the transaction once the version of the row that it replaces is
+  /// known exactly. A newer version may be that of a change by another VM,
+  /// which the transaction would undo.
+  void sendWithExactVersion(std::shared_ptr<PendingTransaction> Pending);
+  void readReplacedRow(std::shared_ptr<PendingTransaction> Pending);
   void sendTransaction(std::shared_ptr<PendingTransaction> Pending);
   void completeTransaction(PendingTransaction &Pending,
                            const TransactionResult &Answer);
--- a/Source/BatchJobs/JobTakeover.cpp
+++ b/Source/BatchJobs/JobTakeover.cpp
@@ -29,7 +29,7 @@
   std::map<std::string, Instant> NewOrphanedSince;
   std::vector<std::string> ChosenJobs;
   for (const auto &[JobId, Known] : Jobs) {
-    if (!Known.Metadata.isOpen() || Known.Version == 0 ||
+    if (!Known.Metadata.isOpen() || Known.Version.Newest == 0 ||
         (!Known.Metadata.Owner.empty() && IsAlive(Known.Metadata.Owner)))
       continue;
     const auto Previous = this->OrphanedSince.find(JobId);
--- a/Source/BatchJobs/OwnedJob.cpp
+++ b/Source/BatchJobs/OwnedJob.cpp
@@ -81,7 +81,7 @@
 
 bool OwnedJob::adoptMetadata(const KnownJob &Known) {
   const bool SameWrite = Known.Metadata.WriteId == this->Metadata.WriteId;
-  if (Known.Version <= this->Version && !SameWrite)
+  if (Known.Version.Newest <= this->Version.Floor && !SameWrite)
     return true;
   if (this->StartedCommits.contains(Known.Metadata.WriteId)) {
     const auto NewlyCommitted = static_cast<std::ptrdiff_t>(
--- a/Source/BatchJobs/OwnedJob.h
+++ b/Source/BatchJobs/OwnedJob.h
@@ -97,7 +97,7 @@
   std::uint64_t Generation = 0;
   JobMetadata Metadata;
   /// The version of the metadata row.
-  std::uint64_t Version = 0;
+  KnownVersion Version;
   std::vector<ItemRun> Items;
   /// Results that are not in the store yet, in the order of their positions.
   std::vector<ItemResult> UncommittedResults;
--- a/Source/Node/ServingNode.cpp
+++ b/Source/Node/ServingNode.cpp
@@ -442,7 +442,7 @@
     Metadata.Owner = this->Self;
     ++Metadata.Epoch;
     this->Jobs.updateJob(
-        JobId, Metadata, Known.Version, {}, 0,
+        JobId, Metadata, {}, 0,
         this->Dependencies.Loop.clock().now() + TakeoverTimeout,
         this->KnownJobs, [this, JobId](JobStore::ChangeOutcome Outcome) {
           this->PendingTakeovers.erase(JobId);
--- a/Tests/BatchJobs/CrashingItemTest.cpp
+++ b/Tests/BatchJobs/CrashingItemTest.cpp
@@ -314,8 +314,8 @@
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
   ++Metadata.Epoch;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
-                        Bench.Time.now() + 5s, Bench.Directory,
+  Bench.Store.updateJob("j", Metadata, {}, 0, Bench.Time.now() + 5s,
+                        Bench.Directory,
                         [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
 }
 
--- a/Tests/BatchJobs/JobApiTest.cpp
+++ b/Tests/BatchJobs/JobApiTest.cpp
@@ -146,7 +146,7 @@
   std::map<std::string, KnownJob> Jobs;
   for (int I = 0; I < 30; ++I) {
     KnownJob &Known = Jobs["job" + std::to_string(I)];
-    Known.Version = 1;
+    Known.Version = {1, 1};
     Known.Metadata.TotalItems = 1;
     Known.Metadata.Owner = I % 2 ? "lost" : "alive";
   }
--- a/Tests/BatchJobs/JobCleanerTest.cpp
+++ b/Tests/BatchJobs/JobCleanerTest.cpp
@@ -14,6 +14,7 @@
   Bench.complete(1);
   cr_assert(runUntil(Bench.Loop, [&] { return !Bench.Runner.owns("old"); }));
   cr_assert(Bench.startJob("open", 1));
+  Bench.reportJobs();
   JobCleaner Cleaner(Bench.Rows, Bench.Directory, Bench.Log,
                      std::chrono::seconds(120));
   const auto IsAssignedToThisVm = [](const std::string &) { return true; };
--- a/Tests/BatchJobs/JobRunnerTest.cpp
+++ b/Tests/BatchJobs/JobRunnerTest.cpp
@@ -55,10 +55,9 @@
   JobMetadata Metadata = Known.Metadata;
   Metadata.Owner = "other";
   ++Metadata.Epoch;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
-                        Bench.Time.now() + std::chrono::seconds(5),
-                        Bench.Directory,
-                        [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
+  Bench.Store.updateJob(
+      "j", Metadata, {}, 0, Bench.Time.now() + std::chrono::seconds(5),
+      Bench.Directory, [&](JobStore::ChangeOutcome) { Other.runJob("j"); });
 }
 
 } // namespace
@@ -279,10 +278,9 @@
   JobMetadata Metadata = Known.Metadata;
   Metadata.Cancelled = true;
   bool Cancelled = false;
-  Bench.Store.updateJob("j", Metadata, Known.Version, {}, 0,
-                        Bench.Time.now() + std::chrono::seconds(5),
-                        Bench.Directory,
-                        [&](JobStore::ChangeOutcome) { Cancelled = true; });
+  Bench.Store.updateJob(
+      "j", Metadata, {}, 0, Bench.Time.now() + std::chrono::seconds(5),
+      Bench.Directory, [&](JobStore::ChangeOutcome) { Cancelled = true; });
   cr_assert(runUntil(Bench.Loop, [&] { return Cancelled; }));
   Bench.Runner.handleJobChanges({"j"});
   cr_assert_eq(Bench.Channels.Cancelled.size(), 2);
--- a/Tests/BatchJobs/StaleMetadataTest.cpp
+++ b/Tests/BatchJobs/StaleMetadataTest.cpp
@@ -61,7 +61,7 @@
 Test(JobDirectory, ListingDoesNotRemoveJobsThatAreNewerThanIt) {
   RunnerBench Bench;
   cr_assert(Bench.startJob("j", 1));
-  const std::uint64_t Accepted = Bench.Directory.find("j")->Version;
+  const std::uint64_t Accepted = Bench.Directory.find("j")->Version.Newest;
   Bench.Directory.update({});
   cr_assert(Bench.Directory.replace({}, Accepted - 1).empty());
   cr_assert_not_null(Bench.Directory.find("j"));
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -32,6 +32,9 @@
   /// How much newer the version in an answer is than that of the rows, as when
   /// other transactions were made meanwhile.
   std::uint64_t AnsweredAhead = 0;
+  /// The time between a transaction and its answer. The answer has the version
+  /// that the store has by then.
+  Duration AnswerTime{0};
   /// What the store takes; it answers nothing to a transaction beyond them,
   /// and does not make it.
   RowLimits Limits;
@@ -68,8 +71,12 @@
       Answer = this->apply(Change);
     if (Fault == RowFault::AnswerLost || Fault == RowFault::MadeLate)
       Answer = TransactionResult();
-    this->Loop.after(Duration(0), [Answer = std::move(Answer),
-                                   Done = std::move(Done)] { Done(Answer); });
+    this->Loop.after(this->AnswerTime, [this, Answer = std::move(Answer),
+                                        Done = std::move(Done)]() mutable {
+      if (Answer.Outcome == TransactionOutcome::Committed)
+        Answer.Version = this->Version;
+      Done(std::move(Answer));
+    });
   }
 
   /// Makes the transactions that were held back.
--- a/Tests/Support/RunnerBench.h
+++ b/Tests/Support/RunnerBench.h
@@ -106,6 +106,19 @@
     });
   }
 
+  /// Reports the rows of all jobs as the feed does.
+  void reportJobs() {
+    bool Reported = false;
+    RowRange Range;
+    Range.Table = JobStore::JobTable;
+    Range.Part = JobStore::Part;
+    Rows.read(Range, [&](Result<RowPage> Page) {
+      Directory.update(Page->Rows);
+      Reported = true;
+    });
+    runUntil(Loop, [&] { return Reported; });
+  }
+
   /// Plays a whole answer of two events to request \p Id.
   void complete(SendId Id) {
     Channels.head(Id, 200, {{"Content-Type", "text/event-stream"}});
