BatchJobs: Explain when items are tried and jobs accepted

Found when the change was read again: three comments said what the code did before, and a variable stood before the branch that does not use it.

--- a/Source/BatchJobs/ItemCrashMonitor.h
+++ b/Source/BatchJobs/ItemCrashMonitor.h
@@ -35,8 +35,9 @@
 
   /// Adopts the counts of the items of a job that was read from the store.
   void restore(const std::string &JobId, OwnedJob &Job);
-  /// Saves the number of each trial that is due. The item may start once that
-  /// is done: otherwise a VM that is lost during trials would repeat them.
+  /// Saves the number of each trial that is due and that ItemTrialLimit allows.
+  /// The item may start once that is done: otherwise a VM that is lost during
+  /// trials would repeat them.
   void requestTrials(std::map<std::string, OwnedJob> &Jobs);
 
   /// Reports that the server did not complete the item, which it may have begun
--- a/Source/BatchJobs/ItemCrashPolicy.h
+++ b/Source/BatchJobs/ItemCrashPolicy.h
@@ -42,8 +42,8 @@
   /// The number of trials that start as soon as their delays are over. Later
   /// ones also wait for those of other items.
   static constexpr int FirstTrials = 3;
-  /// The delay before each later trial. A new owner starts it again, so it is
-  /// shorter than the time that a job has after the last crash.
+  /// The delay before each later trial. It leaves an innocent item the time to
+  /// complete soon after the last crash.
   static constexpr Duration LaterTrialDelay = std::chrono::seconds(12);
   /// An item that received more events in one send is no suspect if the server
   /// crashes then. Items that crash servers are known to do so within some 20
--- a/Source/BatchJobs/JobStore.h
+++ b/Source/BatchJobs/JobStore.h
@@ -59,7 +59,7 @@
   using ChangeCallback = std::function<void(ChangeOutcome)>;
 
   /// Writes a new job, provided that no job with this id exists and that the
-  /// admission row of its route has the version that \p Directory knows. Items
+  /// admission row of its route is still the one that \p Directory knows. Items
   /// that do not fit into the same transaction are written in earlier ones.
   /// Retries until \p Deadline.
   void acceptJob(const std::string &JobId, const JobMetadata &Metadata,
--- a/Source/Serving/OnlineServiceAnswers.cpp
+++ b/Source/Serving/OnlineServiceAnswers.cpp
@@ -36,12 +36,12 @@
     return;
   }
   this->Dependencies.Servers.recordSuccess(Call->Server);
-  const bool Success = Answer.Kind == AnswerKind::Succeeded;
   if (Answer.Kind == AnswerKind::UnprovenRefusal) {
     this->endSend(*Call, true);
     this->retry(*Call, "the server did not state that the request did not run");
     return;
   }
+  const bool Success = Answer.Kind == AnswerKind::Succeeded;
   if (!Success && Head.Status >= 500 && Call->Route.mayRepeat() &&
       Call->PossibleRuns < Call->Route.MaxAttempts) {
     this->endSend(*Call, true);
